--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's command.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's command.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/bucket.rs
@@ -0,0 +1,61 @@
+//! A token bucket, for rates that the platform or a team limits.
+
+use crate::time::Time;
+
+/// A bucket that refills at a steady rate.
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+    filled_at: Time,
+}
+
+impl Bucket {
+    /// A full bucket of `burst` tokens that gains `rate` tokens a second.
+    #[must_use]
+    pub const fn new(rate: f64, burst: f64, now: Time) -> Self {
+        Self { rate, burst, tokens: burst, filled_at: now }
+    }
+
+    /// Change the rate and burst, keeping what is in the bucket.
+    pub fn resize(&mut self, rate: f64, burst: f64, now: Time) {
+        self.fill(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
+    /// Take `n` tokens if they are there.
+    pub fn take(&mut self, n: f64, now: Time) -> bool {
+        self.fill(now);
+        let enough = self.tokens >= n;
+        if enough {
+            self.tokens -= n;
+        }
+        enough
+    }
+
+    /// When `n` tokens will be there.
+    #[must_use]
+    pub fn available_at(&self, n: f64, now: Time) -> Time {
+        let missing = n - self.tokens_at(now);
+        if missing <= 0.0 {
+            return now;
+        }
+        if self.rate <= 0.0 {
+            return Time::NEVER;
+        }
+        now + crate::time::Span::seconds(missing / self.rate)
+    }
+
+    fn tokens_at(&self, now: Time) -> f64 {
+        let gained = now.since(self.filled_at).as_seconds() * self.rate;
+        (self.tokens + gained).min(self.burst)
+    }
+
+    fn fill(&mut self, now: Time) {
+        self.tokens = self.tokens_at(now);
+        self.filled_at = now;
+    }
+}
--- /dev/null
+++ b/crates/core/src/choose.rs
@@ -0,0 +1,241 @@
+//! Which endpoint serves a request.
+//!
+//! A small pool is looked at whole. In a large one the candidates are the two owners of the
+//! prompt's prefix on a hash ring and a few others drawn at random, so the cost does not grow
+//! with the pool. Of those with room the best predicted wins; near ties are broken at random, so
+//! that daemons with the same stale view do not all run to one endpoint.
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    endpoint::{Endpoint, EndpointKey, Role},
+    predict::{Prediction, predict},
+    request::Request,
+    time::Time,
+};
+
+/// Pools up to this size are looked at whole.
+const WHOLE_POOL: usize = 16;
+/// Owners of the prefix among the candidates.
+const OWNERS: usize = 2;
+/// Candidates drawn at random.
+const SAMPLES: usize = 4;
+/// Predictions within this factor of the best count as equal.
+const NEAR: f64 = 1.1;
+/// And within these seconds.
+const NEAR_SECONDS: f64 = 0.002;
+/// Places in a window that only urgent kinds use.
+const HEADROOM: f64 = 1.0;
+
+/// The endpoints of one pool, in the orders that choosing needs.
+#[derive(Clone, Debug, Default)]
+pub struct PoolIndex {
+    ring: Vec<(u64, EndpointKey)>,
+    prefill: Vec<EndpointKey>,
+}
+
+impl PoolIndex {
+    /// Add an endpoint.
+    pub fn insert(&mut self, key: EndpointKey, hash: u64, role: Role) {
+        if role == Role::Prefill {
+            self.prefill.push(key);
+            return;
+        }
+        let at = self.ring.partition_point(|(h, _)| *h < hash);
+        self.ring.insert(at, (hash, key));
+    }
+
+    /// Remove an endpoint.
+    pub fn remove(&mut self, key: EndpointKey) {
+        self.ring.retain(|(_, k)| *k != key);
+        self.prefill.retain(|k| *k != key);
+    }
+
+    /// Endpoints that can finish a request.
+    pub fn serving(&self) -> impl Iterator<Item = EndpointKey> + '_ {
+        self.ring.iter().map(|(_, key)| *key)
+    }
+
+    /// Endpoints that only process prompts.
+    #[must_use]
+    pub fn prefilling(&self) -> &[EndpointKey] {
+        &self.prefill
+    }
+
+    /// Number of endpoints that can finish a request.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.ring.len()
+    }
+
+    /// Whether no endpoint can finish a request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.ring.is_empty()
+    }
+
+    fn candidates(&self, prefix: u64, rng: &mut impl Rng) -> Vec<EndpointKey> {
+        if self.ring.len() <= WHOLE_POOL {
+            return self.serving().collect();
+        }
+        let at = self.ring.partition_point(|(h, _)| *h < prefix);
+        let mut out: Vec<_> = (0..OWNERS).map(|i| self.ring[(at + i) % self.ring.len()].1).collect();
+        for _ in 0..SAMPLES {
+            let key = self.ring[rng.random_range(0..self.ring.len())].1;
+            if !out.contains(&key) {
+                out.push(key);
+            }
+        }
+        out
+    }
+
+    fn prefill_sample(&self, rng: &mut impl Rng) -> Vec<EndpointKey> {
+        if self.prefill.len() <= WHOLE_POOL {
+            return self.prefill.clone();
+        }
+        (0..SAMPLES).map(|_| self.prefill[rng.random_range(0..self.prefill.len())]).collect()
+    }
+}
+
+/// Why a candidate was passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Skip {
+    /// It is leaving.
+    Leaving,
+    /// It was ejected after faults.
+    Ejected,
+    /// Its window is full.
+    Full,
+    /// It failed this request before.
+    FailedBefore,
+    /// It has not loaded the adapter.
+    NoAdapter,
+}
+
+/// One candidate as it was seen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Where the prompt would be processed first.
+    pub prefill: Option<EndpointKey>,
+    /// The predicted times.
+    pub prediction: Prediction,
+    /// Why it was passed over, if it was.
+    pub skipped: Option<Skip>,
+}
+
+/// Why the chosen endpoint was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// It was predicted to be clearly the fastest.
+    Fastest,
+    /// Several were nearly equal; one was drawn.
+    DrawnAmongEqual,
+    /// No other was open.
+    OnlyOne,
+}
+
+/// A choice with what it was made from.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The chosen candidate.
+    pub chosen: Candidate,
+    /// Why.
+    pub reason: Reason,
+    /// All candidates.
+    pub candidates: Vec<Candidate>,
+}
+
+/// Look-up of an endpoint's row.
+pub trait Rows {
+    /// The row under `key`.
+    fn row(&self, key: EndpointKey) -> &Endpoint;
+}
+
+/// Look at the candidates of `index` for `request`.
+///
+/// # Errors
+/// All candidates, when none of them can take it now.
+pub fn choose(
+    rows: &impl Rows,
+    index: &PoolIndex,
+    request: &Request,
+    now: Time,
+    rng: &mut impl Rng,
+) -> Result<Choice, Vec<Candidate>> {
+    let prefill = best_prefill(rows, index, request, now, rng);
+    let candidates: Vec<_> = index
+        .candidates(request.spec.prefix, rng)
+        .into_iter()
+        .map(|key| judge(rows, key, prefill, request, now))
+        .collect();
+    let open: Vec<_> = candidates.iter().filter(|c| c.skipped.is_none()).collect();
+    let Some(best) = open.iter().map(|c| c.prediction.whole).reduce(f64::min) else {
+        return Err(candidates);
+    };
+    let bound = (best * NEAR).max(best + NEAR_SECONDS);
+    let near: Vec<_> = open.iter().filter(|c| c.prediction.whole <= bound).collect();
+    let reason = match (open.len(), near.len()) {
+        (1, _) => Reason::OnlyOne,
+        (_, 1) => Reason::Fastest,
+        _ => Reason::DrawnAmongEqual,
+    };
+    let chosen = **near[rng.random_range(0..near.len())];
+    Ok(Choice { chosen, reason, candidates })
+}
+
+fn best_prefill(
+    rows: &impl Rows,
+    index: &PoolIndex,
+    request: &Request,
+    now: Time,
+    rng: &mut impl Rng,
+) -> Option<EndpointKey> {
+    let seconds = |key: EndpointKey| {
+        let row = rows.row(key);
+        (crate::predict::backlog(row, now) + crate::predict::uncached(row, &request.spec)) / row.rates.prefill
+    };
+    index
+        .prefill_sample(rng)
+        .into_iter()
+        .filter(|key| rows.row(*key).is_open(now) && !request.avoid.contains(key))
+        .filter(|key| rows.row(*key).window.has_room(0.0))
+        .min_by(|a, b| seconds(*a).total_cmp(&seconds(*b)))
+}
+
+fn judge(rows: &impl Rows, key: EndpointKey, prefill: Option<EndpointKey>, request: &Request, now: Time) -> Candidate {
+    let row = rows.row(key);
+    let predicted =
+        |first: Option<EndpointKey>| predict(row, first.map(|k| rows.row(k)), &request.spec, request.remaining(), now);
+    let alone = predicted(None);
+    let split = prefill.map(|k| (k, predicted(Some(k))));
+    // A decode engine takes a prompt only when no prefill engine can.
+    let prefers_split = |p: Prediction| row.role == Role::Decode || p.whole < alone.whole;
+    let (prefill, prediction) = match split {
+        Some((k, p)) if row.role != Role::Plain && prefers_split(p) => (Some(k), p),
+        _ => (None, alone),
+    };
+    Candidate { endpoint: key, prefill, prediction, skipped: skip(row, key, request, now) }
+}
+
+fn skip(row: &Endpoint, key: EndpointKey, request: &Request, now: Time) -> Option<Skip> {
+    let headroom = if request.spec.kind.is_urgent() { 0.0 } else { HEADROOM };
+    let adapter = request.spec.adapter;
+    if row.duty == crate::endpoint::Duty::Leaving {
+        Some(Skip::Leaving)
+    } else if request.avoid.contains(&key) {
+        Some(Skip::FailedBefore)
+    } else if !row.health.allows(now) {
+        Some(Skip::Ejected)
+    } else if adapter != 0 && !row.adapters.contains(&adapter) {
+        Some(Skip::NoAdapter)
+    } else if !row.window.has_room(headroom) {
+        Some(Skip::Full)
+    } else {
+        None
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,658 @@
+//! The system that takes requests in, orders them, sends them and hears how they end.
+//!
+//! The driver submits requests, reports what happens to attempts, calls [`Dispatcher::pump`]
+//! after each change and on each tick, and carries out the [`Action`]s it returns. Each daemon
+//! runs one dispatcher and decides alone.
+
+use std::collections::HashMap;
+
+use rand::{SeedableRng, rngs::SmallRng};
+use slotmap::SlotMap;
+
+use crate::{
+    bucket::Bucket,
+    choose::{Candidate, Choice, PoolIndex, Rows, choose},
+    endpoint::{Duty, Endpoint, EndpointKey, LoadReport, PoolKey, Rates, Role},
+    limit::TeamLimits,
+    mix::Mix,
+    outcome::{AttemptEnd, Outcome, combine},
+    predict::{learn_plain, learn_prefill, learn_step, step, uncached},
+    queue::{Job, Place, Queue, hopeless},
+    request::{Request, RequestKey, RequestSpec, Stage},
+    time::{Span, Time},
+};
+
+/// Settings of the policy.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Whether requests that cannot be in time are refused early.
+    pub admission: bool,
+    /// Requests that wait in one pool at most.
+    pub queue_limit: usize,
+    /// Attempts at one request at most.
+    pub attempts: u32,
+    /// Retries allowed for each new request, on average.
+    pub retry_ratio: f64,
+    /// Factor on predicted times when an early refusal is weighed.
+    pub refuse_margin: f64,
+    /// Silence of an endpoint that fails an attempt.
+    pub stall: Span,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            admission: true,
+            queue_limit: 1_024,
+            attempts: 4,
+            retry_ratio: 0.2,
+            refuse_margin: 1.0,
+            stall: Span::millis(5_000),
+        }
+    }
+}
+
+/// Retries that may be saved up.
+const RETRY_BURST: f64 = 50.0;
+/// Retries that come back a second when nothing else arrives.
+const RETRY_FLOOR: f64 = 1.0;
+/// A refused caller is told to wait at least this long.
+const MIN_RETRY_AFTER: Span = Span::millis(200);
+
+/// Why a request was refused, or given up before it was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// Its team has used its rate.
+    TeamLimit,
+    /// Too many wait.
+    QueueFull,
+    /// It could not be answered in time.
+    TooLate,
+    /// Its pool has no endpoint that is open.
+    NoEndpoint,
+}
+
+/// What the driver is to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send an attempt.
+    Send {
+        /// The request.
+        request: RequestKey,
+        /// The attempt's number.
+        attempt: u32,
+        /// Where, and why there.
+        choice: Choice,
+    },
+    /// Give the request up and answer the caller at once.
+    Refuse {
+        /// The request, no longer in the table.
+        request: RequestKey,
+        /// What became of it.
+        outcome: Outcome,
+        /// Why.
+        reason: Refusal,
+        /// When the caller may come back.
+        retry_at: Time,
+        /// What the last look at the pool saw.
+        candidates: Vec<Candidate>,
+    },
+    /// Stop the present attempt and report how it ended.
+    Stop {
+        /// The request.
+        request: RequestKey,
+        /// The end to report.
+        end: AttemptEnd,
+    },
+}
+
+/// What follows an attempt's end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// The request is over, with this outcome.
+    Over(Outcome),
+    /// It waits for another attempt.
+    Again,
+}
+
+/// Which engine of an attempt an end speaks of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Site {
+    /// The one that processed the prompt for another.
+    Prefill,
+    /// The one that generates, or the only one.
+    Serving,
+}
+
+/// Where an attempt was.
+#[derive(Clone, Copy, Debug)]
+struct Visit {
+    endpoint: EndpointKey,
+    prefill: Option<EndpointKey>,
+    unanswered: bool,
+    sent: Time,
+}
+
+impl Visit {
+    const fn of(request: &Request, endpoint: EndpointKey, prefill: Option<EndpointKey>) -> Self {
+        Self { endpoint, prefill, unanswered: !request.first_seen, sent: request.sent }
+    }
+
+    fn blamed(&self, at: Site) -> EndpointKey {
+        match at {
+            Site::Prefill => self.prefill.unwrap_or(self.endpoint),
+            Site::Serving => self.endpoint,
+        }
+    }
+}
+
+/// One pool's row.
+#[derive(Clone, Debug, Default)]
+struct Pool {
+    rates: Rates,
+    index: PoolIndex,
+    queue: Queue,
+    mix: Mix,
+}
+
+/// The endpoints' rows, apart so that they can be read while others change.
+#[derive(Debug, Default)]
+struct Endpoints(SlotMap<EndpointKey, Endpoint>);
+
+impl Rows for Endpoints {
+    fn row(&self, key: EndpointKey) -> &Endpoint {
+        &self.0[key]
+    }
+}
+
+/// The tables of requests, endpoints and pools, and the systems over them.
+#[derive(Debug)]
+pub struct Dispatcher {
+    policy: Policy,
+    pools: SlotMap<PoolKey, Pool>,
+    endpoints: Endpoints,
+    requests: SlotMap<RequestKey, Request>,
+    limits: TeamLimits,
+    retries: Bucket,
+    rng: SmallRng,
+    live: usize,
+}
+
+impl Dispatcher {
+    /// An empty dispatcher.
+    #[must_use]
+    pub fn new(policy: Policy, seed: u64, now: Time) -> Self {
+        Self {
+            policy,
+            pools: SlotMap::with_key(),
+            endpoints: Endpoints::default(),
+            requests: SlotMap::with_key(),
+            limits: TeamLimits::default(),
+            retries: Bucket::new(RETRY_FLOOR, RETRY_BURST, now),
+            rng: SmallRng::seed_from_u64(seed),
+            live: 1,
+        }
+    }
+
+    /// Add a pool whose endpoints start from `rates`.
+    pub fn add_pool(&mut self, rates: Rates) -> PoolKey {
+        self.pools.insert(Pool { rates, ..Pool::default() })
+    }
+
+    /// Change the rates that a pool's endpoints start from.
+    pub fn set_rates(&mut self, pool: PoolKey, rates: Rates) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.rates = rates;
+        }
+    }
+
+    /// Add an endpoint to a pool.
+    pub fn add_endpoint(&mut self, name: &str, pool: PoolKey, role: Role) -> EndpointKey {
+        let row = Endpoint::new(name, pool, role, self.pools[pool].rates, self.live);
+        let hash = row.hash;
+        let key = self.endpoints.0.insert(row);
+        self.pools[pool].index.insert(key, hash, role);
+        key
+    }
+
+    /// Remove an endpoint; attempts there are stopped by the returned actions.
+    pub fn remove_endpoint(&mut self, key: EndpointKey) -> Vec<Action> {
+        let Some(row) = self.endpoints.0.get_mut(key) else {
+            return Vec::new();
+        };
+        row.duty = Duty::Leaving;
+        let pool = row.pool;
+        self.pools[pool].index.remove(key);
+        if self.requests.values().any(|r| uses(r, key)) {
+            return self.moves(key);
+        }
+        self.endpoints.0.remove(key);
+        Vec::new()
+    }
+
+    /// The row of an endpoint.
+    #[must_use]
+    pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.0.get(key)
+    }
+
+    /// The row of an endpoint, to change.
+    pub fn endpoint_mut(&mut self, key: EndpointKey) -> Option<&mut Endpoint> {
+        self.endpoints.0.get_mut(key)
+    }
+
+    /// All endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        self.endpoints.0.iter()
+    }
+
+    /// The row of a request.
+    #[must_use]
+    pub fn request(&self, key: RequestKey) -> Option<&Request> {
+        self.requests.get(key)
+    }
+
+    /// Requests in the table.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Requests that wait, over all pools.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.pools.values().map(|pool| pool.queue.len()).sum()
+    }
+
+    /// The demand that arrived at this daemon for `pool`.
+    #[must_use]
+    pub fn mix(&self, pool: PoolKey) -> Option<&Mix> {
+        self.pools.get(pool).map(|p| &p.mix)
+    }
+
+    /// Set the teams' rates and the number of live daemons.
+    pub fn set_teams(&mut self, rates: HashMap<String, f64>, live: usize, now: Time) {
+        self.live = live.max(1);
+        self.limits.configure(rates, live, now);
+    }
+
+    /// Change an endpoint's role.
+    pub fn set_role(&mut self, key: EndpointKey, role: Role) {
+        let Some(row) = self.endpoints.0.get_mut(key) else { return };
+        if row.role == role {
+            return;
+        }
+        row.role = role;
+        let (pool, hash) = (row.pool, row.hash);
+        let index = &mut self.pools[pool].index;
+        index.remove(key);
+        index.insert(key, hash, role);
+    }
+
+    /// Open an endpoint to new work, or close it; the returned actions move what can be moved.
+    pub fn set_duty(&mut self, key: EndpointKey, duty: Duty) -> Vec<Action> {
+        let Some(row) = self.endpoints.0.get_mut(key) else {
+            return Vec::new();
+        };
+        if row.duty == duty {
+            return Vec::new();
+        }
+        row.duty = duty;
+        match duty {
+            Duty::Serving => Vec::new(),
+            Duty::Leaving => self.moves(key),
+        }
+    }
+
+    /// Protected and other attempts that are at `key`, in that order.
+    #[must_use]
+    pub fn in_flight(&self, key: EndpointKey) -> (usize, usize) {
+        let there = self.requests.values().filter(|r| uses(r, key));
+        let (protected, other): (Vec<_>, Vec<_>) = there.partition(|r| r.spec.kind.protected);
+        (protected.len(), other.len())
+    }
+
+    /// Take in a load report that was true at `at`.
+    pub fn observe(&mut self, key: EndpointKey, report: LoadReport, at: Time) {
+        if let Some(row) = self.endpoints.0.get_mut(key) {
+            row.observe(report, at);
+        }
+    }
+
+    /// Take a request in.
+    ///
+    /// # Errors
+    /// Why it is refused at once, and when to come back.
+    pub fn submit(&mut self, team: &str, spec: RequestSpec, now: Time) -> Result<RequestKey, (Refusal, Time)> {
+        let pool = &self.pools[spec.pool];
+        if pool.index.is_empty() {
+            return Err((Refusal::NoEndpoint, now + Span::millis(1_000)));
+        }
+        if pool.queue.len() >= self.policy.queue_limit {
+            return Err((Refusal::QueueFull, now + Span::millis(1_000)));
+        }
+        self.limits.take(team, now).map_err(|at| (Refusal::TeamLimit, at))?;
+        let key = self.requests.insert(Request {
+            spec,
+            stage: Stage::Waiting,
+            arrived: now,
+            sent: now,
+            delivered: 0,
+            last_token: now,
+            first_seen: false,
+            ends: Vec::new(),
+            avoid: Vec::new(),
+            predicted: 0.0,
+        });
+        let pool = &mut self.pools[spec.pool];
+        pool.queue.insert(place(key, &spec));
+        pool.mix.add(spec.prompt_tokens, spec.output_tokens, now);
+        let gain = self.policy.retry_ratio;
+        self.retries.take(-gain, now);
+        Ok(key)
+    }
+
+    /// Send what can be sent and give up what is hopeless, in one pool.
+    pub fn pump(&mut self, pool: PoolKey, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.policy.admission {
+            self.shed(pool, now, &mut actions);
+        }
+        self.send_waiting(pool, now, &mut actions);
+        actions
+    }
+
+    /// Run every system once: stalls, then each pool.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = self.stalled(now);
+        let pools: Vec<_> = self.pools.keys().collect();
+        for pool in pools {
+            actions.extend(self.pump(pool, now));
+        }
+        actions
+    }
+
+    /// Note that `tokens` tokens of the present attempt arrived.
+    pub fn progress(&mut self, key: RequestKey, tokens: u32, now: Time) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let Stage::Running { endpoint, prefill } = request.stage else { return };
+        let since = now.since(request.last_token).as_seconds();
+        request.last_token = now;
+        request.delivered += tokens;
+        let configured = self.pools[request.spec.pool].rates;
+        if request.first_seen {
+            if let Some(row) = self.endpoints.0.get_mut(endpoint) {
+                learn_step(row, since, configured.step);
+            }
+            return;
+        }
+        request.first_seen = true;
+        let at = prefill.unwrap_or(endpoint);
+        let (spec, predicted) = (request.spec, request.predicted);
+        if let Some(row) = self.endpoints.0.get_mut(at) {
+            release_prefill(row, &spec);
+            let work = crate::predict::backlog(row, request.sent) + f64::from(spec.prompt_tokens);
+            learn_prefill(row, work, since, configured.prefill);
+        }
+        let timely = since <= (predicted * 2.0).max(0.25);
+        if let Some(row) = self.endpoints.0.get_mut(endpoint) {
+            row.window.adapt(timely);
+        }
+    }
+
+    /// Note how the present attempt ended, and at which of its two engines.
+    pub fn attempt_ended(&mut self, key: RequestKey, end: AttemptEnd, at: Site, now: Time) -> Next {
+        let Some(request) = self.requests.get_mut(key) else {
+            return Next::Over(Outcome::Unknown);
+        };
+        let spec = request.spec;
+        if let Stage::Running { endpoint, prefill } = request.stage {
+            let visit = Visit::of(request, endpoint, prefill);
+            request.ends.push(end);
+            if end != AttemptEnd::Whole && end != AttemptEnd::Cancelled {
+                request.avoid.push(visit.blamed(at));
+            }
+            self.leave(&visit, &spec, end, at, now);
+        }
+        let request = &self.requests[key];
+        let outcome = combine(&request.ends);
+        let may_repeat = spec.kind.repeatable || outcome == Outcome::NotRun;
+        let over = matches!(end, AttemptEnd::Whole | AttemptEnd::Rejected)
+            || !may_repeat
+            || spec.deadline.is_past(now)
+            || request.attempt() >= self.policy.attempts;
+        if over || !self.may_retry(end, now) {
+            self.requests.remove(key);
+            return Next::Over(outcome);
+        }
+        self.requeue(key);
+        Next::Again
+    }
+
+    /// The caller went away, or the driver gives the request up: forget it.
+    pub fn abandon(&mut self, key: RequestKey, now: Time) {
+        let Some(request) = self.requests.remove(key) else { return };
+        match request.stage {
+            Stage::Waiting => self.pools[request.spec.pool].queue.remove(&place(key, &request.spec)),
+            Stage::Running { endpoint, prefill } => {
+                let visit = Visit::of(&request, endpoint, prefill);
+                self.leave(&visit, &request.spec, AttemptEnd::Cancelled, Site::Serving, now);
+            }
+        }
+    }
+
+    fn may_retry(&mut self, end: AttemptEnd, now: Time) -> bool {
+        // A refusal or a planned move costs the endpoint nothing and is no sign of trouble.
+        let free = matches!(end, AttemptEnd::Refused | AttemptEnd::Cancelled);
+        free || self.retries.take(1.0, now)
+    }
+
+    fn requeue(&mut self, key: RequestKey) {
+        let request = &mut self.requests[key];
+        request.stage = Stage::Waiting;
+        request.first_seen = false;
+        let spec = request.spec;
+        let others = self.pools[spec.pool].index.serving().any(|k| !request.avoid.contains(&k));
+        if !others {
+            request.avoid.clear();
+        }
+        self.pools[spec.pool].queue.insert(place(key, &spec));
+    }
+
+    fn leave(&mut self, visit: &Visit, spec: &RequestSpec, end: AttemptEnd, at: Site, now: Time) {
+        let worker = visit.prefill.unwrap_or(visit.endpoint);
+        if visit.unanswered
+            && let Some(row) = self.endpoints.0.get_mut(worker)
+        {
+            release_prefill(row, spec);
+        }
+        let blamed = visit.blamed(at);
+        for key in visit.prefill.into_iter().chain([visit.endpoint]) {
+            let Some(row) = self.endpoints.0.get_mut(key) else { continue };
+            row.window.ended();
+            match end {
+                AttemptEnd::Whole => {
+                    row.health.success();
+                    learn_plain(row, now.since(visit.sent));
+                }
+                end if end.is_fault() && key == blamed => {
+                    row.health.fault(now);
+                    row.window.adapt(false);
+                }
+                _ => row.health.probe_ended(),
+            }
+            self.forget_if_removed(key);
+        }
+    }
+
+    /// Drop the row of an endpoint that left its pool, once nothing is there.
+    fn forget_if_removed(&mut self, key: EndpointKey) {
+        let row = &self.endpoints.0[key];
+        let index = &self.pools[row.pool].index;
+        let listed = index.prefilling().contains(&key) || index.serving().any(|k| k == key);
+        if !listed && row.window.in_flight() == 0 {
+            self.endpoints.0.remove(key);
+        }
+    }
+
+    fn send_waiting(&mut self, pool: PoolKey, now: Time, actions: &mut Vec<Action>) {
+        let waiting: Vec<_> = self.pools[pool].queue.iter().collect();
+        for key in waiting {
+            let request = &self.requests[key];
+            let urgent = request.spec.kind.is_urgent();
+            match choose(&self.endpoints, &self.pools[pool].index, request, now, &mut self.rng) {
+                Ok(choice) => self.send_or_refuse(key, choice, now, actions),
+                Err(candidates) if request.spec.deadline.is_past(now) => {
+                    self.refuse(key, Refusal::TooLate, candidates, now, actions);
+                }
+                // Others behind it may still differ in adapter or urgency; one miss of a
+                // common kind means that the pool is full.
+                Err(_) if urgent || request.spec.adapter != 0 || !request.avoid.is_empty() => {}
+                Err(_) => break,
+            }
+        }
+    }
+
+    fn send_or_refuse(&mut self, key: RequestKey, choice: Choice, now: Time, actions: &mut Vec<Action>) {
+        let request = &self.requests[key];
+        let left = request.spec.deadline.since(now).as_seconds();
+        let late = choice.chosen.prediction.whole * self.policy.refuse_margin > left;
+        if self.policy.admission && late && request.delivered == 0 {
+            self.refuse(key, Refusal::TooLate, choice.candidates, now, actions);
+            return;
+        }
+        self.send(key, choice, now, actions);
+    }
+
+    fn send(&mut self, key: RequestKey, choice: Choice, now: Time, actions: &mut Vec<Action>) {
+        let Candidate { endpoint, prefill, prediction, .. } = choice.chosen;
+        let request = &mut self.requests[key];
+        request.stage = Stage::Running { endpoint, prefill };
+        request.sent = now;
+        request.last_token = now;
+        request.predicted = prediction.first;
+        let spec = request.spec;
+        let attempt = request.attempt();
+        self.pools[spec.pool].queue.remove(&place(key, &spec));
+        let at = &mut self.endpoints.0[prefill.unwrap_or(endpoint)];
+        let tokens = uncached(at, &spec);
+        at.own_prefill += tokens;
+        at.own_since += tokens;
+        at.remember(spec.prefix, now);
+        for row in prefill.into_iter().chain([endpoint]) {
+            self.endpoints.0[row].window.sent();
+            self.endpoints.0[row].health.sent();
+        }
+        actions.push(Action::Send { request: key, attempt, choice });
+    }
+
+    fn refuse(
+        &mut self,
+        key: RequestKey,
+        reason: Refusal,
+        candidates: Vec<Candidate>,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.remove(key) else { return };
+        let pool = &mut self.pools[request.spec.pool];
+        pool.queue.remove(&place(key, &request.spec));
+        let lanes = self.lanes(request.spec.pool, now);
+        let ahead = self.queued_cost(request.spec.pool) / lanes;
+        actions.push(Action::Refuse {
+            request: key,
+            outcome: combine(&request.ends),
+            reason,
+            retry_at: now + Span::seconds(ahead).max(MIN_RETRY_AFTER),
+            candidates,
+        });
+    }
+
+    fn shed(&mut self, pool: PoolKey, now: Time, actions: &mut Vec<Action>) {
+        if self.pools[pool].queue.is_empty() {
+            return;
+        }
+        let jobs: Vec<_> = self.pools[pool].queue.iter().map(|key| self.job(key, now)).collect();
+        for key in hopeless(&jobs, self.lanes(pool, now)) {
+            self.refuse(key, Refusal::TooLate, Vec::new(), now, actions);
+        }
+    }
+
+    fn job(&self, key: RequestKey, now: Time) -> Job {
+        let request = &self.requests[key];
+        let spec = &request.spec;
+        let rates = self.pools[spec.pool].rates;
+        let alone = f64::from(spec.prompt_tokens) / rates.prefill
+            + f64::from(request.remaining()) * (rates.step + rates.step_per_seq);
+        Job {
+            key,
+            cost: self.cost(request),
+            due: spec.deadline.since(now).as_seconds() - alone,
+            weight: spec.kind.weight,
+            can_drop: request.delivered == 0,
+        }
+    }
+
+    /// Seconds of one engine's work, at a full batch.
+    fn cost(&self, request: &Request) -> f64 {
+        let rates = self.pools[request.spec.pool].rates;
+        let slots = f64::from(rates.slots.max(1));
+        let each = (rates.step + rates.step_per_seq * slots) / slots;
+        f64::from(request.spec.prompt_tokens) / rates.prefill + f64::from(request.remaining()) * each
+    }
+
+    fn queued_cost(&self, pool: PoolKey) -> f64 {
+        self.pools[pool].queue.iter().map(|key| self.cost(&self.requests[key])).sum()
+    }
+
+    /// This daemon's share of the pool's open endpoints.
+    fn lanes(&self, pool: PoolKey, now: Time) -> f64 {
+        let index = &self.pools[pool].index;
+        let all = index.serving().chain(index.prefilling().iter().copied());
+        let open = all.filter(|key| self.endpoints.0[*key].is_open(now)).count();
+        (open as f64 / self.live as f64).max(0.1)
+    }
+
+    fn stalled(&self, now: Time) -> Vec<Action> {
+        let limit = |r: &Request| self.policy.stall.max(Span::seconds(r.predicted * 3.0));
+        self.requests
+            .iter()
+            .filter(|(_, r)| matches!(r.stage, Stage::Running { .. }))
+            .filter(|(_, r)| (r.last_token + limit(r)).is_past(now))
+            .map(|(request, _)| Action::Stop { request, end: AttemptEnd::Stalled })
+            .collect()
+    }
+
+    /// Stop what may be moved away from `key`: repeatable and not protected.
+    fn moves(&self, key: EndpointKey) -> Vec<Action> {
+        self.requests
+            .iter()
+            .filter(|(_, r)| uses(r, key) && r.spec.kind.repeatable && !r.spec.kind.protected)
+            .map(|(request, _)| Action::Stop { request, end: AttemptEnd::Cancelled })
+            .collect()
+    }
+
+    /// Seconds of one decode step at `key` as this daemon predicts it.
+    #[must_use]
+    pub fn step_at(&self, key: EndpointKey) -> f64 {
+        self.endpoints.0.get(key).map_or(0.0, step)
+    }
+}
+
+fn uses(request: &Request, key: EndpointKey) -> bool {
+    match request.stage {
+        Stage::Running { endpoint, prefill } => endpoint == key || prefill == Some(key),
+        Stage::Waiting => false,
+    }
+}
+
+fn release_prefill(row: &mut Endpoint, spec: &RequestSpec) {
+    let tokens = f64::from(spec.prompt_tokens);
+    row.own_prefill = (row.own_prefill - tokens).max(0.0);
+}
+
+fn place(key: RequestKey, spec: &RequestSpec) -> Place {
+    let urgent = spec.kind.is_urgent().then_some(spec.kind.priority);
+    Place::new(urgent, spec.deadline, key)
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,31 @@
+//! The decisions of dahliaseam, without input or output.
+//!
+//! Nothing here opens a socket, reads a clock or starts a task. The driver passes in the time,
+//! the messages that arrived and a seed; the functions change tables and return what is to be
+//! done. The daemon, the bench and the tests run exactly the same code.
+//!
+//! The tables ([`endpoint`], [`request`], [`member`]) hold entities under small `Copy` keys.
+//! The systems that run over them are [`dispatch`] (who serves a request), [`member`] (who is
+//! alive), [`planner`] (which role an engine plays) and [`custody`] (who may give it orders).
+
+pub mod bucket;
+pub mod choose;
+pub mod claim;
+pub mod custody;
+pub mod dispatch;
+pub mod eject;
+pub mod endpoint;
+pub mod frame;
+pub mod freshness;
+pub mod hash;
+pub mod lease;
+pub mod limit;
+pub mod member;
+pub mod mix;
+pub mod outcome;
+pub mod planner;
+pub mod predict;
+pub mod queue;
+pub mod request;
+pub mod time;
+pub mod window;
--- /dev/null
+++ b/crates/core/src/limit.rs
@@ -0,0 +1,51 @@
+//! Per-team request rates, split over the live daemons.
+//!
+//! Each daemon enforces its share. The balancer spreads callers evenly, so the shares add up to
+//! the team's limit without a message; when a daemon dies the others' shares grow as soon as
+//! membership says so.
+
+use std::collections::HashMap;
+
+use crate::{bucket::Bucket, time::Time};
+
+/// Seconds of a team's rate that may come at once.
+const BURST_SECONDS: f64 = 2.0;
+
+/// The teams' buckets on one daemon.
+#[derive(Debug, Default)]
+pub struct TeamLimits {
+    rates: HashMap<String, f64>,
+    buckets: HashMap<String, Bucket>,
+    live: usize,
+}
+
+impl TeamLimits {
+    /// Set the teams' whole rates, in requests a second, and the number of live daemons.
+    pub fn configure(&mut self, rates: HashMap<String, f64>, live: usize, now: Time) {
+        self.live = live.max(1);
+        self.buckets.retain(|team, _| rates.contains_key(team));
+        self.rates = rates;
+        for (team, rate) in &self.rates {
+            let share = rate / self.live as f64;
+            let burst = (share * BURST_SECONDS).max(1.0);
+            self.buckets
+                .entry(team.clone())
+                .and_modify(|bucket| bucket.resize(share, burst, now))
+                .or_insert_with(|| Bucket::new(share, burst, now));
+        }
+    }
+
+    /// Take one request of `team`.
+    ///
+    /// # Errors
+    /// The time from which the team may send again. A team without a limit is never refused.
+    pub fn take(&mut self, team: &str, now: Time) -> Result<(), Time> {
+        let Some(bucket) = self.buckets.get_mut(team) else {
+            return Ok(());
+        };
+        if bucket.take(1.0, now) {
+            return Ok(());
+        }
+        Err(bucket.available_at(1.0, now))
+    }
+}
--- /dev/null
+++ b/crates/core/src/mix.rs
@@ -0,0 +1,74 @@
+//! Short and long averages of the demand for prefill and decode.
+
+use serde::{Deserialize, Serialize};
+
+use crate::time::{Span, Time};
+
+/// Time constant of the short average.
+pub const SHORT: Span = Span::millis(10_000);
+/// Time constant of the long average.
+pub const LONG: Span = Span::millis(120_000);
+
+/// Demand in tokens a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Prompt tokens a second that need prefill.
+    pub prefill: f64,
+    /// Output tokens a second.
+    pub decode: f64,
+}
+
+impl Demand {
+    /// The sum of two demands.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self { prefill: self.prefill + other.prefill, decode: self.decode + other.decode }
+    }
+
+    fn decayed(self, factor: f64) -> Self {
+        Self { prefill: self.prefill * factor, decode: self.decode * factor }
+    }
+}
+
+/// The two averages for one pool.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Mix {
+    short: Demand,
+    long: Demand,
+    at: Time,
+}
+
+impl Mix {
+    /// Add a request's tokens at `now`.
+    pub fn add(&mut self, prefill: u32, decode: u32, now: Time) {
+        self.decay(now);
+        let add = |avg: Demand, tau: Span| Demand {
+            prefill: avg.prefill + f64::from(prefill) / tau.as_seconds(),
+            decode: avg.decode + f64::from(decode) / tau.as_seconds(),
+        };
+        self.short = add(self.short, SHORT);
+        self.long = add(self.long, LONG);
+    }
+
+    /// The short average at `now`.
+    #[must_use]
+    pub fn short(&self, now: Time) -> Demand {
+        self.short.decayed(factor(now.since(self.at), SHORT))
+    }
+
+    /// The long average at `now`.
+    #[must_use]
+    pub fn long(&self, now: Time) -> Demand {
+        self.long.decayed(factor(now.since(self.at), LONG))
+    }
+
+    fn decay(&mut self, now: Time) {
+        self.short = self.short(now);
+        self.long = self.long(now);
+        self.at = now;
+    }
+}
+
+fn factor(age: Span, tau: Span) -> f64 {
+    (-age.as_seconds() / tau.as_seconds()).exp()
+}
--- /dev/null
+++ b/crates/core/src/predict.rs
@@ -0,0 +1,110 @@
+//! How long an endpoint would take, from a view that is somewhat old.
+
+use crate::{
+    endpoint::{Endpoint, Role},
+    request::RequestSpec,
+    time::Time,
+};
+
+/// Weight of a new observation in a learned rate.
+const LEARN: f64 = 0.05;
+/// Share of a prompt that a cached prefix saves.
+const CACHED_SHARE: f64 = 0.5;
+/// Seconds to move a prompt's KV cache between engines, for each thousand tokens.
+pub const TRANSFER_PER_KTOKEN: f64 = 0.004;
+/// Seconds of fixed cost of such a move.
+pub const TRANSFER_BASE: f64 = 0.005;
+/// Bounds of a learned rate against the configured one.
+const LEARN_BOUND: f64 = 4.0;
+
+/// The predicted times of one request at one endpoint, in seconds from now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prediction {
+    /// Until the first token.
+    pub first: f64,
+    /// Until the whole answer.
+    pub whole: f64,
+}
+
+/// Prompt tokens that `endpoint` would have to process for `spec`.
+#[must_use]
+pub fn uncached(endpoint: &Endpoint, spec: &RequestSpec) -> f64 {
+    let tokens = f64::from(spec.prompt_tokens);
+    if endpoint.prefixes.contains_key(&spec.prefix) { tokens * (1.0 - CACHED_SHARE) } else { tokens }
+}
+
+/// Prompt tokens before a new one at `endpoint`: the report aged, own and peers' since.
+#[must_use]
+pub fn backlog(endpoint: &Endpoint, now: Time) -> f64 {
+    let age = now.since(endpoint.report_at).as_seconds();
+    let sum = f64::from(endpoint.report.queued_prefill) + endpoint.own_since + endpoint.peer_prefill;
+    let aged = (sum - age * endpoint.rates.prefill).max(0.0);
+    // What this daemon knows to be unanswered there cannot have been processed.
+    aged.max(endpoint.own_prefill * 0.5)
+}
+
+/// Seconds of one decode step at the batch that a new sequence would meet.
+#[must_use]
+pub fn step(endpoint: &Endpoint) -> f64 {
+    let batch = endpoint.report.running.max(endpoint.window.in_flight());
+    let batch = f64::from(batch.min(endpoint.rates.slots)) + 1.0;
+    endpoint.rates.step + endpoint.rates.step_per_seq * batch
+}
+
+/// Seconds until a place in the batch is free.
+fn slot_wait(endpoint: &Endpoint, spec: &RequestSpec) -> f64 {
+    let running = endpoint.report.running + endpoint.report.waiting;
+    let ahead = running.max(endpoint.window.in_flight());
+    let over = f64::from(ahead.saturating_sub(endpoint.rates.slots));
+    let each = f64::from(spec.output_tokens) * step(endpoint);
+    over * each / f64::from(endpoint.rates.slots.max(1))
+}
+
+/// Predict `spec` at `endpoint`, its prompt processed there or, at `prefill`, before.
+#[must_use]
+pub fn predict(
+    endpoint: &Endpoint,
+    prefill: Option<&Endpoint>,
+    spec: &RequestSpec,
+    remaining: u32,
+    now: Time,
+) -> Prediction {
+    if endpoint.role == Role::Plain {
+        let calls = f64::from(endpoint.window.in_flight() + 1);
+        let lanes = f64::from(endpoint.rates.slots.max(1));
+        let whole = endpoint.rates.step * (calls / lanes).max(1.0);
+        return Prediction { first: whole, whole };
+    }
+    let at = prefill.unwrap_or(endpoint);
+    let mut first = (backlog(at, now) + uncached(at, spec)) / at.rates.prefill;
+    if prefill.is_some() {
+        first += TRANSFER_BASE + TRANSFER_PER_KTOKEN * f64::from(spec.prompt_tokens) / 1_000.0;
+    }
+    first += slot_wait(endpoint, spec) + step(endpoint);
+    let whole = first + f64::from(remaining.saturating_sub(1)) * step(endpoint);
+    Prediction { first, whole }
+}
+
+/// Learn the prefill rate from a first token that took `seconds` for `tokens` of work.
+pub fn learn_prefill(endpoint: &mut Endpoint, tokens: f64, seconds: f64, configured: f64) {
+    if seconds <= 0.0 || tokens < 64.0 {
+        return;
+    }
+    let seen = (tokens / seconds).clamp(configured / LEARN_BOUND, configured * LEARN_BOUND);
+    endpoint.rates.prefill += LEARN * (seen - endpoint.rates.prefill);
+}
+
+/// Learn the step from a token that came `seconds` after the one before.
+pub fn learn_step(endpoint: &mut Endpoint, seconds: f64, configured: f64) {
+    let batch = f64::from(endpoint.window.in_flight().max(endpoint.report.running).max(1));
+    let base = seconds - endpoint.rates.step_per_seq * batch;
+    let seen = base.clamp(configured / LEARN_BOUND, configured * LEARN_BOUND);
+    endpoint.rates.step += LEARN * (seen - endpoint.rates.step);
+}
+
+/// Learn a plain service's time from a call that took `took`.
+pub fn learn_plain(endpoint: &mut Endpoint, took: crate::time::Span) {
+    if endpoint.role == Role::Plain {
+        endpoint.rates.step += LEARN * (took.as_seconds() - endpoint.rates.step);
+    }
+}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,78 @@
+//! Points in time, and the spans between them.
+//!
+//! The core has no clock. The driver reads one that runs on through a suspend and passes the
+//! reading in. State stores a [`Time`] at which something is due, never a [`Span`].
+
+use std::ops::{Add, Sub};
+
+use serde::{Deserialize, Serialize};
+
+/// Microseconds in a millisecond.
+const MICROS_PER_MILLI: u64 = 1_000;
+/// Microseconds in a second.
+const MICROS_PER_SECOND: f64 = 1_000_000.0;
+
+/// A reading of the driver's clock, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Time(pub u64);
+
+/// A length of time, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Span(pub u64);
+
+impl Time {
+    /// The farthest point that can be stored.
+    pub const NEVER: Self = Self(u64::MAX);
+
+    /// The span since `earlier`, or zero when `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Whether this deadline has been reached at `now`.
+    #[must_use]
+    pub const fn is_past(self, now: Self) -> bool {
+        now.0 >= self.0
+    }
+}
+
+impl Span {
+    /// A span of whole milliseconds.
+    #[must_use]
+    pub const fn millis(n: u64) -> Self {
+        Self(n.saturating_mul(MICROS_PER_MILLI))
+    }
+
+    /// A span of seconds; negative and undefined values become zero.
+    #[must_use]
+    pub fn seconds(n: f64) -> Self {
+        Self((n.max(0.0) * MICROS_PER_SECOND) as u64)
+    }
+
+    /// This span in seconds.
+    #[must_use]
+    pub fn as_seconds(self) -> f64 {
+        self.0 as f64 / MICROS_PER_SECOND
+    }
+
+    /// This span in whole milliseconds.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0 / MICROS_PER_MILLI
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Self;
+    fn add(self, rhs: Span) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Self;
+    fn sub(self, rhs: Span) -> Self {
+        Self(self.0.saturating_sub(rhs.0))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/bin/dahliaseamd/main.rs
@@ -0,0 +1,49 @@
+//! The daemon's process: settings, logs, signals.
+
+mod app;
+
+use std::process::ExitCode;
+
+use dahliaseamd::{
+    controller::{Controller, Outside},
+    error::{StartError, report},
+    settings::Settings,
+    telemetry::Telemetry,
+};
+use tokio::signal::unix::{SignalKind, signal};
+
+fn main() -> ExitCode {
+    let app = app::app().run();
+    match run(&app) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            report(&error);
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(app: &app::App) -> Result<(), StartError> {
+    let settings = Settings::load(&app.settings)?;
+    if app.check {
+        println!("{}: the settings are good", app.settings.display());
+        return Ok(());
+    }
+    let runtime = tokio::runtime::Runtime::new().map_err(|e| StartError::Telemetry(e.to_string()))?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), StartError> {
+    let telemetry = Telemetry::start(&settings)?;
+    let outside = Outside::real(&settings);
+    let mut term = signal(SignalKind::terminate()).map_err(|e| StartError::Telemetry(e.to_string()))?;
+    let daemon = Controller::start(settings, outside).await?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+        () = daemon.told_to_leave() => {}
+    }
+    daemon.stop().await;
+    telemetry.flush();
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/caller/completion.rs
@@ -0,0 +1,250 @@
+//! Chat and text completions, streamed and not.
+
+use std::convert::Infallible;
+
+use axum::{
+    Json,
+    body::{Body, Bytes},
+    extract::{Request, State},
+    response::{IntoResponse, Response},
+};
+use dahliaseam_core::{hash, outcome::Outcome};
+use dahliaseam_wire::{caller::OUTCOME, resource::Document};
+use futures_util::{StreamExt, stream};
+use http::{HeaderMap, header::CONTENT_TYPE};
+use serde_json::{Map, Value, json};
+use tokio::sync::mpsc;
+use tracing::{Instrument, info_span};
+
+use super::{Caller, body, refusal, terms};
+use crate::{
+    attempt::Piece,
+    clock::wall_millis,
+    exchange::{Completion, Exchange, Failure, Size, complete},
+    telemetry,
+};
+
+/// Pieces that wait for a slow caller; then its engine's stream waits too.
+const PIECES: usize = 64;
+/// Bytes of a prompt that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+/// Largest answer that a caller may ask for, in tokens.
+const MAX_TOKENS: u64 = 1 << 20;
+
+/// Which of the two APIs is spoken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Api {
+    Text,
+    Chat,
+}
+
+impl Api {
+    const fn path(self) -> &'static str {
+        match self {
+            Self::Text => "/v1/completions",
+            Self::Chat => "/v1/chat/completions",
+        }
+    }
+
+    /// A chunk of a stream.
+    fn chunk(self, head: &Head, text: &str, finish: Option<&str>) -> Value {
+        let (object, mut choice) = match self {
+            Self::Text => ("text_completion", json!({ "text": text })),
+            Self::Chat if finish.is_some() => ("chat.completion.chunk", json!({ "delta": {} })),
+            Self::Chat => ("chat.completion.chunk", json!({ "delta": { "content": text } })),
+        };
+        choice["index"] = json!(0);
+        choice["finish_reason"] = json!(finish);
+        json!({
+            "id": head.id, "object": object, "created": head.created, "model": head.model, "choices": [choice],
+        })
+    }
+
+    /// A whole answer.
+    fn whole(self, head: &Head, text: &str, tokens: u32, finish: &str) -> Value {
+        let (object, mut choice) = match self {
+            Self::Text => ("text_completion", json!({ "text": text })),
+            Self::Chat => ("chat.completion", json!({ "message": { "role": "assistant", "content": text } })),
+        };
+        choice["index"] = json!(0);
+        choice["finish_reason"] = json!(finish);
+        let usage = json!({
+            "prompt_tokens": head.prompt_tokens,
+            "completion_tokens": tokens,
+            "total_tokens": head.prompt_tokens + tokens,
+        });
+        json!({
+            "id": head.id, "object": object, "created": head.created, "model": head.model,
+            "choices": [choice], "usage": usage,
+        })
+    }
+}
+
+/// What every part of an answer repeats.
+#[derive(Clone, Debug)]
+struct Head {
+    id: String,
+    model: String,
+    created: u64,
+    prompt_tokens: u32,
+}
+
+/// What a caller's body asks for.
+#[derive(Debug)]
+struct Wanted {
+    model: String,
+    prompt: String,
+    output_tokens: u32,
+    stream: bool,
+    body: Map<String, Value>,
+}
+
+pub(super) async fn text(State(caller): State<Caller>, req: Request) -> Response {
+    run(caller, req, Api::Text).await
+}
+
+pub(super) async fn chat(State(caller): State<Caller>, req: Request) -> Response {
+    run(caller, req, Api::Chat).await
+}
+
+async fn run(caller: Caller, req: Request, api: Api) -> Response {
+    let id = caller.node.identity.fresh();
+    let span = info_span!("request", request = id);
+    telemetry::adopt(&span, req.headers());
+    let answer = answer(&caller, req, api, &id).instrument(span).await;
+    answer.unwrap_or_else(|failure| refusal::response(&id, &failure))
+}
+
+async fn answer(caller: &Caller, req: Request, api: Api, id: &str) -> Result<Response, Failure> {
+    caller.admit()?;
+    let doc = caller.node.document();
+    let (parts, raw) = req.into_parts();
+    let terms = terms::read(&caller.node, &doc, id, &parts.headers)?;
+    let raw = body::read(raw, &caller.node.settings.limits).await?;
+    let wanted = read_wanted(&raw, api, terms.kind.output_tokens)?;
+    let (pool, adapter) = resolve(&doc, &wanted.model)?;
+    let size = Size {
+        prompt_tokens: (wanted.prompt.len() / BYTES_PER_TOKEN + 1) as u32,
+        output_tokens: wanted.output_tokens,
+        prefix: hash::prefix(wanted.prompt.as_bytes()),
+        adapter,
+    };
+    let head = Head {
+        id: id.to_owned(),
+        model: wanted.model,
+        created: wall_millis() / 1_000,
+        prompt_tokens: size.prompt_tokens,
+    };
+    let exchange = Exchange::submit(&caller.node, terms, &pool, size)?;
+    let completion = Completion { path: api.path(), content: hash::bytes(&raw), body: wanted.body };
+    let (tx, rx) = mpsc::channel(PIECES);
+    let work = complete(exchange, completion, caller.clients.clone(), tx);
+    caller.node.stop.requests.spawn(work.in_current_span());
+    if wanted.stream { streamed(api, head, rx).await } else { collected(api, &head, rx).await }
+}
+
+/// The pool that carries a model, and the adapter's identifier if an adapter was asked for.
+fn resolve(doc: &Document, asked: &str) -> Result<(String, u64), Failure> {
+    let adapter = doc.adapters.get(asked);
+    let model = adapter.map_or(asked, |a| a.spec.model.as_str());
+    let pool = doc.pools.iter().find(|(_, pool)| pool.spec.models.iter().any(|m| m == model));
+    let Some((pool, _)) = pool else {
+        return Err(Failure::bad_request(404, "model_unknown", format!("no pool carries the model {asked:?}")));
+    };
+    let adapter = adapter.map_or(0, |_| hash::bytes(asked.as_bytes()));
+    Ok((pool.clone(), adapter))
+}
+
+fn read_wanted(raw: &[u8], api: Api, default_tokens: u32) -> Result<Wanted, Failure> {
+    let invalid = |message: String| Failure::bad_request(400, "body_invalid", message);
+    let mut body: Map<String, Value> =
+        serde_json::from_slice(raw).map_err(|e| invalid(format!("the body is not a JSON object: {e}")))?;
+    let model = body.get("model").and_then(Value::as_str).ok_or_else(|| invalid("model: expected a name".into()))?;
+    let model = model.to_owned();
+    let prompt = match api {
+        Api::Text => body.get("prompt").and_then(Value::as_str).map(str::to_owned),
+        Api::Chat => chat_prompt(&body),
+    };
+    let prompt = prompt.ok_or_else(|| {
+        invalid(match api {
+            Api::Text => "prompt: expected a string".into(),
+            Api::Chat => "messages: expected a list of objects with a role and a string as content".into(),
+        })
+    })?;
+    let stream = match body.get("stream") {
+        None | Some(Value::Null) => false,
+        Some(Value::Bool(stream)) => *stream,
+        Some(_) => return Err(invalid("stream: expected true or false".into())),
+    };
+    if body.get("n").is_some_and(|n| n.as_u64() != Some(1)) {
+        return Err(invalid("n: only 1 is served".into()));
+    }
+    let tokens = body.get("max_tokens").or_else(|| body.get("max_completion_tokens"));
+    let output_tokens = match tokens.filter(|v| !v.is_null()) {
+        None => default_tokens,
+        Some(value) => match value.as_u64() {
+            Some(n) if (1..=MAX_TOKENS).contains(&n) => n as u32,
+            _ => return Err(invalid(format!("max_tokens: expected a whole number from 1 to {MAX_TOKENS}"))),
+        },
+    };
+    body.insert("max_tokens".to_owned(), json!(output_tokens));
+    Ok(Wanted { model, prompt, output_tokens, stream, body })
+}
+
+fn chat_prompt(body: &Map<String, Value>) -> Option<String> {
+    let messages = body.get("messages")?.as_array().filter(|m| !m.is_empty())?;
+    let contents = messages.iter().map(|m| m.get("content")?.as_str());
+    contents.collect::<Option<Vec<_>>>().map(|parts| parts.join("\n"))
+}
+
+async fn collected(api: Api, head: &Head, mut rx: mpsc::Receiver<Piece>) -> Result<Response, Failure> {
+    let mut text = String::new();
+    let mut tokens = 0;
+    while let Some(piece) = rx.recv().await {
+        match piece {
+            Piece::Text(part, n) => {
+                text.push_str(&part);
+                tokens += n;
+            }
+            Piece::End(finish) => {
+                let headers = refusal::head(&head.id, Outcome::Whole);
+                return Ok((headers, Json(api.whole(head, &text, tokens, &finish))).into_response());
+            }
+            Piece::Failed(failure) => return Err(failure),
+        }
+    }
+    Err(gone())
+}
+
+/// The status waits for the first piece, so that a refusal has its own.
+async fn streamed(api: Api, head: Head, mut rx: mpsc::Receiver<Piece>) -> Result<Response, Failure> {
+    let first = match rx.recv().await {
+        Some(Piece::Failed(failure)) => return Err(failure),
+        Some(piece) => piece,
+        None => return Err(gone()),
+    };
+    let mut headers: HeaderMap = refusal::head(&head.id, Outcome::Whole);
+    // How a stream ends is told in it.
+    headers.remove(OUTCOME);
+    headers.insert(CONTENT_TYPE, http::HeaderValue::from_static("text/event-stream"));
+    let rest = stream::unfold(rx, |mut rx| async move { rx.recv().await.map(|piece| (piece, rx)) });
+    let pieces = stream::once(async { first }).chain(rest);
+    let events = pieces.map(move |piece| Ok::<_, Infallible>(event(api, &head, piece)));
+    Ok((headers, Body::from_stream(events)).into_response())
+}
+
+fn event(api: Api, head: &Head, piece: Piece) -> Bytes {
+    let text = match piece {
+        Piece::Text(text, _) => format!("data: {}\n\n", api.chunk(head, &text, None)),
+        Piece::End(finish) => format!("data: {}\n\ndata: [DONE]\n\n", api.chunk(head, "", Some(&finish))),
+        Piece::Failed(failure) => {
+            let body = serde_json::to_string(&refusal::body(&head.id, &failure)).unwrap_or_default();
+            format!("data: {body}\n\n")
+        }
+    };
+    Bytes::from(text)
+}
+
+fn gone() -> Failure {
+    Failure::new(Outcome::Unknown, "daemon_over", "the daemon ended before the answer was whole")
+}
--- /dev/null
+++ b/crates/daemon/src/caller/mod.rs
@@ -0,0 +1,54 @@
+//! What callers reach: completions and plain services over HTTP.
+
+mod body;
+mod completion;
+mod plain;
+pub mod refusal;
+mod terms;
+
+use std::sync::Arc;
+
+use axum::{
+    Router,
+    extract::DefaultBodyLimit,
+    response::{IntoResponse, Response},
+    routing::{any, post},
+};
+use dahliaseam_core::outcome::Outcome;
+
+use crate::{attempt::Clients, exchange::Failure, node::Node};
+
+/// What the handlers share.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    node: Arc<Node>,
+    clients: Clients,
+}
+
+/// The callers' routes.
+pub fn router(node: Arc<Node>) -> Router {
+    let caller = Caller { node, clients: Clients::default() };
+    Router::new()
+        .route("/v1/completions", post(completion::text))
+        .route("/v1/chat/completions", post(completion::chat))
+        .route("/services/{pool}", any(plain::call_root))
+        .route("/services/{pool}/{*path}", any(plain::call))
+        .fallback(unknown_path)
+        .layer(DefaultBodyLimit::disable())
+        .with_state(caller)
+}
+
+async fn unknown_path() -> Response {
+    let failure = Failure::bad_request(404, "unknown_path", "see docs/API.md for the paths there are");
+    refusal::response("", &failure).into_response()
+}
+
+impl Caller {
+    /// Refuse new work while this daemon may not take any.
+    fn admit(&self) -> Result<(), Failure> {
+        if self.node.takes_work() {
+            return Ok(());
+        }
+        Err(Failure::new(Outcome::NotRun, "not_ready", "this VM is cut off or has no configuration yet; ask another"))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/caller/plain.rs
@@ -0,0 +1,228 @@
+//! Calls to plain services: method, path, headers and body pass through.
+
+use axum::{
+    extract::{Path, Request, State},
+    response::{IntoResponse, Response},
+};
+use bytes::Bytes;
+use dahliaseam_core::{
+    claim::Recorded,
+    dispatch::Site,
+    hash,
+    outcome::{AttemptEnd, Outcome},
+};
+use dahliaseam_wire::{
+    engine::{ATTEMPT, REQUEST},
+    resource::EndpointClass,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use tokio::sync::oneshot;
+use tracing::{Instrument, info_span};
+
+use super::{Caller, body, refusal, terms};
+use crate::{
+    attempt::{Clients, Ended, end_of, is_not_run},
+    desk::{Command, Dispatch},
+    exchange::{Exchange, Failure, Size, Step},
+    telemetry,
+};
+
+/// Bytes of an answer at most.
+const MAX_ANSWER: usize = 4 << 20;
+
+/// Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1).
+const HOP_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::HOST,
+    header::CONTENT_LENGTH,
+    header::PROXY_AUTHORIZATION,
+];
+
+/// A call as the service gets it.
+#[derive(Debug)]
+struct Call {
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+type Answer = Result<(StatusCode, HeaderMap, Bytes), Failure>;
+
+pub(super) async fn call_root(State(caller): State<Caller>, Path(pool): Path<String>, req: Request) -> Response {
+    run(caller, pool, String::new(), req).await
+}
+
+pub(super) async fn call(
+    State(caller): State<Caller>,
+    Path((pool, path)): Path<(String, String)>,
+    req: Request,
+) -> Response {
+    run(caller, pool, path, req).await
+}
+
+async fn run(caller: Caller, pool: String, path: String, req: Request) -> Response {
+    let id = caller.node.identity.fresh();
+    let span = info_span!("request", request = id, pool);
+    telemetry::adopt(&span, req.headers());
+    let answer = answer(&caller, &pool, &path, req, &id).instrument(span).await;
+    answer.unwrap_or_else(|failure| refusal::response(&id, &failure))
+}
+
+async fn answer(caller: &Caller, pool: &str, path: &str, req: Request, id: &str) -> Result<Response, Failure> {
+    caller.admit()?;
+    let doc = caller.node.document();
+    let class = doc.pools.get(pool).map(|p| p.spec.endpoints);
+    if class != Some(EndpointClass::Plain) {
+        return Err(Failure::bad_request(404, "pool_unknown", format!("there is no pool of plain services {pool:?}")));
+    }
+    let (parts, raw) = req.into_parts();
+    let terms = terms::read(&caller.node, &doc, id, &parts.headers)?;
+    let body = body::read(raw, &caller.node.settings.limits).await?;
+    let query = parts.uri.query().map(|q| format!("?{q}")).unwrap_or_default();
+    let call = Call { method: parts.method, path: format!("/{path}{query}"), headers: pass_on(&parts.headers), body };
+    let exchange = Exchange::submit(&caller.node, terms, pool, Size::default())?;
+    let (tx, rx) = oneshot::channel();
+    let work = serve(exchange, call, caller.clients.clone(), tx);
+    caller.node.stop.requests.spawn(work.in_current_span());
+    let over = || Failure::new(Outcome::Unknown, "daemon_over", "the daemon ended before the answer was whole");
+    let (status, headers, body) = rx.await.map_err(|_| over())??;
+    let mut resp = (status, headers, body).into_response();
+    resp.headers_mut().extend(refusal::head(id, Outcome::Whole));
+    Ok(resp)
+}
+
+fn pass_on(headers: &HeaderMap) -> HeaderMap {
+    let mut out = headers.clone();
+    for name in HOP_HEADERS {
+        out.remove(name);
+    }
+    out
+}
+
+async fn serve(mut exchange: Exchange, call: Call, clients: Clients, mut tx: oneshot::Sender<Answer>) {
+    let content = hash::bytes(format!("{} {}", call.method, call.path).as_bytes()) ^ hash::bytes(&call.body);
+    let result = loop {
+        let next = tokio::select! {
+            next = exchange.next_dispatch(content) => next,
+            () = tx.closed() => return,
+        };
+        let dispatch = match next {
+            Ok(dispatch) => dispatch,
+            Err(Step::Failed(failure)) => break Err(failure),
+            Err(Step::Recorded(recorded)) => break replay(recorded),
+        };
+        // Once sent, a call that may not be repeated is seen through, so that its outcome is
+        // recorded even when the caller has gone.
+        let seen_through = !exchange.terms.kind.repeatable;
+        let (ended, answer) = tokio::select! {
+            done = attempt(&mut exchange, &call, &clients, &dispatch) => done,
+            () = tx.closed(), if !seen_through => return,
+        };
+        match (exchange.attempt_ended(&ended), answer) {
+            (Ok(()), _) => {}
+            (Err(Ok(())), Some(answer)) => break Ok(answer),
+            (Err(Err(failure)), _) => break Err(failure),
+            (Err(Ok(())), None) => break Err(Failure::new(Outcome::Unknown, "endpoint_failed", "no answer")),
+        }
+    };
+    let recorded = result.as_ref().map(recorded);
+    exchange.over(recorded.as_ref().map_err(|f| *f)).await;
+    let _ = tx.send(result);
+}
+
+async fn attempt(
+    exchange: &mut Exchange,
+    call: &Call,
+    clients: &Clients,
+    dispatch: &Dispatch,
+) -> (Ended, Option<(StatusCode, HeaderMap, Bytes)>) {
+    let span = info_span!("attempt", attempt = dispatch.attempt, endpoint = dispatch.endpoint.name);
+    let repeatable = exchange.terms.kind.repeatable;
+    let request = exchange.id().to_owned();
+    let work = send(clients, call, dispatch, &request, repeatable).instrument(span);
+    let (end, answer) = tokio::select! {
+        done = work => done,
+        end = stopped(exchange) => (end, None),
+    };
+    (Ended { end, at: Site::Serving, words: String::new() }, answer)
+}
+
+async fn stopped(exchange: &mut Exchange) -> AttemptEnd {
+    loop {
+        match exchange.ticket().next().await {
+            Some(Command::Stop(end)) => return end,
+            Some(_) => {}
+            None => return AttemptEnd::Cancelled,
+        }
+    }
+}
+
+async fn send(
+    clients: &Clients,
+    call: &Call,
+    dispatch: &Dispatch,
+    request: &str,
+    repeatable: bool,
+) -> (AttemptEnd, Option<(StatusCode, HeaderMap, Bytes)>) {
+    let Some(req) = build(call, dispatch, request) else {
+        return (AttemptEnd::NotSent, None);
+    };
+    let resp = match clients.of(repeatable).send(req).await {
+        Ok(resp) => resp,
+        Err(e) => return (end_of(&e), None),
+    };
+    if is_not_run(&resp) {
+        return (AttemptEnd::Refused, None);
+    }
+    let (parts, body) = resp.into_parts();
+    match Limited::new(body, MAX_ANSWER).collect().await {
+        Ok(body) => (AttemptEnd::Whole, Some((parts.status, pass_on(&parts.headers), body.to_bytes()))),
+        Err(_) => (AttemptEnd::Broken, None),
+    }
+}
+
+fn build(call: &Call, dispatch: &Dispatch, request: &str) -> Option<http::Request<Full<Bytes>>> {
+    let mut req = http::Request::builder()
+        .method(call.method.clone())
+        .uri(format!("http://{}{}", dispatch.endpoint.address, call.path))
+        .body(Full::new(call.body.clone()))
+        .ok()?;
+    *req.headers_mut() = call.headers.clone();
+    req.headers_mut().insert(REQUEST, HeaderValue::from_str(request).ok()?);
+    req.headers_mut().insert(ATTEMPT, HeaderValue::from(dispatch.attempt));
+    telemetry::inject(&tracing::Span::current(), req.headers_mut());
+    Some(req)
+}
+
+fn recorded((status, headers, body): &(StatusCode, HeaderMap, Bytes)) -> Recorded {
+    let content_type = headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    Recorded {
+        outcome: Outcome::Whole,
+        status: status.as_u16(),
+        content_type: content_type.unwrap_or("application/octet-stream").to_owned(),
+        body: String::from_utf8(body.to_vec()).ok(),
+    }
+}
+
+/// The recorded answer, for a second request with the same key.
+fn replay(recorded: Recorded) -> Answer {
+    let (Outcome::Whole, Some(body)) = (recorded.outcome, recorded.body) else {
+        return Err(Failure {
+            retry_after_ms: None,
+            status: Some(409),
+            ..Failure::new(recorded.outcome, "already_answered", "the request with this key ended before")
+        });
+    };
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(&recorded.content_type) {
+        headers.insert(header::CONTENT_TYPE, value);
+    }
+    let status = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
+    Ok((status, headers, Bytes::from(body)))
+}
--- /dev/null
+++ b/crates/daemon/src/caller/refusal.rs
@@ -0,0 +1,64 @@
+//! How a request without a whole answer is answered.
+
+use axum::{
+    Json,
+    response::{IntoResponse, Response},
+};
+use dahliaseam_core::outcome::Outcome;
+use dahliaseam_wire::caller::{ErrorBody, ErrorDetail, OUTCOME, REQUEST};
+use http::{HeaderMap, HeaderValue, StatusCode, header::RETRY_AFTER};
+
+use crate::exchange::Failure;
+
+const MILLIS: u64 = 1_000;
+
+/// The HTTP status of a failure.
+#[must_use]
+pub fn status(failure: &Failure) -> u16 {
+    let usual = match (failure.outcome, failure.reason) {
+        (Outcome::NotRun, "team_limit") => StatusCode::TOO_MANY_REQUESTS,
+        (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (Outcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
+        (Outcome::Ran | Outcome::Whole, _) => StatusCode::BAD_GATEWAY,
+    };
+    failure.status.unwrap_or(usual.as_u16())
+}
+
+/// The body of a failure.
+#[must_use]
+pub fn body(request: &str, failure: &Failure) -> ErrorBody {
+    ErrorBody {
+        error: ErrorDetail {
+            outcome: failure.outcome,
+            reason: failure.reason.to_owned(),
+            message: failure.message.clone(),
+            request: request.to_owned(),
+            retry_after_ms: failure.retry_after_ms,
+        },
+    }
+}
+
+/// The whole response of a failure.
+#[must_use]
+pub fn response(request: &str, failure: &Failure) -> Response {
+    let mut headers = head(request, failure.outcome);
+    if let Some(ms) = failure.retry_after_ms {
+        headers.insert(RETRY_AFTER, HeaderValue::from(ms.div_ceil(MILLIS).max(1)));
+    }
+    let status = StatusCode::from_u16(status(failure)).unwrap_or(StatusCode::BAD_GATEWAY);
+    (status, headers, Json(body(request, failure))).into_response()
+}
+
+/// The headers that every answer has.
+#[must_use]
+pub fn head(request: &str, outcome: Outcome) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(request) {
+        headers.insert(REQUEST, value);
+    }
+    let word = serde_json::to_value(outcome).unwrap_or_default();
+    if let Ok(value) = HeaderValue::from_str(word.as_str().unwrap_or_default()) {
+        headers.insert(OUTCOME, value);
+    }
+    headers
+}
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,33 @@
+//! The clock that the daemon reads.
+
+use std::fmt::Debug;
+
+use dahliaseam_core::time::Time;
+use rustix::time::{ClockId, clock_gettime};
+
+/// A source of the time.
+pub trait Clock: Debug + Send + Sync {
+    /// The time now.
+    fn now(&self) -> Time;
+}
+
+/// The machine's clock that runs on through a suspend.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+const MICROS: u64 = 1_000_000;
+const NANOS_PER_MICRO: u64 = 1_000;
+
+impl Clock for BootClock {
+    fn now(&self) -> Time {
+        let now = clock_gettime(ClockId::Boottime);
+        Time(now.tv_sec as u64 * MICROS + now.tv_nsec as u64 / NANOS_PER_MICRO)
+    }
+}
+
+/// Milliseconds since 1970, for deadlines that another machine is to judge.
+#[must_use]
+pub fn wall_millis() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/daemon/src/control/changes.rs
@@ -0,0 +1,294 @@
+//! The changes that a shard's holder carries out, one order at a time for each engine.
+//!
+//! A role change goes: mark the engine, so that daemons send it no new work; cordon it, so that
+//! it refuses what a cut-off daemon still sends; wait until it reports that nothing runs; change
+//! the role; open it again. Nothing that a person waits for is cut.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use dahliaseam_core::{
+    bucket::Bucket,
+    custody::{EngineStatus, Fencing, OrderKind, Wait},
+    endpoint::Role,
+    mix::Demand,
+    planner::{Outlook, Planner, RoleCounts},
+    time::{Span, Time},
+};
+use dahliaseam_platform::http::{HttpClient, Reuse};
+use dahliaseam_wire::{
+    peer::{Marks, PeerClient},
+    resource::{Document, EndpointSpec, RoleSpec},
+};
+use futures_util::future::join_all;
+
+use super::{
+    custodian::{Custodian, Reached, ask},
+    shard::Shard,
+};
+use crate::{duties, emit, node::Node};
+
+/// Daemons asked for their demand; the sum is scaled up to all.
+const DEMAND_SAMPLE: usize = 16;
+/// Time between two looks at the demand.
+const DEMAND_EVERY: Span = Span::millis(2_000);
+/// Daemons told of new marks directly; the others hear by gossip.
+const MARK_FANOUT: usize = 16;
+/// Loads that may be ordered at once.
+const LOAD_BURST: f64 = 2.0;
+const SECONDS_PER_MINUTE: f64 = 60.0;
+
+/// The state of one shard's changes.
+#[derive(Debug)]
+pub(super) struct Changes {
+    pool: String,
+    client: HttpClient,
+    custodians: BTreeMap<String, Custodian>,
+    targets: BTreeMap<String, Role>,
+    planner: Planner,
+    outlook: Outlook,
+    look_at: Time,
+    loads: Bucket,
+    marks: Option<Marks>,
+    /// Marks that were sent out; sent again when they or the fencing number change.
+    told: Option<Marks>,
+}
+
+/// The engines of the shard with what they say.
+type Engines = BTreeMap<String, (EndpointSpec, Option<EngineStatus>)>;
+
+impl Changes {
+    pub(super) fn new(node: &Node, pool: &str) -> Self {
+        let per_second = node.settings.loads_per_minute / SECONDS_PER_MINUTE;
+        Self {
+            pool: pool.to_owned(),
+            client: HttpClient::new(Reuse::Fresh),
+            custodians: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            planner: Planner::default(),
+            outlook: Outlook::default(),
+            look_at: Time::default(),
+            loads: Bucket::new(per_second, LOAD_BURST, node.now()),
+            marks: None,
+            told: None,
+        }
+    }
+
+    /// One round while the shard's lease is held.
+    pub(super) async fn round(&mut self, node: &Arc<Node>, shard: &Shard) {
+        let doc = node.document();
+        let engines = self.look(&doc).await;
+        self.targets.retain(|name, _| engines.contains_key(name));
+        self.look_at_demand(node).await;
+        self.plan(node, &doc, &engines);
+        self.tell_marks(node, shard, &engines).await;
+        self.drive(node, shard, &doc, &engines).await;
+        self.show(node, &engines);
+    }
+
+    /// Without the lease: let go of what this process still has custody of.
+    pub(super) async fn step_down(&mut self, node: &Node) {
+        self.targets.clear();
+        self.told = None;
+        if self.custodians.values().any(|c| c.is_mine(node)) {
+            self.release_all(node).await;
+        }
+    }
+
+    /// Release every engine's record that names this process.
+    pub(super) async fn release_all(&mut self, node: &Node) {
+        let doc = node.document();
+        for (name, custodian) in &mut self.custodians {
+            if let Some(endpoint) = doc.endpoints.get(name).filter(|_| custodian.is_mine(node)) {
+                custodian.release(node, &self.client, &endpoint.spec).await;
+            }
+        }
+    }
+
+    async fn look(&self, doc: &Document) -> Engines {
+        let mine = doc.endpoints.iter().filter(|(_, e)| e.spec.pool == self.pool);
+        let asked = mine.map(|(name, endpoint)| async {
+            let status = ask(&self.client, &endpoint.spec).await;
+            (name.clone(), (endpoint.spec.clone(), status))
+        });
+        join_all(asked).await.into_iter().collect()
+    }
+
+    async fn look_at_demand(&mut self, node: &Arc<Node>) {
+        let now = node.now();
+        if !self.look_at.is_past(now) {
+            return;
+        }
+        self.look_at = now + DEMAND_EVERY;
+        let (live, addresses) = sample(node, DEMAND_SAMPLE - 1);
+        let asked = addresses.iter().map(|address| async {
+            let client = node.peers.get(node, address)?;
+            node.metrics.peer_call("demand");
+            let report = client.demand().await.ok()?;
+            report.pools.into_iter().find(|p| p.pool == self.pool).map(|p| (p.short, p.long))
+        });
+        let mut seen: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
+        seen.extend(node.desk.demand(&self.pool, now));
+        let scale = live as f64 / seen.len().max(1) as f64;
+        let sum = |pick: fn(&(Demand, Demand)) -> Demand| {
+            let sum = seen.iter().map(pick).fold(Demand::default(), Demand::plus);
+            Demand { prefill: sum.prefill * scale, decode: sum.decode * scale }
+        };
+        self.outlook = Outlook { short: sum(|d| d.0), long: sum(|d| d.1) };
+    }
+
+    fn plan(&mut self, node: &Node, doc: &Document, engines: &Engines) {
+        let Some(role_spec) = doc.roles.get(&self.pool).map(|r| &r.spec) else { return };
+        for (name, role) in &role_spec.fixed {
+            let differs = engines.get(name).and_then(|(_, s)| s.as_ref()).is_some_and(|s| s.role != *role);
+            if differs {
+                self.targets.insert(name.clone(), *role);
+            }
+        }
+        self.plan_free(node, doc, engines, role_spec);
+    }
+
+    fn plan_free(&mut self, node: &Node, doc: &Document, engines: &Engines, role_spec: &RoleSpec) {
+        let Some(pool) = doc.pools.get(&self.pool) else { return };
+        let free: Vec<_> = engines
+            .iter()
+            .filter(|(name, (spec, _))| !role_spec.fixed.contains_key(*name) && !spec.drained)
+            .filter_map(|(name, (_, status))| Some((name, status.as_ref()?)))
+            .collect();
+        // An engine that is changing counts in the role that it will have.
+        let role_of = |name: &str, status: &EngineStatus| self.targets.get(name).copied().unwrap_or(status.role);
+        let mut counts = RoleCounts::default();
+        for (name, status) in &free {
+            match role_of(name, status) {
+                Role::Prefill => counts.prefill += 1,
+                Role::Decode => counts.decode += 1,
+                Role::Mixed => counts.mixed += 1,
+                Role::Plain => {}
+            }
+        }
+        let rates = pool.spec.role_rates;
+        let in_flight = self.targets.len();
+        let now = node.now();
+        let change = self.planner.plan(&role_spec.planner, rates, counts, self.outlook, in_flight, now);
+        let Some(change) = change else { return };
+        let candidates = free.iter().filter(|(name, status)| {
+            status.role == change.from && !self.targets.contains_key(*name) && !status.cordoned
+        });
+        let Some((name, _)) = candidates.min_by_key(|(_, status)| status.running) else { return };
+        emit!(info, ROLE_PLANNED, engine = name, from = ?change.from, to = ?change.to,
+            gain = change.gain, loss = change.loss);
+        node.metrics.role_change(&self.pool);
+        self.targets.insert((*name).clone(), change.to);
+    }
+
+    async fn tell_marks(&mut self, node: &Arc<Node>, shard: &Shard, engines: &Engines) {
+        let Some(authority) = shard.authority(node.now()) else { return };
+        let marks = self.next_marks(shard, authority.epoch(), engines);
+        if self.told.as_ref() == Some(&marks) {
+            return;
+        }
+        node.duties.mark(marks.clone());
+        duties::apply(node);
+        let (_, addresses) = sample(node, MARK_FANOUT);
+        let told = addresses.iter().map(|address| async {
+            let client = node.peers.get(node, address)?;
+            node.metrics.peer_call("marks");
+            client.marks(marks.clone()).await.ok()
+        });
+        join_all(told).await;
+        self.told = Some(marks);
+    }
+
+    fn next_marks(&mut self, shard: &Shard, epoch: u64, engines: &Engines) -> Marks {
+        let leaving: Vec<_> = self.targets.keys().cloned().collect();
+        let roles: Vec<_> =
+            engines.iter().filter_map(|(name, (_, status))| Some((name.clone(), status.as_ref()?.role))).collect();
+        let same = |m: &&Marks| m.epoch == epoch && m.leaving == leaving && m.roles == roles;
+        if let Some(present) = self.marks.as_ref().filter(same) {
+            return present.clone();
+        }
+        let before = self.marks.as_ref().filter(|m| m.epoch == epoch);
+        let marks = Marks {
+            shard: shard.name().to_owned(),
+            epoch,
+            sequence: before.map_or(0, |m| m.sequence) + 1,
+            leaving,
+            roles,
+        };
+        self.marks = Some(marks.clone());
+        marks
+    }
+
+    async fn drive(&mut self, node: &Arc<Node>, shard: &Shard, doc: &Document, engines: &Engines) {
+        for (name, (spec, status)) in engines {
+            let wanted = status.as_ref().and_then(|s| self.wanted(node, doc, name, spec, s));
+            let open = self.custodians.get(name).is_some_and(|c| c.is_mine(node));
+            if wanted.is_none() && !open {
+                continue;
+            }
+            let custodian = self.custodians.entry(name.clone()).or_insert_with(|| Custodian::new(node, name));
+            let reached = custodian.drive(node, &self.client, shard, spec, wanted.as_ref(), status.clone()).await;
+            let waits = match reached {
+                Reached::Waits(wait) => Some(wait),
+                Reached::Done | Reached::Going => None,
+            };
+            if node.board.waits(name, waits) && waits == Some(Wait::FormerCustodian) {
+                emit!(warn, CUSTODY_WAITS, engine = name, ignores = spec.fencing == Fencing::Ignores);
+            }
+        }
+    }
+
+    /// The next order that an engine should get.
+    fn wanted(
+        &mut self,
+        node: &Node,
+        doc: &Document,
+        name: &str,
+        spec: &EndpointSpec,
+        status: &EngineStatus,
+    ) -> Option<OrderKind> {
+        if let Some(role) = self.targets.get(name).copied() {
+            if status.role != role {
+                let empty = status.cordoned && status.running == 0;
+                return Some(if empty { OrderKind::SetRole(role) } else { OrderKind::Cordon });
+            }
+            if !status.cordoned && !status.changing {
+                self.targets.remove(name);
+            }
+        }
+        if spec.drained {
+            return (!status.cordoned).then_some(OrderKind::Cordon);
+        }
+        if status.cordoned {
+            return Some(OrderKind::Uncordon);
+        }
+        let missing = wanted_loads(doc, spec).find(|item| !status.loaded.contains(item))?;
+        self.loads.take(1.0, node.now()).then_some(OrderKind::Load(missing))
+    }
+
+    fn show(&self, node: &Node, engines: &Engines) {
+        let changing = self.targets.iter().map(|(name, role)| (name.clone(), format!("to {role:?}").to_lowercase()));
+        let names: Vec<_> = engines.keys().cloned().collect();
+        node.board.set_changing(&names, changing.collect());
+    }
+}
+
+/// What an engine is to have loaded: its own list, and its pool's models in their version.
+fn wanted_loads<'a>(doc: &'a Document, spec: &'a EndpointSpec) -> impl Iterator<Item = String> + 'a {
+    let models = doc.pools.get(&spec.pool).map(|p| p.spec.models.as_slice()).unwrap_or_default();
+    let versions = models.iter().filter_map(|m| doc.models.get(m)).map(|m| m.spec.version.clone());
+    spec.load.iter().cloned().chain(versions)
+}
+
+/// The number of live daemons, and the addresses of a few others drawn at random.
+fn sample(node: &Node, count: usize) -> (usize, Vec<String>) {
+    let mut members = node.members();
+    let live = members.live();
+    let mut keys = Vec::new();
+    // A few draws more than needed, since the same one may be drawn twice.
+    for _ in 0..count * 2 {
+        let drawn = members.any_live();
+        keys.extend(drawn.filter(|key| keys.len() < count && !keys.contains(key)));
+    }
+    let addresses = keys.iter().filter_map(|key| members.get(*key)).map(|m| m.contact.address.clone());
+    (live, addresses.collect())
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,74 @@
+//! Orders to engines, for the shards whose lease this daemon holds.
+//!
+//! A shard is a pool of engines. A few daemons, found by rendezvous hash, stand for its lease;
+//! the holder runs the planner and carries changes out. Each engine's record in the key-value
+//! service goes through [`dahliaseam_core::custody::next`], one step at a time.
+
+pub mod board;
+mod changes;
+mod custodian;
+mod shard;
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use dahliaseam_core::{hash, member::Health};
+use dahliaseam_wire::resource::EndpointClass;
+
+use crate::node::Node;
+use changes::Changes;
+use shard::Shard;
+
+/// Daemons that stand for one shard's lease.
+const CANDIDATES: usize = 3;
+
+/// One shard as this daemon handles it.
+#[derive(Debug)]
+struct Held {
+    shard: Shard,
+    changes: Changes,
+}
+
+/// Run control until the daemon is over, then hand over what it holds.
+pub async fn run(node: Arc<Node>) {
+    let every = Duration::from_millis(node.settings.timing.control_ms);
+    let mut shards: HashMap<String, Held> = HashMap::new();
+    while !node.stop.over.is_cancelled() {
+        for pool in engine_pools(&node) {
+            let held = shards
+                .entry(pool.clone())
+                .or_insert_with(|| Held { shard: Shard::new(&node, &pool), changes: Changes::new(&node, &pool) });
+            round(&node, held, is_candidate(&node, &pool)).await;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(every) => {}
+            () = node.stop.over.cancelled() => {}
+        }
+    }
+    for held in shards.values_mut() {
+        held.changes.release_all(&node).await;
+        held.shard.hand_over(&node).await;
+    }
+}
+
+async fn round(node: &Arc<Node>, held: &mut Held, candidate: bool) {
+    held.shard.keep(node, candidate && !node.stop.begun.is_cancelled()).await;
+    if held.shard.authority(node.now()).is_some() {
+        held.changes.round(node, &held.shard).await;
+    } else {
+        held.changes.step_down(node).await;
+    }
+}
+
+fn engine_pools(node: &Node) -> Vec<String> {
+    let doc = node.document();
+    let engines = doc.pools.iter().filter(|(_, p)| p.spec.endpoints == EndpointClass::Engine);
+    engines.map(|(name, _)| name.clone()).collect()
+}
+
+fn is_candidate(node: &Node, pool: &str) -> bool {
+    let me = hash::bytes(node.settings.vm.as_bytes());
+    let members = node.members();
+    let live = members.others().filter(|(_, m)| m.health == Health::Alive);
+    let vms = live.map(|(_, m)| hash::bytes(m.contact.vm.as_bytes())).chain([me]);
+    hash::owners(hash::bytes(pool.as_bytes()), vms.map(|vm| (vm, vm)), CANDIDATES).contains(&me)
+}
--- /dev/null
+++ b/crates/daemon/src/desk.rs
@@ -0,0 +1,419 @@
+//! The dispatcher behind a lock, with the tasks that wait for its decisions.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use dahliaseam_core::{
+    choose::{Candidate, Choice, Reason},
+    dispatch::{Action, Dispatcher, Next, Policy, Refusal, Site},
+    endpoint::{Duty, EndpointKey, LoadReport, PoolKey, Role},
+    hash,
+    outcome::{AttemptEnd, Outcome},
+    request::{RequestKey, RequestSpec},
+    time::Time,
+};
+use dahliaseam_wire::{
+    operator::CandidateRecord,
+    resource::{Document, EndpointSpec},
+};
+use slotmap::SecondaryMap;
+use tokio::sync::mpsc;
+
+/// Where an attempt goes.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The endpoint's name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// An attempt to make.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    /// Its number.
+    pub attempt: u32,
+    /// Where it goes.
+    pub endpoint: Target,
+    /// Where its prompt is processed first.
+    pub prefill: Option<Target>,
+    /// Why there.
+    pub reason: Reason,
+    /// Milliseconds predicted until the first token.
+    pub predicted_first_ms: f64,
+    /// What was weighed.
+    pub candidates: Vec<CandidateRecord>,
+}
+
+/// What a waiting task is told.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Make an attempt.
+    Send(Dispatch),
+    /// Stop the attempt and report this end.
+    Stop(AttemptEnd),
+    /// The request is given up.
+    Refuse {
+        /// What became of it.
+        outcome: Outcome,
+        /// Why.
+        reason: Refusal,
+        /// Milliseconds after which to come back.
+        retry_after_ms: u64,
+        /// What the last look at the pool saw.
+        seen: Vec<CandidateRecord>,
+    },
+}
+
+/// A request's place at the desk; dropping it withdraws the request.
+#[derive(Debug)]
+pub struct Ticket {
+    /// Its key.
+    pub key: RequestKey,
+    commands: mpsc::UnboundedReceiver<Command>,
+}
+
+impl Ticket {
+    /// The next command.
+    pub async fn next(&mut self) -> Option<Command> {
+        self.commands.recv().await
+    }
+}
+
+#[derive(Debug)]
+struct Known {
+    target: Target,
+    spec: EndpointSpec,
+}
+
+#[derive(Debug)]
+struct Inner {
+    dispatcher: Dispatcher,
+    pools: HashMap<String, PoolKey>,
+    endpoints: HashMap<String, EndpointKey>,
+    by_hash: HashMap<u64, EndpointKey>,
+    known: SecondaryMap<EndpointKey, Known>,
+    waiters: HashMap<RequestKey, mpsc::UnboundedSender<Command>>,
+}
+
+/// The desk.
+#[derive(Debug)]
+pub struct Desk {
+    inner: Mutex<Inner>,
+}
+
+/// One endpoint as the desk sees it.
+#[derive(Clone, Debug)]
+pub struct EndpointView {
+    /// Its role.
+    pub role: Role,
+    /// Whether new work goes there.
+    pub open: bool,
+    /// Whether it was ejected after faults.
+    pub ejected: bool,
+    /// The last load report.
+    pub load: LoadReport,
+    /// When that was true.
+    pub load_at: Time,
+    /// Attempts of this daemon there.
+    pub in_flight: u32,
+    /// The window.
+    pub window: f64,
+    /// Prompt tokens of this daemon there that are not answered.
+    pub own_prefill: f64,
+}
+
+impl Desk {
+    /// An empty desk.
+    #[must_use]
+    pub fn new(policy: Policy, seed: u64, now: Time) -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                dispatcher: Dispatcher::new(policy, seed, now),
+                pools: HashMap::new(),
+                endpoints: HashMap::new(),
+                by_hash: HashMap::new(),
+                known: SecondaryMap::new(),
+                waiters: HashMap::new(),
+            }),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Follow a newer configuration.
+    pub fn configure(&self, doc: &Document, live: usize, now: Time) {
+        let mut inner = self.lock();
+        inner.drop_old(doc, now);
+        for (name, pool) in &doc.pools {
+            let rates = pool.spec.rates;
+            if let Some(key) = inner.pools.get(name).copied() {
+                inner.dispatcher.set_rates(key, rates);
+            } else {
+                let key = inner.dispatcher.add_pool(rates);
+                inner.pools.insert(name.clone(), key);
+            }
+        }
+        let teams = doc.teams.iter().map(|(name, team)| (name.clone(), team.spec.rate));
+        inner.dispatcher.set_teams(teams.collect(), live, now);
+        for (name, endpoint) in &doc.endpoints {
+            inner.add_endpoint(name, &endpoint.spec);
+        }
+    }
+
+    /// Take a request in.
+    ///
+    /// # Errors
+    /// Why it is refused at once, and when to come back.
+    pub fn submit(
+        &self,
+        pool: &str,
+        team: &str,
+        spec: impl FnOnce(PoolKey) -> RequestSpec,
+        now: Time,
+    ) -> Result<Ticket, (Refusal, Time)> {
+        let mut inner = self.lock();
+        let Some(pool) = inner.pools.get(pool).copied() else {
+            return Err((Refusal::NoEndpoint, now));
+        };
+        let key = inner.dispatcher.submit(team, spec(pool), now)?;
+        let (tx, commands) = mpsc::unbounded_channel();
+        inner.waiters.insert(key, tx);
+        inner.pump(pool, now);
+        Ok(Ticket { key, commands })
+    }
+
+    /// Note tokens that arrived.
+    pub fn progress(&self, key: RequestKey, tokens: u32, now: Time) {
+        self.lock().dispatcher.progress(key, tokens, now);
+    }
+
+    /// Note how an attempt ended.
+    pub fn attempt_ended(&self, key: RequestKey, end: AttemptEnd, at: Site, now: Time) -> Next {
+        let mut inner = self.lock();
+        let pool = inner.dispatcher.request(key).map(|r| r.spec.pool);
+        let next = inner.dispatcher.attempt_ended(key, end, at, now);
+        if let Next::Over(_) = next {
+            inner.waiters.remove(&key);
+        }
+        if let Some(pool) = pool {
+            inner.pump(pool, now);
+        }
+        next
+    }
+
+    /// Forget a request, if it is still there.
+    pub fn withdraw(&self, key: RequestKey, now: Time) {
+        let mut inner = self.lock();
+        inner.waiters.remove(&key);
+        let pool = inner.dispatcher.request(key).map(|r| r.spec.pool);
+        inner.dispatcher.abandon(key, now);
+        if let Some(pool) = pool {
+            inner.pump(pool, now);
+        }
+    }
+
+    /// Run the systems that depend on the time.
+    pub fn tick(&self, now: Time) {
+        let mut inner = self.lock();
+        let actions = inner.dispatcher.tick(now);
+        inner.carry_out(actions, now);
+    }
+
+    /// Open an endpoint to new work or close it; returns whether that changed anything.
+    pub fn set_duty(&self, name: &str, duty: Duty, now: Time) -> bool {
+        let mut inner = self.lock();
+        let Some(key) = inner.endpoints.get(name).copied() else { return false };
+        let before = inner.dispatcher.endpoint(key).map(|row| row.duty);
+        let actions = inner.dispatcher.set_duty(key, duty);
+        inner.carry_out(actions, now);
+        before != Some(duty)
+    }
+
+    /// Note an endpoint's role.
+    pub fn set_role(&self, name: &str, role: Role) {
+        let mut inner = self.lock();
+        if let Some(key) = inner.endpoints.get(name).copied() {
+            inner.dispatcher.set_role(key, role);
+        }
+    }
+
+    /// Take in a load report.
+    pub fn observe(&self, name: &str, load: LoadReport, at: Time) {
+        let mut inner = self.lock();
+        if let Some(key) = inner.endpoints.get(name).copied() {
+            inner.dispatcher.observe(key, load, at);
+        }
+    }
+
+    /// Take in a load report that a peer passed on, with what that peer has sent there itself.
+    pub fn observe_hash(&self, endpoint: u64, load: LoadReport, at: Time, peer_prefill: f64) {
+        let mut inner = self.lock();
+        let Some(key) = inner.by_hash.get(&endpoint).copied() else { return };
+        inner.dispatcher.observe(key, load, at);
+        if let Some(row) = inner.dispatcher.endpoint_mut(key) {
+            // Peers' reports overlap; a slow average is nearer the truth than a sum.
+            row.peer_prefill = 0.5_f64.mul_add(row.peer_prefill, 0.5 * peer_prefill);
+        }
+    }
+
+    /// Note a change of an endpoint's prefix cache.
+    pub fn cache_event(&self, name: &str, prefix: u64, cached: bool, now: Time) {
+        let mut inner = self.lock();
+        let Some(key) = inner.endpoints.get(name).copied() else { return };
+        let Some(row) = inner.dispatcher.endpoint_mut(key) else { return };
+        if cached {
+            row.remember(prefix, now);
+        } else {
+            row.evicted(prefix);
+        }
+    }
+
+    /// Requests of this daemon at an endpoint: protected, and others.
+    #[must_use]
+    pub fn in_flight(&self, name: &str) -> (usize, usize) {
+        let inner = self.lock();
+        let key = inner.endpoints.get(name);
+        key.map_or((0, 0), |key| inner.dispatcher.in_flight(*key))
+    }
+
+    /// Requests held, and those of them that wait.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        let inner = self.lock();
+        (inner.dispatcher.held(), inner.dispatcher.waiting())
+    }
+
+    /// The demand that arrived here for a pool: the short and the long average.
+    #[must_use]
+    pub fn demand(
+        &self,
+        pool: &str,
+        now: Time,
+    ) -> Option<(dahliaseam_core::mix::Demand, dahliaseam_core::mix::Demand)> {
+        let inner = self.lock();
+        let mix = inner.dispatcher.mix(*inner.pools.get(pool)?)?;
+        Some((mix.short(now), mix.long(now)))
+    }
+
+    /// All endpoints by name.
+    #[must_use]
+    pub fn endpoints(&self, now: Time) -> HashMap<String, EndpointView> {
+        let inner = self.lock();
+        let view = |key: EndpointKey| {
+            let row = inner.dispatcher.endpoint(key)?;
+            Some(EndpointView {
+                role: row.role,
+                open: row.is_open(now),
+                ejected: row.health.ejected_until(now).is_some(),
+                load: row.report,
+                load_at: row.report_at,
+                in_flight: row.window.in_flight(),
+                window: row.window.size(),
+                own_prefill: row.own_prefill,
+            })
+        };
+        let named = inner.endpoints.iter();
+        named.filter_map(|(name, key)| Some((name.clone(), view(*key)?))).collect()
+    }
+}
+
+impl Inner {
+    fn drop_old(&mut self, doc: &Document, now: Time) {
+        let moved = |(name, key): (&String, &EndpointKey)| {
+            let wanted = doc.endpoints.get(name).map(|e| &e.spec);
+            let stays = wanted.is_some_and(|w| {
+                let known = &self.known[*key].spec;
+                (&w.pool, &w.address) == (&known.pool, &known.address)
+            });
+            (!stays).then(|| (name.clone(), *key))
+        };
+        let gone: Vec<_> = self.endpoints.iter().filter_map(moved).collect();
+        for (name, key) in gone {
+            self.endpoints.remove(&name);
+            self.by_hash.remove(&hash::bytes(name.as_bytes()));
+            let actions = self.dispatcher.remove_endpoint(key);
+            self.carry_out(actions, now);
+        }
+        let pools: HashSet<_> = doc.pools.keys().collect();
+        self.pools.retain(|name, _| pools.contains(name));
+    }
+
+    fn add_endpoint(&mut self, name: &str, spec: &EndpointSpec) {
+        let Some(pool) = self.pools.get(&spec.pool).copied() else { return };
+        let Ok(address) = spec.address.parse() else { return };
+        let key = if let Some(key) = self.endpoints.get(name) {
+            *key
+        } else {
+            let key = self.dispatcher.add_endpoint(name, pool, spec.role);
+            self.endpoints.insert(name.to_owned(), key);
+            self.by_hash.insert(hash::bytes(name.as_bytes()), key);
+            key
+        };
+        if let Some(row) = self.dispatcher.endpoint_mut(key) {
+            row.adapters = spec.load.iter().map(|item| hash::bytes(item.as_bytes())).collect();
+        }
+        let target = Target { name: name.to_owned(), address };
+        self.known.insert(key, Known { target, spec: spec.clone() });
+    }
+
+    fn pump(&mut self, pool: PoolKey, now: Time) {
+        let actions = self.dispatcher.pump(pool, now);
+        self.carry_out(actions, now);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>, now: Time) {
+        for action in actions {
+            let (request, command) = match action {
+                Action::Send { request, attempt, choice } => (request, self.send(attempt, &choice)),
+                Action::Stop { request, end } => (request, Command::Stop(end)),
+                Action::Refuse { request, outcome, reason, retry_at, candidates } => {
+                    let command = Command::Refuse {
+                        outcome,
+                        reason,
+                        retry_after_ms: retry_at.since(now).as_millis(),
+                        seen: self.candidates(&candidates),
+                    };
+                    if let Some(tx) = self.waiters.remove(&request) {
+                        let _ = tx.send(command);
+                    }
+                    continue;
+                }
+            };
+            if let Some(tx) = self.waiters.get(&request) {
+                let _ = tx.send(command);
+            }
+        }
+    }
+
+    fn send(&self, attempt: u32, choice: &Choice) -> Command {
+        let target = |key: EndpointKey| self.known[key].target.clone();
+        Command::Send(Dispatch {
+            attempt,
+            endpoint: target(choice.chosen.endpoint),
+            prefill: choice.chosen.prefill.map(target),
+            reason: choice.reason,
+            predicted_first_ms: choice.chosen.prediction.first * 1_000.0,
+            candidates: self.candidates(&choice.candidates),
+        })
+    }
+
+    fn candidates(&self, candidates: &[Candidate]) -> Vec<CandidateRecord> {
+        let name = |key: EndpointKey| self.known.get(key).map(|k| k.target.name.clone());
+        candidates
+            .iter()
+            .map(|c| CandidateRecord {
+                endpoint: name(c.endpoint).unwrap_or_default(),
+                prefill: c.prefill.and_then(name),
+                first_ms: c.prediction.first * 1_000.0,
+                whole_ms: c.prediction.whole * 1_000.0,
+                skipped: c.skipped,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/duties.rs
@@ -0,0 +1,173 @@
+//! Which endpoints get new work.
+//!
+//! An endpoint is closed when operators drained it, when the platform's list shows its VM as
+//! leaving or gone, when its shard's holder marked it, or when it says itself that it refuses
+//! new work. Any one of these is enough.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use dahliaseam_core::{endpoint::Duty, hash, member::Contact, time::Time};
+use dahliaseam_platform::vms::{ListedVm, VmPart};
+use dahliaseam_wire::{peer::Marks, resource::EndpointSpec};
+
+use crate::{emit, node::Node};
+
+#[derive(Debug, Default)]
+struct State {
+    marks: BTreeMap<String, Marks>,
+    closed_vms: HashSet<String>,
+    cordoned: HashSet<String>,
+}
+
+/// What is known of endpoints that get no new work.
+#[derive(Debug, Default)]
+pub struct Duties {
+    state: Mutex<State>,
+}
+
+impl Duties {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Take in marks, unless newer ones of the shard are in force; returns whether they are now.
+    pub fn mark(&self, marks: Marks) -> bool {
+        let mut state = self.lock();
+        let rank = |m: &Marks| (m.epoch, m.sequence);
+        if let Some(present) = state.marks.get(&marks.shard)
+            && rank(present) > rank(&marks)
+        {
+            return false;
+        }
+        state.marks.insert(marks.shard.clone(), marks);
+        true
+    }
+
+    /// All marks in force.
+    #[must_use]
+    pub fn marks(&self) -> Vec<Marks> {
+        self.lock().marks.values().cloned().collect()
+    }
+
+    /// A hash of the marks in force.
+    #[must_use]
+    pub fn marks_hash(&self) -> u64 {
+        let ranks: Vec<_> = self.lock().marks.values().map(|m| (m.shard.clone(), m.epoch, m.sequence)).collect();
+        hash::bytes(&serde_json::to_vec(&ranks).unwrap_or_default())
+    }
+
+    /// VMs of endpoints that the list shows as leaving or gone.
+    #[must_use]
+    pub fn closed_vms(&self) -> Vec<String> {
+        self.lock().closed_vms.iter().cloned().collect()
+    }
+
+    /// Replace those.
+    pub fn set_closed_vms(&self, vms: impl IntoIterator<Item = String>) {
+        self.lock().closed_vms = vms.into_iter().collect();
+    }
+
+    /// Note whether an endpoint says that it refuses new work.
+    pub fn set_cordoned(&self, endpoint: &str, cordoned: bool) {
+        let mut state = self.lock();
+        if cordoned {
+            state.cordoned.insert(endpoint.to_owned());
+        } else {
+            state.cordoned.remove(endpoint);
+        }
+    }
+
+    /// Forget what endpoints said that this daemon no longer asks.
+    pub fn forget_cordoned(&self, still_asked: impl Fn(&str) -> bool) {
+        self.lock().cordoned.retain(|name| still_asked(name));
+    }
+
+    /// Why an endpoint gets no new work.
+    #[must_use]
+    pub fn closed_why(&self, name: &str, spec: &EndpointSpec) -> Option<&'static str> {
+        let state = self.lock();
+        let marked = |m: &Marks| m.leaving.iter().any(|e| e == name);
+        if spec.drained {
+            Some("drained by an operator")
+        } else if state.closed_vms.contains(&spec.vm) {
+            Some("its VM is leaving or gone")
+        } else if state.marks.values().any(marked) {
+            Some("marked by its shard's holder")
+        } else if state.cordoned.contains(name) {
+            Some("it refuses new work")
+        } else {
+            None
+        }
+    }
+
+    fn roles(&self) -> HashMap<String, dahliaseam_core::endpoint::Role> {
+        self.lock().marks.values().flat_map(|m| m.roles.iter().cloned()).collect()
+    }
+}
+
+/// Bring the desk in line with what is known.
+pub fn apply(node: &Node) {
+    let doc = node.document();
+    let now = node.now();
+    let roles = node.duties.roles();
+    for (name, endpoint) in &doc.endpoints {
+        let why = node.duties.closed_why(name, &endpoint.spec);
+        let duty = if why.is_some() { Duty::Leaving } else { Duty::Serving };
+        if node.desk.set_duty(name, duty, now) {
+            emit!(info, ENDPOINT_DUTY, endpoint = name, open = why.is_none(), why = why.unwrap_or_default());
+        }
+        if let Some(role) = roles.get(name) {
+            node.desk.set_role(name, *role);
+        }
+    }
+}
+
+/// Follow the platform's list until the daemon is over.
+pub async fn follow_list(node: Arc<Node>) {
+    let every = Duration::from_millis(node.settings.timing.list_ms);
+    while !node.stop.over.is_cancelled() {
+        let asked = node.now();
+        match node.vm_list.vms().await {
+            Ok(list) => take_list(&node, &list, asked),
+            Err(e) => emit!(debug, LIST_LOST, why = %e),
+        }
+        tokio::select! {
+            () = tokio::time::sleep(every) => {}
+            () = node.stop.over.cancelled() => {}
+        }
+    }
+}
+
+fn take_list(node: &Arc<Node>, list: &[ListedVm], asked: Time) {
+    let me = list.iter().find(|vm| vm.part == VmPart::Entry && vm.vm == node.settings.vm);
+    let Some(me) = me else {
+        emit!(warn, LIST_REFUSED, vms = list.len());
+        return;
+    };
+    if me.leaving && !node.stop.begun.is_cancelled() {
+        emit!(info, STOPPING, why = "the platform lists this VM as leaving");
+        node.stop.begun.cancel();
+    }
+    let entries: Vec<_> = list
+        .iter()
+        .filter(|vm| vm.part == VmPart::Entry)
+        .map(|vm| Contact { vm: vm.vm.clone(), hall: vm.hall.clone(), address: vm.address.clone() })
+        .collect();
+    node.members().list(&entries);
+    node.duties.set_closed_vms(closed(node, list));
+    node.freshness().confirm_list(asked);
+    node.board.note_list(list, asked);
+    apply(node);
+}
+
+/// VMs of configured endpoints that are leaving or not listed.
+fn closed(node: &Node, list: &[ListedVm]) -> HashSet<String> {
+    let staying: HashSet<_> = list.iter().filter(|vm| !vm.leaving).map(|vm| vm.vm.as_str()).collect();
+    let doc = node.document();
+    let vms = doc.endpoints.values().map(|e| &e.spec.vm);
+    vms.filter(|vm| !staying.contains(vm.as_str())).cloned().collect()
+}
--- /dev/null
+++ b/crates/daemon/src/event.rs
@@ -0,0 +1,67 @@
+//! The numbered events of the log. `docs/EVENTS.md` lists exactly these.
+
+/// An event that the log may show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Its number, which never changes its meaning.
+    pub code: u32,
+    /// Its name.
+    pub name: &'static str,
+    /// What it means and what to do.
+    pub meaning: &'static str,
+}
+
+macro_rules! events {
+    ($($name:ident = $code:literal, $meaning:literal;)*) => {
+        $(#[doc = $meaning] pub const $name: Event =
+            Event { code: $code, name: stringify!($name), meaning: $meaning };)*
+
+        /// All events, by number.
+        pub const ALL: &[Event] = &[$($name),*];
+    };
+}
+
+events! {
+    STARTED = 100, "The daemon serves.";
+    STOPPING = 101, "A planned stop began; new work is taken until the balancer has turned away.";
+    DRAINED = 102, "The last request is over; leases are handed over.";
+    STOPPED = 103, "The daemon is over.";
+    STANDING = 104, "The daemon turned ready or not ready, or goes on without the key-value service.";
+    CONNECTION_REFUSED = 110, "Too many connections are open; one was closed.";
+    REQUEST_OVER = 200, "A request is over, with its outcome. At debug level.";
+    REQUEST_REFUSED = 201, "A request was refused or given up; the reason says why. At debug level.";
+    ATTEMPT_FAILED = 202, "An attempt at an endpoint did not end well. Many for one endpoint: look at that endpoint.";
+    FRAME_DROPPED = 203, "A frame was late, crossed or duplicated and was dropped.";
+    CLAIM_UNSETTLED = 210, "The answer of a claim was lost; it is settled in the background.";
+    CLAIM_REFUSED = 211, "The key-value service is out of reach; keyed requests are refused as not run.";
+    CONFIG_IN_FORCE = 300, "A newer configuration is in force on this VM.";
+    CONFIG_REJECTED = 301, "A stored configuration cannot be read; the present one stays in force.";
+    CONFIG_ACCEPTED = 302, "An operator's change was accepted.";
+    KV_LOST = 303, "The key-value service does not answer.";
+    KV_BACK = 304, "The key-value service answers again.";
+    MEMBER = 400, "What is believed of another daemon changed.";
+    LIST_REFUSED = 401, "The list of VMs does not name this VM and is not believed.";
+    LIST_LOST = 402, "The list of VMs cannot be read.";
+    PEER_REFUSED = 403, "A call without the deployment's secret was refused.";
+    SHARD_WON = 500, "This daemon holds a shard's lease under a new fencing number.";
+    SHARD_LOST = 501, "This daemon no longer holds a shard's lease.";
+    ORDER_SENT = 502, "An order was sent to an engine.";
+    ORDER_ANSWERED = 503, "An engine answered an order.";
+    ORDER_UNANSWERED = 504, "An order's answer was lost; the engine is asked before anything else.";
+    CUSTODY_WAITS = 505, "An engine ignores fencing numbers and its former custodian may still run. It keeps its role until that process is known to be over; see docs/OPERATING.md.";
+    ROLE_PLANNED = 506, "The planner decided on a role change.";
+    MARKS_REFUSED = 507, "Marks under an old fencing number were refused.";
+    ENDPOINT_DUTY = 508, "An endpoint was opened to new work, or closed.";
+}
+
+/// Log an event: `emit!(info, STARTED, field = value)`.
+#[macro_export]
+macro_rules! emit {
+    ($level:ident, $event:ident $(, $($field:tt)*)?) => {
+        ::tracing::$level!(
+            code = $crate::event::$event.code,
+            event = $crate::event::$event.name
+            $(, $($field)*)?
+        )
+    };
+}
--- /dev/null
+++ b/crates/daemon/src/exchange.rs
@@ -0,0 +1,461 @@
+//! One request from its arrival to its final answer.
+
+use std::sync::Arc;
+
+use dahliaseam_core::{
+    claim::{Recorded, Second},
+    dispatch::{Next, Refusal},
+    frame::Assembly,
+    outcome::{AttemptEnd, Outcome},
+    request::{RequestKey, RequestSpec},
+    time::{Span, Time},
+};
+use dahliaseam_wire::{
+    operator::{AttemptRecord, RequestRecord},
+    resource::KindSpec,
+};
+use serde_json::Value;
+use tokio::sync::mpsc;
+
+use crate::{
+    attempt::{Clients, EngineAsk, Piece, generate},
+    claims::{self, Held, NotHeld},
+    desk::{Command, Dispatch, Ticket},
+    emit,
+    node::Node,
+    records::{OpenRecord, lock},
+};
+
+/// What a caller asks, apart from its content.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// The request's identifier.
+    pub request: String,
+    /// Name of its kind.
+    pub kind_name: String,
+    /// Its kind.
+    pub kind: KindSpec,
+    /// The team.
+    pub team: String,
+    /// The idempotency key, made unique by the team.
+    pub key: Option<String>,
+    /// When it arrived.
+    pub arrived: Time,
+    /// When its answer is due.
+    pub deadline: Time,
+}
+
+/// Why a request has no whole answer.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// What became of it.
+    pub outcome: Outcome,
+    /// A stable word.
+    pub reason: &'static str,
+    /// A sentence.
+    pub message: String,
+    /// Milliseconds after which to come back.
+    pub retry_after_ms: Option<u64>,
+    /// The status of a rejection, in place of the outcome's own.
+    pub status: Option<u16>,
+}
+
+/// Milliseconds after which a caller may ask again when nothing better is known.
+const DEFAULT_RETRY_MS: u64 = 1_000;
+
+impl Failure {
+    /// A failure with the usual time to come back.
+    #[must_use]
+    pub fn new(outcome: Outcome, reason: &'static str, message: impl Into<String>) -> Self {
+        Self { outcome, reason, message: message.into(), retry_after_ms: Some(DEFAULT_RETRY_MS), status: None }
+    }
+
+    /// The request itself is wrong; asking again does not help.
+    #[must_use]
+    pub fn bad_request(status: u16, reason: &'static str, message: impl Into<String>) -> Self {
+        Self { retry_after_ms: None, status: Some(status), ..Self::new(Outcome::NotRun, reason, message) }
+    }
+
+    fn refused(outcome: Outcome, reason: Refusal, retry_after_ms: u64) -> Self {
+        let (word, message) = match reason {
+            Refusal::TeamLimit => ("team_limit", "the team has used its rate"),
+            Refusal::QueueFull => ("queue_full", "too many requests wait for this pool"),
+            Refusal::TooLate => ("too_late", "it could not be answered in time"),
+            Refusal::NoEndpoint => ("no_endpoint", "the pool has no endpoint"),
+        };
+        Self { retry_after_ms: Some(retry_after_ms), ..Self::new(outcome, word, message) }
+    }
+
+    fn ended(outcome: Outcome, words: &str) -> Self {
+        let message = match outcome {
+            Outcome::Whole => "the answer was whole",
+            Outcome::NotRun => "no endpoint ran it",
+            Outcome::Ran => "an endpoint ran it, and the answer is not whole",
+            Outcome::Unknown => "whether an endpoint ran it cannot be known",
+        };
+        Self::new(outcome, "endpoint_failed", format!("{message}{}{words}", if words.is_empty() { "" } else { ": " }))
+    }
+
+    /// What a second request with the same key is told, when nothing is recorded.
+    fn second(second: &Second) -> Self {
+        match second {
+            Second::InProgress => Self {
+                status: Some(409),
+                ..Self::new(Outcome::Unknown, "in_progress", "the request with this key is still running")
+            },
+            Second::Mismatch => Self::bad_request(422, "key_reused", "this key belongs to another request"),
+            Second::Unknown | Second::Recorded(_) => Self {
+                status: Some(409),
+                retry_after_ms: None,
+                ..Self::new(Outcome::Unknown, "key_used", "the request with this key ended without a known outcome")
+            },
+        }
+    }
+}
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Exchange {
+    /// The daemon.
+    pub node: Arc<Node>,
+    /// What the caller asks.
+    pub terms: Terms,
+    ticket: Ticket,
+    record: OpenRecord,
+    held: Option<Held>,
+}
+
+/// What the desk needs to know of a request's content.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Size {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the answer at most.
+    pub output_tokens: u32,
+    /// Hash of the prompt's prefix.
+    pub prefix: u64,
+    /// Identifier of the adapter, zero for none.
+    pub adapter: u64,
+}
+
+impl Exchange {
+    /// Submit a request.
+    ///
+    /// # Errors
+    /// Why it is refused at once.
+    pub fn submit(node: &Arc<Node>, terms: Terms, pool: &str, size: Size) -> Result<Self, Failure> {
+        let spec = |pool| RequestSpec {
+            pool,
+            kind: terms.kind.traits(),
+            prompt_tokens: size.prompt_tokens,
+            output_tokens: size.output_tokens,
+            prefix: size.prefix,
+            adapter: size.adapter,
+            deadline: terms.deadline,
+        };
+        let record = node.records.open(RequestRecord {
+            request: terms.request.clone(),
+            kind: terms.kind_name.clone(),
+            team: terms.team.clone(),
+            pool: pool.to_owned(),
+            prompt_tokens: size.prompt_tokens,
+            deadline_ms: terms.deadline.since(terms.arrived).as_millis(),
+            took_ms: None,
+            outcome: None,
+            refusal: None,
+            attempts: Vec::new(),
+            seen: Vec::new(),
+        });
+        match node.desk.submit(pool, &terms.team, spec, terms.arrived) {
+            Ok(ticket) => Ok(Self { node: Arc::clone(node), terms, ticket, record, held: None }),
+            Err((reason, at)) => {
+                let mut record = lock(&record);
+                record.outcome = Some(Outcome::NotRun);
+                record.refusal = Some(reason);
+                let retry_ms = at.since(terms.arrived).as_millis();
+                note_over(node, &terms, Outcome::NotRun, reason_word(reason));
+                Err(Failure::refused(Outcome::NotRun, reason, retry_ms))
+            }
+        }
+    }
+
+    /// The request's identifier.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.terms.request
+    }
+
+    /// Wait for the first or next attempt, and hold the claim before the first.
+    ///
+    /// # Errors
+    /// Why there is none; the request is over.
+    pub async fn next_dispatch(&mut self, content: u64) -> Result<Dispatch, Step> {
+        loop {
+            match self.ticket.next().await {
+                Some(Command::Send(dispatch)) => {
+                    self.note_attempt(&dispatch);
+                    self.hold_claim(content).await?;
+                    return Ok(dispatch);
+                }
+                Some(Command::Refuse { outcome, reason, retry_after_ms, seen }) => {
+                    let mut record = lock(&self.record);
+                    record.refusal = Some(reason);
+                    record.seen = seen;
+                    drop(record);
+                    return Err(Step::Failed(Failure::refused(outcome, reason, retry_after_ms)));
+                }
+                Some(Command::Stop(_)) => {}
+                None => return Err(Step::Failed(Failure::ended(Outcome::Unknown, "the daemon is over"))),
+            }
+        }
+    }
+
+    async fn hold_claim(&mut self, content: u64) -> Result<(), Step> {
+        let Some(key) = self.terms.key.as_ref().filter(|_| self.held.is_none()) else {
+            return Ok(());
+        };
+        match claims::claim(&self.node, key, &self.terms.request, content).await {
+            Ok(held) => {
+                self.held = Some(held);
+                Ok(())
+            }
+            Err(NotHeld::Second(Second::Recorded(recorded))) => Err(Step::Recorded(recorded)),
+            Err(NotHeld::Second(second)) => Err(Step::Failed(Failure::second(&second))),
+            Err(NotHeld::Unavailable) => Err(Step::Failed(Failure::new(
+                Outcome::NotRun,
+                "claims_unavailable",
+                "the key-value service is out of reach, so at most one run cannot be promised",
+            ))),
+        }
+    }
+
+    /// Report how an attempt ended.
+    ///
+    /// # Errors
+    /// The request is over.
+    pub fn attempt_ended(&mut self, ended: &crate::attempt::Ended) -> Result<(), Result<(), Failure>> {
+        let now = self.node.now();
+        let word = word_of(&ended.end);
+        self.node.metrics.attempt(&word);
+        if let Some(attempt) = lock(&self.record).attempts.last_mut() {
+            attempt.end = Some(ended.end);
+            if ended.end != AttemptEnd::Whole {
+                emit!(info, ATTEMPT_FAILED, request = self.terms.request, endpoint = attempt.endpoint, end = word);
+            }
+        }
+        match self.node.desk.attempt_ended(self.ticket.key, ended.end, ended.at, now) {
+            Next::Again => Ok(()),
+            Next::Over(Outcome::Whole) => Err(Ok(())),
+            Next::Over(outcome) => {
+                let mut failure = Failure::ended(outcome, &ended.words);
+                if ended.end == AttemptEnd::Rejected {
+                    failure.status = Some(400);
+                    failure.reason = "endpoint_rejected";
+                    failure.retry_after_ms = None;
+                }
+                Err(Err(failure))
+            }
+        }
+    }
+
+    /// Where arriving tokens are noted.
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        Progress {
+            node: Arc::clone(&self.node),
+            record: Arc::clone(&self.record),
+            key: self.ticket.key,
+            arrived: self.terms.arrived,
+            kind_name: self.terms.kind_name.clone(),
+        }
+    }
+
+    /// The request is over: settle its claim, its record and its metrics.
+    pub async fn over(&mut self, result: Result<&Recorded, &Failure>) {
+        let outcome = result.map_or_else(|f| f.outcome, |r| r.outcome);
+        let reason = result.map_or_else(|f| f.reason, |_| "");
+        if let Some(held) = self.held.take() {
+            match result {
+                Ok(recorded) => claims::record(&self.node, held, recorded.clone()).await,
+                Err(failure) if failure.outcome == Outcome::NotRun => claims::release(&self.node, held).await,
+                Err(failure) => claims::record(&self.node, held, recorded_failure(failure)).await,
+            }
+        }
+        self.close(outcome, reason);
+    }
+
+    fn close(&self, outcome: Outcome, reason: &str) {
+        let took = self.node.now().since(self.terms.arrived);
+        let mut record = lock(&self.record);
+        record.took_ms = Some(took.as_millis());
+        record.outcome = Some(outcome);
+        drop(record);
+        note_over(&self.node, &self.terms, outcome, reason);
+    }
+
+    fn note_attempt(&self, dispatch: &Dispatch) {
+        let sent = self.node.now().since(self.terms.arrived);
+        lock(&self.record).attempts.push(AttemptRecord {
+            attempt: dispatch.attempt,
+            sent_ms: sent.as_millis(),
+            endpoint: dispatch.endpoint.name.clone(),
+            prefill: dispatch.prefill.as_ref().map(|t| t.name.clone()),
+            reason: dispatch.reason,
+            predicted_first_ms: dispatch.predicted_first_ms,
+            first_ms: None,
+            tokens: 0,
+            end: None,
+            candidates: dispatch.candidates.clone(),
+        });
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.node.desk.withdraw(self.ticket.key, self.node.now());
+        if lock(&self.record).outcome.is_none() {
+            self.close(Outcome::Unknown, "caller_gone");
+        }
+    }
+}
+
+/// Notes the tokens of one request as they arrive.
+#[derive(Debug)]
+pub struct Progress {
+    node: Arc<Node>,
+    record: OpenRecord,
+    key: RequestKey,
+    arrived: Time,
+    kind_name: String,
+}
+
+impl Progress {
+    /// Note tokens that arrived just now.
+    pub fn note(&self, tokens: u32) {
+        let now = self.node.now();
+        self.node.desk.progress(self.key, tokens, now);
+        let mut record = lock(&self.record);
+        let Some(attempt) = record.attempts.last_mut() else { return };
+        attempt.tokens += tokens;
+        if attempt.first_ms.is_none() {
+            let since = now.since(self.arrived).as_seconds();
+            attempt.first_ms = Some(since.mul_add(1_000.0, -(attempt.sent_ms as f64)));
+            if attempt.attempt == 0 {
+                self.node.metrics.first_token(&self.kind_name, since);
+            }
+        }
+    }
+}
+
+/// Why a request does not go on to an attempt.
+#[derive(Debug)]
+pub enum Step {
+    /// It failed.
+    Failed(Failure),
+    /// Its key has a recorded result.
+    Recorded(Recorded),
+}
+
+fn recorded_failure(failure: &Failure) -> Recorded {
+    Recorded {
+        outcome: failure.outcome,
+        status: crate::caller::refusal::status(failure),
+        content_type: "text/plain".to_owned(),
+        body: Some(failure.message.clone()),
+    }
+}
+
+fn reason_word(reason: Refusal) -> &'static str {
+    Failure::refused(Outcome::NotRun, reason, 0).reason
+}
+
+fn word_of<T: serde::Serialize>(value: &T) -> String {
+    let value = serde_json::to_value(value).unwrap_or_default();
+    value.as_str().unwrap_or_default().to_owned()
+}
+
+fn note_over(node: &Node, terms: &Terms, outcome: Outcome, reason: &str) {
+    let outcome = word_of(&outcome);
+    node.metrics.request(&terms.kind_name, &outcome, reason);
+    if reason.is_empty() {
+        emit!(debug, REQUEST_OVER, request = terms.request, kind = terms.kind_name, outcome);
+    } else {
+        emit!(debug, REQUEST_REFUSED, request = terms.request, kind = terms.kind_name, outcome, reason);
+    }
+}
+
+/// A completion: what engines are asked, over as many attempts as it takes.
+#[derive(Debug)]
+pub struct Completion {
+    /// The path at the engine.
+    pub path: &'static str,
+    /// The caller's body.
+    pub body: serde_json::Map<String, Value>,
+    /// Hash of the body.
+    pub content: u64,
+}
+
+/// Run a completion, with the pieces of its answer to `out`.
+pub async fn complete(mut exchange: Exchange, completion: Completion, clients: Clients, out: mpsc::Sender<Piece>) {
+    let mut assembly = Assembly::new(exchange.terms.request.clone(), 0);
+    let result = loop {
+        let next = tokio::select! {
+            next = exchange.next_dispatch(completion.content) => next,
+            () = out.closed() => return,
+        };
+        let dispatch = match next {
+            Ok(dispatch) => dispatch,
+            Err(Step::Failed(failure)) => break Err(failure),
+            Err(Step::Recorded(recorded)) => break Err(already_answered(&recorded)),
+        };
+        let progress = exchange.progress();
+        let ask = EngineAsk {
+            path: completion.path,
+            body: &completion.body,
+            request: &exchange.terms.request,
+            priority: exchange.terms.kind.priority,
+            repeatable: exchange.terms.kind.repeatable,
+            progress: &progress,
+        };
+        let node = Arc::clone(&exchange.node);
+        let ended = generate(&node, &clients, &ask, &dispatch, &mut assembly, &mut exchange.ticket, &out).await;
+        if out.is_closed() && ended.end == AttemptEnd::Cancelled {
+            return;
+        }
+        match exchange.attempt_ended(&ended) {
+            Ok(()) => {}
+            Err(result) => break result,
+        }
+    };
+    let recorded =
+        |()| Recorded { outcome: Outcome::Whole, status: 200, content_type: "application/json".to_owned(), body: None };
+    exchange.over(result.clone().map(recorded).as_ref()).await;
+    if let Err(failure) = result {
+        let _ = out.send(Piece::Failed(failure)).await;
+    }
+}
+
+/// A completion whose key has a result: its text is not kept, so only the outcome is told.
+fn already_answered(recorded: &Recorded) -> Failure {
+    Failure {
+        outcome: recorded.outcome,
+        reason: "already_answered",
+        message: "the request with this key was answered before; its text is not kept".to_owned(),
+        retry_after_ms: None,
+        status: Some(409),
+    }
+}
+
+/// When an answer to a request that arrived at `arrived` is due.
+#[must_use]
+pub fn deadline(arrived: Time, kind: &KindSpec, asked_ms: Option<u64>) -> Time {
+    let ms = asked_ms.map_or(kind.deadline_ms, |asked| asked.min(kind.deadline_ms));
+    arrived + Span::millis(ms)
+}
+
+impl Exchange {
+    /// The commands that may stop a running attempt.
+    pub const fn ticket(&mut self) -> &mut Ticket {
+        &mut self.ticket
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operator/status.rs
@@ -0,0 +1,106 @@
+//! What is seen: of a daemon, and of each resource.
+
+use dahliaseam_core::freshness::Standing;
+use dahliaseam_wire::{
+    operator::{EndpointStatus, MemberStatus, VmStatus},
+    resource::{Document, ResourceKind},
+};
+use serde_json::{Value, json};
+
+use crate::node::Node;
+
+/// The state of this daemon.
+#[must_use]
+pub fn of(node: &Node) -> VmStatus {
+    let now = node.now();
+    let (held, waiting) = node.desk.counts();
+    let confirmed = node.freshness().config_at();
+    let members = node.members();
+    let mut others: Vec<_> = members
+        .others()
+        .map(|(_, m)| MemberStatus {
+            vm: m.contact.vm.clone(),
+            hall: m.contact.hall.clone(),
+            health: m.health,
+            start: m.start,
+        })
+        .collect();
+    let start = members.me().start;
+    drop(members);
+    others.sort_by(|a, b| a.vm.cmp(&b.vm));
+    VmStatus {
+        vm: node.settings.vm.clone(),
+        hall: node.settings.hall.clone(),
+        start,
+        ready: node.is_ready(),
+        standing: standing(node).to_owned(),
+        generation: node.document().generation,
+        confirmed_ms: confirmed.map_or(u64::MAX, |at| now.since(at).as_millis()),
+        shards: node.board.shards(),
+        held,
+        waiting,
+        members: others,
+    }
+}
+
+fn standing(node: &Node) -> &'static str {
+    if node.stop.begun.is_cancelled() {
+        return "stopping";
+    }
+    match node.standing() {
+        Standing::Confirmed => "confirmed",
+        Standing::GoOn => "platform out of reach, going on",
+        Standing::CutOff => "cut off",
+    }
+}
+
+/// What is seen of one resource, from this daemon.
+#[must_use]
+pub fn of_resource(node: &Node, doc: &Document, kind: ResourceKind, name: &str) -> Value {
+    match kind {
+        ResourceKind::Endpoint => endpoint(node, doc, name),
+        ResourceKind::Pool => pool(node, doc, name),
+        ResourceKind::Role => changes(node, doc, name),
+        _ => json!({ "generation_in_force": doc.generation }),
+    }
+}
+
+fn endpoint(node: &Node, doc: &Document, name: &str) -> Value {
+    let now = node.now();
+    let Some(spec) = doc.endpoints.get(name).map(|e| &e.spec) else { return Value::Null };
+    let Some(view) = node.desk.endpoints(now).remove(name) else { return Value::Null };
+    let closed = node.duties.closed_why(name, spec).or(view.ejected.then_some("ejected after faults"));
+    let change = node.board.change_of(name).map(|change| format!("changing {change}"));
+    let status = EndpointStatus {
+        role: view.role,
+        open: view.open,
+        closed_why: change.or_else(|| closed.map(str::to_owned)),
+        load: view.load,
+        load_age_ms: now.since(view.load_at).as_millis(),
+        in_flight: view.in_flight,
+        window: view.window,
+        fencing: spec.fencing,
+        waits_for: node.board.wait_of(name),
+    };
+    serde_json::to_value(status).unwrap_or_default()
+}
+
+fn pool(node: &Node, doc: &Document, name: &str) -> Value {
+    let now = node.now();
+    let views = node.desk.endpoints(now);
+    let mine = doc.endpoints.iter().filter(|(_, e)| e.spec.pool == name);
+    let open = mine.clone().filter(|(n, _)| views.get(*n).is_some_and(|v| v.open)).count();
+    let demand = node.desk.demand(name, now);
+    json!({
+        "endpoints": mine.count(),
+        "open": open,
+        "demand_here": demand.map(|(short, long)| json!({ "short": short, "long": long })),
+    })
+}
+
+fn changes(node: &Node, doc: &Document, name: &str) -> Value {
+    let mine = doc.endpoints.iter().filter(|(_, e)| e.spec.pool == name);
+    let changing: Vec<_> = mine.filter_map(|(n, _)| Some(json!({ n: node.board.change_of(n)? }))).collect();
+    let holder = node.board.shards().into_iter().any(|(shard, _)| shard == name);
+    json!({ "held_here": holder, "changing": changing })
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,271 @@
+//! Probing the other daemons, and the gossip that rides on it.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use dahliaseam_core::{
+    endpoint::LoadReport,
+    member::{Contact, MemberKey},
+    time::{Span, Time},
+};
+use dahliaseam_wire::peer::{Answer, Digest, LoadNews, PeerClient, Probe};
+use futures_util::future::join_all;
+use http::{HeaderMap, HeaderValue, header::AUTHORIZATION};
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+
+use crate::{configure, duties, emit, node::Node};
+
+/// Load news in one message at most.
+const MAX_LOADS: usize = 64;
+/// Load older than this is not passed on.
+const OLD_LOAD: Span = Span::millis(5_000);
+/// Daemons told at once of a newer configuration.
+const EAGER: usize = 3;
+/// The part of the probing period at which the loop looks for work.
+const LOOKS_PER_PERIOD: u64 = 4;
+
+/// Connections to other daemons, by address.
+#[derive(Debug, Default)]
+pub struct PeerClients {
+    by_address: Mutex<HashMap<String, HttpClient>>,
+}
+
+impl PeerClients {
+    /// The client for the daemon at `address`.
+    #[must_use]
+    pub fn get(&self, node: &Node, address: &str) -> Option<HttpClient> {
+        let mut clients = self.by_address.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(client) = clients.get(address) {
+            return Some(client.clone());
+        }
+        let mut headers = HeaderMap::new();
+        headers.insert(AUTHORIZATION, HeaderValue::from_str(&node.settings.peer_secret.bearer()).ok()?);
+        let client = HttpClientBuilder::default()
+            .request_timeout(Duration::from_millis(node.settings.timing.peer_call_ms))
+            .set_headers(headers)
+            .build(format!("http://{address}"))
+            .ok()?;
+        clients.insert(address.to_owned(), client.clone());
+        Some(client)
+    }
+}
+
+/// Probe others until the daemon is over.
+pub async fn run(node: Arc<Node>) {
+    let look = Duration::from_millis((node.settings.timing.probe_ms / LOOKS_PER_PERIOD).max(1));
+    let mut live = 0;
+    while !node.stop.over.is_cancelled() {
+        let now = node.now();
+        let target = node.members().probe(now);
+        if let Some(key) = target {
+            // One slow daemon must not hold up the round.
+            tokio::spawn(probe(Arc::clone(&node), key));
+        }
+        count(&node, now);
+        let now_live = node.members().live();
+        if now_live != live {
+            live = now_live;
+            emit!(info, MEMBER, live);
+            node.desk.configure(&node.document(), live, now);
+        }
+        tokio::select! {
+            () = tokio::time::sleep(look) => {}
+            () = node.stop.over.cancelled() => {}
+        }
+    }
+    farewell(&node).await;
+}
+
+/// A daemon alone in the list needs no other's answer.
+fn count(node: &Node, now: Time) {
+    let (reachable, listed) = node.members().reach();
+    if listed == 1 && node.freshness().list_at().is_some() {
+        node.freshness().count(reachable, listed, now);
+    }
+}
+
+/// Tell others of a newer configuration as soon as it is in force, until the daemon is over.
+pub async fn spread(node: Arc<Node>) {
+    let mut config = node.config.subscribe();
+    loop {
+        tokio::select! {
+            changed = config.changed() => if changed.is_err() { return },
+            () = node.stop.over.cancelled() => return,
+        }
+        let mut told = Vec::new();
+        for _ in 0..EAGER {
+            let key = node.members().any_live();
+            told.extend(key.filter(|k| !told.contains(k)));
+        }
+        join_all(told.into_iter().map(|key| probe(Arc::clone(&node), key))).await;
+    }
+}
+
+/// Say that this daemon leaves, to all that are alive.
+async fn farewell(node: &Arc<Node>) {
+    node.members().leave();
+    let keys: Vec<_> = node.members().others().map(|(key, _)| key).collect();
+    let few = keys.into_iter().take(EAGER * EAGER);
+    join_all(few.map(|key| exchange(node, key))).await;
+}
+
+async fn probe(node: Arc<Node>, key: MemberKey) {
+    if exchange(&node, key).await {
+        return;
+    }
+    let target = node.members().get(key).map(|m| m.contact.clone());
+    let Some(target) = target else { return };
+    let helpers = node.members().helpers(key);
+    let asked = helpers.into_iter().map(|helper| ask_helper(&node, helper, &target));
+    let found = join_all(asked).await.into_iter().flatten().next();
+    let now = node.now();
+    match found {
+        Some((start, refutation)) => node.members().answered(key, start, refutation, now),
+        None => node.members().unreached(key, now),
+    }
+}
+
+async fn ask_helper(node: &Arc<Node>, helper: MemberKey, target: &Contact) -> Option<(u64, u32)> {
+    let address = node.members().get(helper)?.contact.address.clone();
+    let client = node.peers.get(node, &address)?;
+    node.metrics.peer_call("probe_via");
+    client.probe_via(target.clone()).await.ok().flatten()
+}
+
+/// Probe one daemon and take in its answer; returns whether there was one.
+async fn exchange(node: &Arc<Node>, key: MemberKey) -> bool {
+    let Some(address) = node.members().get(key).map(|m| m.contact.address.clone()) else {
+        return false;
+    };
+    let Some(client) = node.peers.get(node, &address) else { return false };
+    let asked = node.now();
+    node.metrics.peer_call("probe");
+    let Ok(answer) = client.probe(make_probe(node)).await else {
+        return false;
+    };
+    absorb_answer(node, key, &address, answer, asked).await;
+    true
+}
+
+fn make_probe(node: &Node) -> Probe {
+    let mut members = node.members();
+    let (from, news) = (members.contact().clone(), members.take_news());
+    drop(members);
+    Probe { from, news, digest: digest(node), closed_vms: node.duties.closed_vms(), loads: loads(node) }
+}
+
+/// This daemon's answer to a probe.
+#[must_use]
+pub fn make_answer(node: &Node) -> Answer {
+    let mut members = node.members();
+    let (start, refutation, news) = (members.me().start, members.refutation(), members.take_news());
+    drop(members);
+    Answer { start, refutation, news, digest: digest(node), closed_vms: node.duties.closed_vms(), loads: loads(node) }
+}
+
+async fn absorb_answer(node: &Arc<Node>, key: MemberKey, address: &str, answer: Answer, asked: Time) {
+    let now = node.now();
+    let reach = {
+        let mut members = node.members();
+        members.answered(key, answer.start, answer.refutation, now);
+        members.apply(&answer.news, now);
+        members.reach()
+    };
+    node.freshness().count(reach.0, reach.1, asked);
+    take_loads(node, &answer.loads, now);
+    catch_up(node, address, &answer.digest).await;
+    if node.document().generation >= answer.digest.generation
+        && let Some(at) = minus(asked, answer.digest.confirmed_ms)
+    {
+        node.freshness().confirm_config(at);
+    }
+    take_closed(node, &answer, asked);
+}
+
+/// Trust the peer's view of the list where it is the newer one.
+fn take_closed(node: &Node, answer: &Answer, asked: Time) {
+    let Some(at) = minus(asked, answer.digest.list_ms) else { return };
+    if node.freshness().list_at().is_none_or(|mine| at > mine) {
+        node.duties.set_closed_vms(answer.closed_vms.iter().cloned());
+        node.freshness().confirm_list(at);
+        duties::apply(node);
+    }
+}
+
+fn minus(at: Time, ms: u64) -> Option<Time> {
+    (ms != u64::MAX).then(|| at - Span::millis(ms))
+}
+
+/// Take in what a daemon that probed this one has sent along.
+pub async fn absorb_probe(node: &Arc<Node>, probe: &Probe) {
+    let now = node.now();
+    node.members().apply(&probe.news, now);
+    take_loads(node, &probe.loads, now);
+    catch_up(node, &probe.from.address, &probe.digest).await;
+}
+
+/// Fetch what the other daemon has newer.
+async fn catch_up(node: &Arc<Node>, address: &str, theirs: &Digest) {
+    let Some(client) = node.peers.get(node, address) else { return };
+    if theirs.generation > node.document().generation {
+        node.metrics.peer_call("config");
+        if let Ok(Some(doc)) = client.config().await {
+            configure::put_in_force(node, doc);
+        }
+    }
+    if theirs.marks != node.duties.marks_hash() {
+        node.metrics.peer_call("all_marks");
+        for marks in client.all_marks().await.unwrap_or_default() {
+            node.duties.mark(marks);
+        }
+        duties::apply(node);
+    }
+}
+
+fn digest(node: &Node) -> Digest {
+    let now = node.now();
+    let age = |at: Option<Time>| at.map_or(u64::MAX, |at| now.since(at).as_millis());
+    let freshness = *node.freshness();
+    Digest {
+        generation: node.document().generation,
+        confirmed_ms: age(freshness.config_at()),
+        marks: node.duties.marks_hash(),
+        list_ms: age(freshness.list_at()),
+    }
+}
+
+fn loads(node: &Node) -> Vec<LoadNews> {
+    let now = node.now();
+    let mut fresh: Vec<_> = node
+        .desk
+        .endpoints(now)
+        .into_iter()
+        .filter(|(_, view)| view.load_at > Time::default() && now.since(view.load_at) < OLD_LOAD)
+        .collect();
+    fresh.sort_by_key(|(_, view)| std::cmp::Reverse(view.load_at));
+    let news = fresh.into_iter().take(MAX_LOADS).map(|(name, view)| LoadNews {
+        endpoint: dahliaseam_core::hash::bytes(name.as_bytes()),
+        age_ms: now.since(view.load_at).as_millis(),
+        queued_prefill: view.load.queued_prefill,
+        running: view.load.running,
+        waiting: view.load.waiting,
+        own_prefill: view.own_prefill as u32,
+    });
+    news.collect()
+}
+
+fn take_loads(node: &Node, loads: &[LoadNews], now: Time) {
+    for news in loads {
+        let load = LoadReport {
+            queued_prefill: news.queued_prefill,
+            running: news.running,
+            waiting: news.waiting,
+            kv_used: 0.0,
+        };
+        let at = now - Span::millis(news.age_ms);
+        node.desk.observe_hash(news.endpoint, load, at, f64::from(news.own_prefill));
+    }
+}
--- /dev/null
+++ b/crates/platform/src/etcd.rs
@@ -0,0 +1,299 @@
+//! The key-value service over the JSON gateway of etcd's v3 protocol.
+//!
+//! Keys and values are base64, 64-bit numbers are strings, as the gateway has them. Source: the
+//! API reference of etcd 3.5, `etcdserverpb.KV`, `Lease` and `Watch`.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
+use bytes::{Bytes, BytesMut};
+use futures_util::{StreamExt, stream};
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::{
+    error::CallError,
+    http::{HttpClient, Incoming, Reuse},
+    kv::{Entry, KeyValue, LeaseId, Swap, Swapped, WatchNews, WatchStream},
+};
+
+/// Time for one call.
+const CALL: Duration = Duration::from_secs(2);
+/// Silence of a watch after which it counts as broken.
+const WATCH_SILENCE: Duration = Duration::from_secs(5);
+/// Bytes of one watch message at most.
+const MAX_WATCH_MESSAGE: usize = 4 << 20;
+
+/// The adapter.
+#[derive(Debug)]
+pub struct Etcd {
+    base: String,
+    client: HttpClient,
+    watches: HttpClient,
+}
+
+impl Etcd {
+    /// An adapter for the service at `address`, `IP:port`.
+    #[must_use]
+    pub fn new(address: &str) -> Self {
+        Self {
+            base: format!("http://{address}/v3"),
+            client: HttpClient::new(Reuse::Keep),
+            watches: HttpClient::new(Reuse::Fresh),
+        }
+    }
+
+    async fn call<B: serde::de::DeserializeOwned>(&self, path: &str, body: &Value) -> Result<B, CallError> {
+        self.client.post(&format!("{}/{path}", self.base), body, CALL).await
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct RangeAnswer {
+    #[serde(default)]
+    kvs: Vec<RawEntry>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawEntry {
+    key: String,
+    #[serde(default)]
+    value: String,
+    #[serde(default)]
+    mod_revision: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Header {
+    #[serde(default)]
+    revision: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct TxnAnswer {
+    header: Option<Header>,
+    #[serde(default)]
+    succeeded: bool,
+    #[serde(default)]
+    responses: Vec<OpAnswer>,
+}
+
+#[derive(Debug, Deserialize)]
+struct OpAnswer {
+    response_range: Option<RangeAnswer>,
+    response_txn: Option<TxnAnswer>,
+}
+
+#[derive(Debug, Deserialize)]
+struct GrantAnswer {
+    #[serde(rename = "ID")]
+    id: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct KeepAliveAnswer {
+    result: KeepAliveResult,
+}
+
+#[derive(Debug, Deserialize)]
+struct KeepAliveResult {
+    #[serde(rename = "TTL", default)]
+    ttl: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct WatchAnswer {
+    result: WatchResult,
+}
+
+#[derive(Debug, Deserialize)]
+struct WatchResult {
+    #[serde(default)]
+    events: Vec<RawEvent>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawEvent {
+    #[serde(rename = "type", default)]
+    kind: String,
+    kv: RawEntry,
+}
+
+fn decode(text: &str) -> Result<String, CallError> {
+    let bytes = BASE64.decode(text).map_err(|e| CallError::Lost(e.to_string()))?;
+    String::from_utf8(bytes).map_err(|e| CallError::Lost(e.to_string()))
+}
+
+fn entry(raw: &RawEntry) -> Result<Entry, CallError> {
+    Ok(Entry { key: decode(&raw.key)?, value: decode(&raw.value)?, revision: raw.mod_revision.parse().unwrap_or(0) })
+}
+
+fn compare(swap: &Swap) -> Value {
+    json!({
+        "key": BASE64.encode(&swap.key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": swap.expect.to_string(),
+    })
+}
+
+fn write(swap: &Swap) -> Value {
+    let key = BASE64.encode(&swap.key);
+    match &swap.value {
+        None => json!({ "request_delete_range": { "key": key } }),
+        Some(value) => {
+            let lease = swap.lease.map_or_else(|| "0".to_owned(), |id| id.0.to_string());
+            json!({ "request_put": { "key": key, "value": BASE64.encode(value), "lease": lease } })
+        }
+    }
+}
+
+fn read(swap: &Swap) -> Value {
+    json!({ "request_range": { "key": BASE64.encode(&swap.key) } })
+}
+
+/// The key after the last one that begins with `prefix`.
+fn range_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            break;
+        }
+    }
+    end
+}
+
+fn swapped(answer: &TxnAnswer, revision: i64) -> Result<Swapped, CallError> {
+    if answer.succeeded {
+        return Ok(Swapped::Done(revision));
+    }
+    let range = answer.responses.first().and_then(|r| r.response_range.as_ref());
+    let present = range.and_then(|r| r.kvs.first()).map(entry).transpose()?;
+    Ok(Swapped::Differs(present))
+}
+
+#[async_trait]
+impl KeyValue for Etcd {
+    async fn read(&self, key: &str) -> Result<Option<Entry>, CallError> {
+        let answer: RangeAnswer = self.call("kv/range", &json!({ "key": BASE64.encode(key) })).await?;
+        answer.kvs.first().map(entry).transpose()
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Entry>, CallError> {
+        let body = json!({ "key": BASE64.encode(prefix), "range_end": BASE64.encode(range_end(prefix)) });
+        let answer: RangeAnswer = self.call("kv/range", &body).await?;
+        answer.kvs.iter().map(entry).collect()
+    }
+
+    async fn swap_each(&self, swaps: Vec<Swap>) -> Result<Vec<Swapped>, CallError> {
+        let each = |swap: &Swap| {
+            json!({ "request_txn": {
+                "compare": [compare(swap)], "success": [write(swap)], "failure": [read(swap)],
+            } })
+        };
+        let body = json!({ "success": swaps.iter().map(each).collect::<Vec<_>>() });
+        let answer: TxnAnswer = self.call("kv/txn", &body).await?;
+        let revision = answer.header.as_ref().and_then(|h| h.revision.parse().ok()).unwrap_or(0);
+        let results: Vec<_> = answer
+            .responses
+            .iter()
+            .filter_map(|r| r.response_txn.as_ref())
+            .map(|txn| swapped(txn, revision))
+            .collect::<Result<_, _>>()?;
+        if results.len() != swaps.len() {
+            return Err(CallError::Lost("an answer of another length".to_owned()));
+        }
+        Ok(results)
+    }
+
+    async fn swap_all(&self, swaps: Vec<Swap>) -> Result<bool, CallError> {
+        let body = json!({
+            "compare": swaps.iter().map(compare).collect::<Vec<_>>(),
+            "success": swaps.iter().map(write).collect::<Vec<_>>(),
+        });
+        let answer: TxnAnswer = self.call("kv/txn", &body).await?;
+        Ok(answer.succeeded)
+    }
+
+    async fn grant(&self, ttl_seconds: u64) -> Result<LeaseId, CallError> {
+        let body = json!({ "TTL": ttl_seconds.to_string() });
+        let answer: GrantAnswer = self.call("lease/grant", &body).await?;
+        let id = answer.id.parse().map_err(|_| CallError::Lost("an unreadable lease".to_owned()))?;
+        Ok(LeaseId(id))
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<bool, CallError> {
+        let answer: KeepAliveAnswer = self.call("lease/keepalive", &json!({ "ID": lease.0.to_string() })).await?;
+        Ok(answer.result.ttl.parse::<i64>().unwrap_or(0) > 0)
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<(), CallError> {
+        let _: Value = self.call("lease/revoke", &json!({ "ID": lease.0.to_string() })).await?;
+        Ok(())
+    }
+
+    async fn watch(&self, key: &str) -> Result<WatchStream, CallError> {
+        let body = json!({ "create_request": { "key": BASE64.encode(key), "progress_notify": true } });
+        let req = Request::post(format!("{}/watch", self.base))
+            .body(Full::from(Bytes::from(body.to_string())))
+            .map_err(|e| CallError::NotSent(e.to_string()))?;
+        let resp = self.watches.send(req).await?;
+        let state = Watch { body: resp.into_body(), buf: BytesMut::new(), ready: Vec::new() };
+        Ok(stream::try_unfold(state, Watch::next).boxed())
+    }
+}
+
+/// A watch being read: one JSON object a line.
+struct Watch {
+    body: Incoming,
+    buf: BytesMut,
+    ready: Vec<WatchNews>,
+}
+
+impl Watch {
+    async fn next(mut self) -> Result<Option<(WatchNews, Self)>, CallError> {
+        loop {
+            if let Some(news) = self.ready.pop() {
+                return Ok(Some((news, self)));
+            }
+            if let Some(end) = self.buf.iter().position(|b| *b == b'\n') {
+                let line = self.buf.split_to(end + 1);
+                self.ready = parse_watch(&line)?;
+                continue;
+            }
+            let frame = tokio::time::timeout(WATCH_SILENCE, self.body.frame())
+                .await
+                .map_err(|_| CallError::Lost("the watch is silent".to_owned()))?;
+            let Some(frame) = frame else { return Ok(None) };
+            let frame = frame.map_err(|e| CallError::Lost(e.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                self.buf.extend_from_slice(&data);
+            }
+            if self.buf.len() > MAX_WATCH_MESSAGE {
+                return Err(CallError::Lost("a watch message is too large".to_owned()));
+            }
+        }
+    }
+}
+
+/// The news in one message, the latest first.
+fn parse_watch(line: &[u8]) -> Result<Vec<WatchNews>, CallError> {
+    let answer: WatchAnswer = serde_json::from_slice(line).map_err(|e| CallError::Lost(e.to_string()))?;
+    if answer.result.events.is_empty() {
+        return Ok(vec![WatchNews::Alive]);
+    }
+    answer
+        .result
+        .events
+        .iter()
+        .rev()
+        .map(|event| match event.kind.as_str() {
+            "DELETE" => Ok(WatchNews::Gone),
+            _ => entry(&event.kv).map(WatchNews::Put),
+        })
+        .collect()
+}
--- /dev/null
+++ b/proofs/src/check.rs
@@ -0,0 +1,135 @@
+//! Checks of histories. Each returns what breaks the promise; nothing means that it holds.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use dahliaseam_core::custody::OrderKind;
+use stand_ins::history::{Entry, Event};
+
+/// What breaks a promise.
+pub type Faults = Vec<String>;
+
+/// No engine gets conflicting orders: fencing numbers never fall at an engine that checks, orders
+/// of two processes never cross at one that does not, and no order comes while one is carried out.
+#[must_use]
+pub fn orders(history: &[Entry]) -> Faults {
+    let mut by_engine: BTreeMap<&str, Vec<&Entry>> = BTreeMap::new();
+    for entry in history {
+        by_engine.entry(&entry.who).or_default().push(entry);
+    }
+    by_engine.into_iter().flat_map(|(who, entries)| orders_of(who, &entries)).collect()
+}
+
+fn orders_of(who: &str, entries: &[&Entry]) -> Faults {
+    let mut faults = Vec::new();
+    let mut highest = 0;
+    let mut givers: Vec<&str> = Vec::new();
+    let mut open: Option<(u64, u64)> = None;
+    for entry in entries {
+        match &entry.event {
+            Event::OrderTaken { epoch, sequence, by, kind, checks } => {
+                if *checks && *epoch < highest {
+                    faults.push(format!("{who} took epoch {epoch} after {highest}"));
+                }
+                if givers.last() != Some(&by.as_str()) && givers.contains(&by.as_str()) {
+                    faults.push(format!("{who} got orders of {by} crossed with another's"));
+                }
+                if let Some(open) = open {
+                    faults.push(format!("{who} took ({epoch}, {sequence}) while {open:?} was carried out"));
+                }
+                highest = highest.max(*epoch);
+                if givers.last() != Some(&by.as_str()) {
+                    givers.push(by);
+                }
+                if matches!(kind, OrderKind::SetRole(_)) {
+                    open = Some((*epoch, *sequence));
+                }
+            }
+            Event::OrderDone { epoch, sequence } if open == Some((*epoch, *sequence)) => open = None,
+            _ => {}
+        }
+    }
+    faults
+}
+
+/// The same, but an order that is never done may be followed by others once the engine has
+/// started again.
+#[must_use]
+pub fn orders_with_crashes(history: &[Entry]) -> Faults {
+    orders(history).into_iter().filter(|fault| !fault.contains("was carried out")).collect()
+}
+
+/// No request was cut by an order.
+#[must_use]
+pub fn cuts(history: &[Entry]) -> Faults {
+    let cut = history.iter().filter_map(|entry| match &entry.event {
+        Event::Cut { request } => Some(format!("{} cut {request}", entry.who)),
+        _ => None,
+    });
+    cut.collect()
+}
+
+/// Each whole answer is exactly the expected one.
+#[must_use]
+pub fn exactness(history: &[Entry]) -> Faults {
+    let wrong = history.iter().filter_map(|entry| match &entry.event {
+        Event::Got { call, request, outcome, exact: false } if outcome == "whole" => {
+            Some(format!("call {call} ({request:?}) got a wrong answer as whole"))
+        }
+        _ => None,
+    });
+    wrong.collect()
+}
+
+/// What was refused as not run was run by no endpoint.
+#[must_use]
+pub fn not_run(history: &[Entry]) -> Faults {
+    let ran: HashSet<&str> = history
+        .iter()
+        .filter_map(|entry| match &entry.event {
+            Event::Ran { request, .. } => Some(request.as_str()),
+            _ => None,
+        })
+        .collect();
+    let false_ones = history.iter().filter_map(|entry| match &entry.event {
+        Event::Got { call, request: Some(request), outcome, .. }
+            if outcome == "not_run" && ran.contains(request.as_str()) =>
+        {
+            Some(format!("call {call} ({request}) was told not run, and ran"))
+        }
+        _ => None,
+    });
+    false_ones.collect()
+}
+
+/// No key ran more than once.
+#[must_use]
+pub fn at_most_once(history: &[Entry]) -> Faults {
+    let mut runs: HashMap<&str, usize> = HashMap::new();
+    for entry in history {
+        if let Event::Ran { key: Some(key), .. } = &entry.event {
+            *runs.entry(key).or_default() += 1;
+        }
+    }
+    let twice = runs.into_iter().filter(|(_, count)| *count > 1);
+    twice.map(|(key, count)| format!("key {key} ran {count} times")).collect()
+}
+
+/// No endpoint of `names` began to run anything after `since`.
+#[must_use]
+pub fn quiet_after(history: &[Entry], names: &[&str], since: u64) -> Faults {
+    let late = history.iter().filter_map(|entry| match &entry.event {
+        Event::Ran { request, .. } if entry.at > since && names.contains(&entry.who.as_str()) => {
+            Some(format!("{} began {request} {} ms too late", entry.who, (entry.at - since) / 1_000))
+        }
+        _ => None,
+    });
+    late.collect()
+}
+
+/// Panics with the faults, if there are any.
+///
+/// # Panics
+/// When there is a fault.
+pub fn expect_none(what: &str, faults: &Faults) {
+    assert!(faults.is_empty(), "{what}: {} faults\n{}", faults.len(), faults.join("\n"));
+}
--- /dev/null
+++ b/proofs/src/cluster.rs
@@ -0,0 +1,548 @@
+//! A whole deployment on loopback, each part a process of its own.
+
+use std::{
+    collections::BTreeMap,
+    path::{Path, PathBuf},
+    process::Command,
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use dahliaseam_core::{custody::Fencing, endpoint::Role};
+use dahliaseam_platform::{
+    error::CallError,
+    http::{HttpClient, Reuse},
+};
+use dahliaseam_wire::operator::{Accepted, ResourceList, StatusReport};
+use http::{Request, StatusCode, header::AUTHORIZATION};
+use http_body_util::Full;
+use serde_json::{Value, json};
+use stand_ins::{
+    caller::Caller,
+    history::{Entry, History, read},
+    model::ModelParams,
+};
+
+use crate::process::{Process, program};
+
+/// The operators' token of every test.
+pub const TOKEN: &str = "operators-token-of-tests";
+/// The daemons' secret of every test.
+pub const SECRET: &str = "daemons-secret-of-tests";
+/// Time for one call.
+const CALL: Duration = Duration::from_secs(5);
+/// Time for whatever a test waits for.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(25);
+/// Time a caller waits for its answer.
+const CALLER_LIMIT: Duration = Duration::from_secs(40);
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Entry VMs, each with a daemon.
+    pub daemons: usize,
+    /// Engines, by their role and fencing.
+    pub engines: Vec<(Role, Fencing)>,
+    /// Plain services.
+    pub plains: usize,
+    /// The engines' model.
+    pub params: ModelParams,
+    /// Milliseconds of a plain call.
+    pub work_ms: u64,
+    /// Settings that replace the usual ones.
+    pub settings: Value,
+    /// Addresses that daemons use in place of the key-value service's own.
+    pub kv_address: Option<String>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            daemons: 2,
+            engines: vec![(Role::Mixed, Fencing::Checks), (Role::Mixed, Fencing::Checks)],
+            plains: 2,
+            params: ModelParams {
+                step: 0.004,
+                change_seconds: 0.6,
+                report_lag: 0.1,
+                cache_lag: 0.2,
+                ..ModelParams::default()
+            },
+            work_ms: 5,
+            settings: json!({}),
+            kv_address: None,
+        }
+    }
+}
+
+/// A daemon of a cluster.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// The process, when it runs.
+    pub process: Option<Process>,
+    /// Where callers reach it.
+    pub caller: String,
+    /// Where operators reach it.
+    pub operator: String,
+    /// Where other daemons reach it.
+    pub peer: String,
+    settings: Value,
+}
+
+/// An endpoint of a cluster.
+#[derive(Debug)]
+pub struct EndpointProcess {
+    /// The process, when it runs.
+    pub process: Option<Process>,
+    /// Where it listens.
+    pub address: String,
+    command: Vec<String>,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The key-value service's own address.
+    pub kv: String,
+    /// The list's address.
+    pub vms: String,
+    /// The daemons by VM.
+    pub daemons: BTreeMap<String, DaemonProcess>,
+    /// The endpoints by name.
+    pub endpoints: BTreeMap<String, EndpointProcess>,
+    /// The plan it was made from.
+    pub plan: Plan,
+    client: HttpClient,
+    dir: PathBuf,
+    _platform: Vec<Process>,
+}
+
+static NEXT_DIR: AtomicU64 = AtomicU64::new(0);
+
+fn fresh_dir() -> PathBuf {
+    let n = NEXT_DIR.fetch_add(1, Ordering::Relaxed);
+    let dir = std::env::temp_dir().join(format!("dahliaseam-{}-{n}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder for the test");
+    dir
+}
+
+/// A loopback address that is free now.
+///
+/// # Panics
+/// When no port is free.
+#[must_use]
+pub fn free_address() -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("it is bound").to_string()
+}
+
+impl Cluster {
+    /// Start everything and wait until each daemon is ready.
+    ///
+    /// # Panics
+    /// When that does not come about.
+    pub async fn start(plan: Plan) -> Self {
+        let mut cluster = Self::start_platform(plan);
+        cluster.set_vms(&[]).await;
+        for vm in cluster.daemons.keys().cloned().collect::<Vec<_>>() {
+            cluster.start_daemon(&vm);
+        }
+        let resources = cluster.resources();
+        cluster.apply_eventually(&resources).await;
+        cluster.wait_ready().await;
+        cluster
+    }
+
+    /// Start all but the daemons.
+    ///
+    /// # Panics
+    /// When a stand-in does not start.
+    #[must_use]
+    pub fn start_platform(plan: Plan) -> Self {
+        let dir = fresh_dir();
+        let (kv_process, kv) = Process::start_stand_in(&mut Command::new(program("examples/kv")));
+        let (vms_process, vms) = Process::start_stand_in(&mut Command::new(program("examples/vms")));
+        let mut cluster = Self {
+            kv,
+            vms,
+            daemons: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            client: HttpClient::new(Reuse::Fresh),
+            dir,
+            _platform: vec![kv_process, vms_process],
+            plan,
+        };
+        cluster.start_endpoints();
+        for n in 1..=cluster.plan.daemons {
+            cluster.add_daemon(&format!("entry-{n}"), &format!("hall-{}", n % 3));
+        }
+        cluster
+    }
+
+    fn start_endpoints(&mut self) {
+        let params = self.dir.join("params.json");
+        let text = serde_json::to_string(&self.plan.params).expect("plain data");
+        std::fs::write(&params, text).expect("the folder can be written");
+        for (n, (role, fencing)) in self.plan.engines.clone().into_iter().enumerate() {
+            let role = serde_json::to_value(role).expect("plain data");
+            let mut args = vec!["--role".to_owned(), role.as_str().unwrap_or_default().to_owned()];
+            args.extend(["--params".to_owned(), params.display().to_string()]);
+            if fencing == Fencing::Checks {
+                args.push("--checks".to_owned());
+            }
+            self.start_endpoint("engine", &format!("engine-{}", n + 1), args);
+        }
+        for n in 1..=self.plan.plains {
+            let args = vec!["--work-ms".to_owned(), self.plan.work_ms.to_string()];
+            self.start_endpoint("plain", &format!("plain-{n}"), args);
+        }
+    }
+
+    fn start_endpoint(&mut self, example: &str, name: &str, mut args: Vec<String>) {
+        let history = self.history_path(name);
+        args.extend(["--name".into(), name.into(), "--history".into(), history.display().to_string()]);
+        let mut command = vec![program(&format!("examples/{example}")).display().to_string()];
+        command.extend(args);
+        let (process, address) = Process::start_stand_in(Command::new(&command[0]).args(&command[1..]));
+        self.endpoints.insert(name.to_owned(), EndpointProcess { process: Some(process), address, command });
+    }
+
+    /// Start a killed endpoint again at its address.
+    ///
+    /// # Panics
+    /// When there is no such endpoint.
+    pub fn restart_endpoint(&mut self, name: &str) {
+        let endpoint = self.endpoints.get_mut(name).expect("the endpoint is known");
+        let mut command = Command::new(&endpoint.command[0]);
+        command.args(&endpoint.command[1..]).args(["--address", &endpoint.address]);
+        let (process, _) = Process::start_stand_in(&mut command);
+        endpoint.process = Some(process);
+    }
+
+    /// Add an entry VM without starting its daemon.
+    pub fn add_daemon(&mut self, vm: &str, hall: &str) {
+        let (caller, operator, peer) = (free_address(), free_address(), free_address());
+        let kv = self.plan.kv_address.clone().unwrap_or_else(|| self.kv.clone());
+        let mut settings = json!({
+            "vm": vm, "hall": hall, "keyspace": "/proof/",
+            "caller_address": caller, "operator_address": operator, "peer_address": peer,
+            "kv_address": kv, "vm_list_address": self.vms,
+            "peer_secret": SECRET, "operator_token": TOKEN,
+            "timing": {
+                "probe_ms": 60, "peer_call_ms": 400, "suspicion_ms": 600, "list_ms": 100, "list_lag_ms": 1500,
+                "observe_ms": 100, "confirm_ms": 1500, "lease_ms": 2000, "control_ms": 50, "stop_grace_ms": 300,
+            },
+            "policy": { "stall_ms": 1500 },
+            "log": { "format": "text", "filter": "info" },
+        });
+        merge(&mut settings, &self.plan.settings);
+        let daemon = DaemonProcess { process: None, caller, operator, peer, settings };
+        self.daemons.insert(vm.to_owned(), daemon);
+    }
+
+    /// Change one daemon's settings before it starts.
+    ///
+    /// # Panics
+    /// When there is no such daemon.
+    pub fn set(&mut self, vm: &str, settings: &Value) {
+        merge(&mut self.daemons.get_mut(vm).expect("the daemon is known").settings, settings);
+    }
+
+    /// Start a daemon, or start it again.
+    ///
+    /// # Panics
+    /// When there is no such daemon.
+    pub fn start_daemon(&mut self, vm: &str) {
+        let path = self.dir.join(format!("{vm}.json"));
+        let log = self.dir.join(format!("{vm}.log"));
+        let daemon = self.daemons.get_mut(vm).expect("the daemon is known");
+        std::fs::write(&path, daemon.settings.to_string()).expect("the folder can be written");
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(log).expect("the log opens");
+        let mut command = Command::new(program("dahliaseamd"));
+        command.arg("--settings").arg(&path).stderr(log);
+        daemon.process = Some(Process::start(&mut command));
+    }
+
+    /// The process of a daemon.
+    ///
+    /// # Panics
+    /// When it does not run.
+    pub fn daemon(&mut self, vm: &str) -> &mut Process {
+        let daemon = self.daemons.get_mut(vm).expect("the daemon is known");
+        daemon.process.as_mut().expect("the daemon runs")
+    }
+
+    /// Kill a daemon.
+    pub fn kill_daemon(&mut self, vm: &str) {
+        self.daemon(vm).kill();
+        if let Some(daemon) = self.daemons.get_mut(vm) {
+            daemon.process = None;
+        }
+    }
+
+    /// Where the callers of each daemon connect.
+    #[must_use]
+    pub fn callers(&self) -> Vec<String> {
+        self.daemons.values().map(|d| d.caller.clone()).collect()
+    }
+
+    /// A caller that notes its history.
+    ///
+    /// # Panics
+    /// When the history cannot be written.
+    #[must_use]
+    pub fn caller(&self, name: &str) -> Caller {
+        let history = History::to_file(name, &self.history_path(name)).expect("the folder can be written");
+        Caller::new(history, CALLER_LIMIT)
+    }
+
+    /// The whole history so far.
+    ///
+    /// # Panics
+    /// When it cannot be read.
+    #[must_use]
+    pub fn history(&self) -> Vec<Entry> {
+        let files = std::fs::read_dir(&self.dir).expect("the folder can be read");
+        let paths = files.filter_map(|f| Some(f.ok()?.path()));
+        let histories = paths.filter(|p| p.extension().is_some_and(|e| e == "history"));
+        let mut all: Vec<_> = histories.flat_map(|p| read(&p).expect("the file can be read")).collect();
+        all.sort_by_key(|entry| entry.at);
+        all
+    }
+
+    /// What a daemon has logged.
+    #[must_use]
+    pub fn log(&self, vm: &str) -> String {
+        std::fs::read_to_string(self.dir.join(format!("{vm}.log"))).unwrap_or_default()
+    }
+
+    fn history_path(&self, name: &str) -> PathBuf {
+        self.dir.join(format!("{name}.history"))
+    }
+
+    /// The folder of this cluster's files.
+    #[must_use]
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Set the platform's list: all VMs, those in `leaving` as leaving.
+    pub async fn set_vms(&self, leaving: &[&str]) {
+        let entry = self.daemons.iter().map(|(vm, d)| {
+            let peer = d.settings.get("peer_advertise").and_then(Value::as_str).unwrap_or(&d.peer);
+            json!({ "vm": vm, "hall": d.settings["hall"], "address": peer, "part": "entry",
+                "leaving": leaving.contains(&vm.as_str()) })
+        });
+        let endpoints = self.endpoints.keys().map(|name| {
+            let vm = format!("vm-{name}");
+            json!({ "vm": vm, "hall": "hall-0", "part": "endpoint", "leaving": leaving.contains(&vm.as_str()) })
+        });
+        let list: Vec<_> = entry.chain(endpoints).collect();
+        self.put_json(&format!("http://{}/vms", self.vms), &Value::Array(list)).await;
+    }
+
+    /// Take the platform's list down.
+    pub async fn take_list_down(&self) {
+        self.put_json(&format!("http://{}/vms", self.vms), &Value::Null).await;
+    }
+
+    async fn put_json(&self, url: &str, value: &Value) {
+        let req = Request::put(url)
+            .header("content-type", "application/json")
+            .body(Full::from(Bytes::from(value.to_string())))
+            .expect("the parts are valid");
+        self.client.fetch(req, CALL).await.expect("the stand-in answers");
+    }
+
+    /// Bring a fault about at a stand-in.
+    ///
+    /// # Panics
+    /// When the stand-in does not answer.
+    pub async fn fault(&self, address: &str, fault: &Value) {
+        let body = Bytes::from(fault.to_string());
+        let req = Request::post(format!("http://{address}/fault"))
+            .header("content-type", "application/json")
+            .body(Full::from(body))
+            .expect("the parts are valid");
+        let (status, body) = self.client.fetch(req, CALL).await.expect("the stand-in answers");
+        assert!(status.is_success(), "the fault is taken: {body:?}");
+    }
+
+    /// Bring a fault about at an endpoint.
+    pub async fn endpoint_fault(&self, name: &str, fault: &Value) {
+        self.fault(&self.endpoints[name].address, fault).await;
+    }
+
+    /// The resources of this deployment: Fjordkjede's, with these endpoints.
+    ///
+    /// # Panics
+    /// When the committed file is broken.
+    #[must_use]
+    pub fn resources(&self) -> Vec<Value> {
+        let file = include_str!("../../deploy/fjordkjede/resources.json");
+        let file: Value = serde_json::from_str(file).expect("the committed file is JSON");
+        let mut resources = file["resources"].as_array().expect("it has resources").clone();
+        let by_name = |name: &str| name.rsplit('-').next().and_then(|n| n.parse::<usize>().ok()).unwrap_or(1) - 1;
+        for (name, endpoint) in &self.endpoints {
+            let mut spec = json!({ "address": endpoint.address, "vm": format!("vm-{name}"), "hall": "hall-0" });
+            if name.starts_with("engine") {
+                let (role, fencing) = self.plan.engines[by_name(name)];
+                merge(&mut spec, &json!({ "pool": "catalogue", "role": role, "fencing": fencing }));
+            } else {
+                merge(&mut spec, &json!({ "pool": "till", "role": "plain" }));
+            }
+            resources.push(json!({ "kind": "endpoint", "name": name, "spec": spec }));
+        }
+        for resource in &mut resources {
+            if resource["kind"] == "role" {
+                // Tests change roles themselves.
+                resource["spec"]["planner"]["mode"] = json!("never");
+            }
+        }
+        resources
+    }
+
+    /// Send an operator's request.
+    ///
+    /// # Errors
+    /// Why there is no answer.
+    ///
+    /// # Panics
+    /// When the path is no path.
+    pub async fn operate(
+        &self,
+        vm: &str,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<(StatusCode, Value), CallError> {
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.daemons[vm].operator))
+            .header(AUTHORIZATION, format!("Bearer {TOKEN}"))
+            .body(Full::from(Bytes::from(body.map(Value::to_string).unwrap_or_default())))
+            .expect("the parts are valid");
+        let (status, body) = self.client.fetch(req, CALL).await?;
+        Ok((status, serde_json::from_slice(&body).unwrap_or_default()))
+    }
+
+    /// Apply resources through the first daemon, as soon as it accepts.
+    ///
+    /// # Panics
+    /// When it does not accept them in time, or refuses them as wrong.
+    pub async fn apply_eventually(&self, resources: &[Value]) -> u64 {
+        let vm = self.daemons.keys().next().expect("there is a daemon").clone();
+        let body = json!({ "resources": resources });
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let answer = self.operate(&vm, "POST", "/v1/apply", Some(&body)).await;
+            if let Ok((status, value)) = &answer {
+                if status.is_success() {
+                    let accepted: Accepted = serde_json::from_value(value.clone()).expect("an accepted change");
+                    return accepted.generation;
+                }
+                assert!(status.is_server_error(), "the resources are refused: {value}");
+            }
+            assert!(Instant::now() < until, "not accepted in time: {answer:?}\n{}", self.log(&vm));
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Change one resource's specification through `vm`.
+    ///
+    /// # Panics
+    /// When it is not accepted.
+    pub async fn edit(&self, vm: &str, kind: &str, name: &str, change: &Value) -> u64 {
+        let (_, resource) = self.operate(vm, "GET", &format!("/v1/{kind}/{name}"), None).await.expect("it answers");
+        let mut spec = resource["spec"].clone();
+        merge(&mut spec, change);
+        let body = json!({ "resource_version": resource["resource_version"], "spec": spec });
+        let (status, value) =
+            self.operate(vm, "PUT", &format!("/v1/{kind}/{name}"), Some(&body)).await.expect("it answers");
+        assert!(status.is_success(), "the change is refused: {value}");
+        value["generation"].as_u64().expect("a generation")
+    }
+
+    /// A resource as `vm` sees it.
+    pub async fn resource(&self, vm: &str, kind: &str, name: &str) -> Value {
+        let answer = self.operate(vm, "GET", &format!("/v1/{kind}/{name}"), None).await;
+        answer.map(|(_, value)| value).unwrap_or_default()
+    }
+
+    /// All resources of a kind as `vm` sees them.
+    pub async fn list(&self, vm: &str, kind: &str) -> Option<ResourceList> {
+        let (_, value) = self.operate(vm, "GET", &format!("/v1/{kind}"), None).await.ok()?;
+        serde_json::from_value(value).ok()
+    }
+
+    /// The deployment's status as `vm` gathers it.
+    pub async fn status(&self, vm: &str) -> Option<StatusReport> {
+        let (_, value) = self.operate(vm, "GET", "/v1/status", None).await.ok()?;
+        serde_json::from_value(value).ok()
+    }
+
+    /// Whether a daemon is ready.
+    pub async fn is_ready(&self, vm: &str) -> bool {
+        let answer = self.operate(vm, "GET", "/readyz", None).await;
+        answer.is_ok_and(|(status, _)| status.is_success())
+    }
+
+    /// Wait until all running daemons are ready, know each other and hold the same configuration.
+    pub async fn wait_ready(&self) {
+        let running: Vec<_> =
+            self.daemons.iter().filter(|(_, d)| d.process.is_some()).map(|(vm, _)| vm.clone()).collect();
+        for vm in &running {
+            self.wait(&format!("{vm} is ready"), async || {
+                let report = self.status(vm).await;
+                self.is_ready(vm).await
+                    && report.is_some_and(|r| {
+                        let first = r.vms.first().map(|vm| vm.generation);
+                        r.vms.len() == running.len() && r.vms.iter().all(|vm| Some(vm.generation) == first && vm.ready)
+                    })
+            })
+            .await;
+        }
+    }
+
+    /// Wait until `holds`.
+    ///
+    /// # Panics
+    /// When it does not hold in time; the daemons' logs are shown.
+    pub async fn wait(&self, what: &str, holds: impl AsyncFn() -> bool) {
+        let until = Instant::now() + PATIENCE;
+        while !holds().await {
+            if Instant::now() > until {
+                for vm in self.daemons.keys() {
+                    eprintln!("--- {vm}\n{}", self.log(vm));
+                }
+                panic!("not in time: {what}");
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.daemons.clear();
+        self.endpoints.clear();
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+/// Put the members of `change` into `value`, deep.
+pub fn merge(value: &mut Value, change: &Value) {
+    match (value, change) {
+        (Value::Object(value), Value::Object(change)) => {
+            for (key, change) in change {
+                merge(value.entry(key.clone()).or_insert(Value::Null), change);
+            }
+        }
+        (value, change) => *value = change.clone(),
+    }
+}
--- /dev/null
+++ b/proofs/src/load.rs
@@ -0,0 +1,169 @@
+//! Callers that send requests of every kind until they are told to stop.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use stand_ins::caller::{Call, Caller, Got};
+use tokio::task::JoinSet;
+
+/// Requests of one caller at most, so that a test's load always ends.
+const MAX_CALLS: u64 = 5_000;
+
+/// What callers send.
+#[derive(Clone, Copy, Debug)]
+pub struct Mix {
+    /// Milliseconds between a caller's requests.
+    pub pause_ms: u64,
+    /// Bytes of a catalogue query's prompt.
+    pub prompt_bytes: usize,
+    /// Tokens of a chat reply.
+    pub chat_tokens: u32,
+    /// Whether callers send to one daemon first and another after a refusal.
+    pub try_another: bool,
+}
+
+impl Default for Mix {
+    fn default() -> Self {
+        Self { pause_ms: 5, prompt_bytes: 800, chat_tokens: 40, try_another: true }
+    }
+}
+
+/// Running callers.
+#[derive(Debug)]
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    sent: Arc<AtomicU64>,
+    tasks: JoinSet<Vec<(Call, Got)>>,
+}
+
+/// The kinds that a load consists of.
+pub const KINDS: [&str; 4] = ["stock-ping", "order-confirm", "chat-reply", "catalogue-query"];
+
+/// A request of the given kind, told apart by `n`.
+#[must_use]
+pub fn call(kind: &str, n: u64, mix: &Mix) -> Call {
+    let base = Call { kind: kind.to_owned(), team: "dealers".to_owned(), ..Call::default() };
+    match kind {
+        "stock-ping" => Call { target: "till".into(), prompt: format!("stock {n}"), ..base },
+        "order-confirm" => {
+            Call { target: "till".into(), prompt: format!("order {n}"), key: Some(format!("order-{n}")), ..base }
+        }
+        "chat-reply" => Call {
+            target: "catalogue-7b".into(),
+            prompt: format!("chat {n}: which pad fits?"),
+            tokens: mix.chat_tokens,
+            stream: true,
+            chat: true,
+            ..base
+        },
+        _ => Call {
+            target: "catalogue-7b".into(),
+            prompt: format!("{:width$}{n}", "part ", width = mix.prompt_bytes),
+            tokens: 8,
+            stream: n.is_multiple_of(2),
+            ..base
+        },
+    }
+}
+
+impl Load {
+    /// Start `callers` callers at the daemons in `addresses`.
+    #[must_use]
+    pub fn start(caller: &Caller, addresses: &[String], callers: usize, seed: u64, mix: Mix) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let sent = Arc::new(AtomicU64::new(0));
+        let mut tasks = JoinSet::new();
+        for n in 0..callers {
+            let one = One {
+                caller: caller.clone(),
+                addresses: addresses.to_vec(),
+                stop: Arc::clone(&stop),
+                sent: Arc::clone(&sent),
+                mix,
+                first: n as u64 * 1_000_000,
+                rng: SmallRng::seed_from_u64(seed + n as u64),
+            };
+            tasks.spawn(one.run());
+        }
+        Self { stop, sent, tasks }
+    }
+
+    /// Requests sent so far.
+    #[must_use]
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Wait until `count` more requests were sent, or the time is over.
+    pub async fn wait_for(&self, count: u64) {
+        let until = std::time::Instant::now() + crate::cluster::PATIENCE;
+        let goal = self.sent() + count;
+        while self.sent() < goal && std::time::Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Let each caller finish its request, and return what they got.
+    ///
+    /// # Panics
+    /// When a caller panicked.
+    pub async fn finish(mut self) -> Vec<(Call, Got)> {
+        self.stop.store(true, Ordering::Relaxed);
+        let mut all = Vec::new();
+        while let Some(result) = self.tasks.join_next().await {
+            all.extend(result.expect("callers do not panic"));
+        }
+        all
+    }
+}
+
+struct One {
+    caller: Caller,
+    addresses: Vec<String>,
+    stop: Arc<AtomicBool>,
+    sent: Arc<AtomicU64>,
+    mix: Mix,
+    first: u64,
+    rng: SmallRng,
+}
+
+impl One {
+    async fn run(mut self) -> Vec<(Call, Got)> {
+        let mut all = Vec::new();
+        for n in self.first..self.first + MAX_CALLS {
+            if self.stop.load(Ordering::Relaxed) {
+                break;
+            }
+            let kind = KINDS[self.rng.random_range(0..KINDS.len())];
+            let call = call(kind, n, &self.mix);
+            let got = self.send(&call).await;
+            all.push((call, got));
+            tokio::time::sleep(Duration::from_millis(self.mix.pause_ms)).await;
+        }
+        all
+    }
+
+    /// Send as the platform's balancer would: another daemon when one accepts no connection or
+    /// says that nothing ran.
+    async fn send(&mut self, call: &Call) -> Got {
+        let start = self.rng.random_range(0..self.addresses.len());
+        let tries = if self.mix.try_another { self.addresses.len() } else { 1 };
+        let mut got = Got::default();
+        for i in 0..tries {
+            let address = &self.addresses[(start + i) % self.addresses.len()];
+            self.sent.fetch_add(1, Ordering::Relaxed);
+            got = self.caller.send(address, call).await;
+            let elsewhere = got.status == 0 || (got.outcome == "not_run" && got.reason == "not_ready");
+            if !elsewhere {
+                break;
+            }
+        }
+        got
+    }
+}
--- /dev/null
+++ b/proofs/tests/whole_path.rs
@@ -0,0 +1,59 @@
+//! One request from end to end, each part a process of its own.
+
+use dahliaseam_core::{custody::Fencing, endpoint::Role};
+use proofs::{
+    check::{at_most_once, exactness, expect_none, not_run},
+    cluster::{Cluster, Plan},
+    load::{KINDS, Mix, call},
+};
+
+#[tokio::test]
+async fn every_kind_is_answered_whole_through_every_daemon() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let caller = cluster.caller("caller");
+    let mut n = 0;
+    for address in cluster.callers() {
+        for kind in KINDS {
+            for _ in 0..3 {
+                n += 1;
+                let got = caller.send(&address, &call(kind, n, &Mix::default())).await;
+                assert_eq!((got.outcome.as_str(), got.exact), ("whole", true), "{kind}: {got:?}");
+            }
+        }
+    }
+    let history = cluster.history();
+    expect_none("exact answers", &exactness(&history));
+    expect_none("at most once", &at_most_once(&history));
+    expect_none("not run is true", &not_run(&history));
+}
+
+#[tokio::test]
+async fn a_prompt_is_processed_by_a_prefill_engine_and_its_cache_moved() {
+    let plan =
+        Plan { engines: vec![(Role::Prefill, Fencing::Checks), (Role::Decode, Fencing::Checks)], ..Plan::default() };
+    let cluster = Cluster::start(plan).await;
+    let caller = cluster.caller("caller");
+    let vm = cluster.daemons.keys().next().expect("there is one").clone();
+    let mix = Mix { prompt_bytes: 4_000, ..Mix::default() };
+    let got = caller.send(&cluster.daemons[&vm].caller, &call("catalogue-query", 1, &mix)).await;
+    assert_eq!((got.outcome.as_str(), got.exact), ("whole", true), "{got:?}");
+    let request = got.request.expect("every answer names its request");
+    let (_, record) = cluster.operate(&vm, "GET", &format!("/v1/requests/{request}"), None).await.expect("it answers");
+    assert_eq!(record["attempts"][0]["prefill"], "engine-1", "{record}");
+    assert_eq!(record["attempts"][0]["endpoint"], "engine-2", "{record}");
+}
+
+#[tokio::test]
+async fn any_daemon_explains_a_request_that_another_took() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let caller = cluster.caller("caller");
+    let vms: Vec<_> = cluster.daemons.keys().cloned().collect();
+    let got = caller.send(&cluster.daemons[&vms[0]].caller, &call("chat-reply", 1, &Mix::default())).await;
+    let request = got.request.expect("every answer names its request");
+    let path = format!("/v1/requests/{request}");
+    let (status, record) = cluster.operate(&vms[1], "GET", &path, None).await.expect("it answers");
+    assert!(status.is_success(), "{record}");
+    assert_eq!(record["outcome"], "whole");
+    let candidates = record["attempts"][0]["candidates"].as_array().map(Vec::len);
+    assert_eq!(candidates, Some(2), "{record}");
+}
--- /dev/null
+++ b/stand-ins/examples/engine.rs
@@ -0,0 +1,53 @@
+//! An engine as a process of its own.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use dahliaseam_core::{custody::Fencing, endpoint::Role};
+use stand_ins::{
+    engine::{EngineSetup, EngineStandIn},
+    history::History,
+    model::ModelParams,
+};
+
+/// A model engine on a loopback address.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// IP:port to serve at; port 0 takes a free one
+    #[bpaf(argument("ADDRESS"), fallback("127.0.0.1:0".to_owned()))]
+    address: String,
+    /// Name in the history
+    #[bpaf(argument("NAME"), fallback("engine".to_owned()))]
+    name: String,
+    /// Role to start with: prefill, decode or mixed
+    #[bpaf(argument::<String>("ROLE"), parse(|text| serde_json::from_value::<Role>(text.into())), fallback(Role::Mixed))]
+    role: Role,
+    /// Refuse orders with an old fencing number
+    checks: bool,
+    /// File with the model's parameters, in JSON
+    #[bpaf(argument("FILE"))]
+    params: Option<PathBuf>,
+    /// File to append the history to
+    #[bpaf(argument("FILE"))]
+    history: Option<PathBuf>,
+}
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let args = options().run();
+    let params = match &args.params {
+        Some(path) => serde_json::from_slice(&std::fs::read(path)?)?,
+        None => ModelParams::default(),
+    };
+    let history = match &args.history {
+        Some(path) => History::to_file(&args.name, path)?,
+        None => History::in_memory(&args.name),
+    };
+    let fencing = if args.checks { Fencing::Checks } else { Fencing::Ignores };
+    let setup = EngineSetup { address: args.address, role: args.role, fencing, params, history };
+    let it = EngineStandIn::start(setup).await?;
+    println!("listening {}", it.server().address());
+    it.forever().await;
+    Ok(())
+}
--- /dev/null
+++ b/stand-ins/examples/kv.rs
@@ -0,0 +1,17 @@
+//! The stand-in as a process of its own.
+
+use bpaf::Parser;
+use stand_ins::kv::Kv;
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let address = bpaf::long("address")
+        .help("IP:port to serve at; port 0 takes a free one")
+        .argument::<String>("ADDRESS")
+        .fallback("127.0.0.1:0".to_owned());
+    let address = address.to_options().run();
+    let it = Kv::start(&address).await?;
+    println!("listening {}", it.server().address());
+    it.forever().await;
+    Ok(())
+}
--- /dev/null
+++ b/stand-ins/src/caller.rs
@@ -0,0 +1,226 @@
+//! A caller that knows the answer it must get and notes what it got.
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dahliaseam_platform::{
+    error::CallError,
+    http::{HttpClient, Incoming, Reuse},
+};
+use dahliaseam_wire::caller::{DEADLINE, ErrorBody, IDEMPOTENCY_KEY, KIND, OUTCOME, REQUEST, TEAM};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use serde_json::{Value, json};
+
+use crate::{
+    answer,
+    history::{Event, History},
+    plain,
+};
+
+static NEXT_CALL: AtomicU64 = AtomicU64::new(1);
+
+/// One request of a caller.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    /// Its kind.
+    pub kind: String,
+    /// The team.
+    pub team: String,
+    /// The model, or the pool of plain services.
+    pub target: String,
+    /// The prompt, or the body.
+    pub prompt: String,
+    /// Tokens wanted; zero for a plain service.
+    pub tokens: u32,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Whether the chat API is used.
+    pub chat: bool,
+    /// The idempotency key.
+    pub key: Option<String>,
+    /// Milliseconds within which the answer is useful.
+    pub deadline_ms: Option<u64>,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Got {
+    /// The HTTP status; zero when no answer came.
+    pub status: u16,
+    /// The request's identifier.
+    pub request: Option<String>,
+    /// `whole`, `not_run`, `ran`, `unknown`, or `none`.
+    pub outcome: String,
+    /// The reason of a refusal.
+    pub reason: String,
+    /// When to come back.
+    pub retry_after_ms: Option<u64>,
+    /// The text of the answer.
+    pub text: String,
+    /// Whether the answer is exactly the expected one.
+    pub exact: bool,
+    /// Microseconds to the first byte of the answer's text.
+    pub first_micros: u64,
+}
+
+/// A caller.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: HttpClient,
+    history: History,
+    limit: Duration,
+}
+
+impl Caller {
+    /// A caller that waits at most `limit` for each answer.
+    #[must_use]
+    pub fn new(history: History, limit: Duration) -> Self {
+        Self { client: HttpClient::new(Reuse::Keep), history, limit }
+    }
+
+    /// Send `call` to the daemon at `address` and wait for its final answer.
+    pub async fn send(&self, address: &str, call: &Call) -> Got {
+        let number = NEXT_CALL.fetch_add(1, Ordering::Relaxed);
+        self.history.note(Event::Sent { call: number, kind: call.kind.clone(), key: call.key.clone() });
+        let answered = tokio::time::timeout(self.limit, self.exchange(address, call)).await;
+        let mut got = answered.unwrap_or_else(|_| Err(CallError::Lost("late".to_owned()))).unwrap_or_default();
+        got.exact = got.text == expected(call);
+        if got.outcome.is_empty() {
+            "none".clone_into(&mut got.outcome);
+        }
+        self.history.note(Event::Got {
+            call: number,
+            request: got.request.clone(),
+            outcome: got.outcome.clone(),
+            exact: got.exact,
+        });
+        got
+    }
+
+    async fn exchange(&self, address: &str, call: &Call) -> Result<Got, CallError> {
+        let started = std::time::Instant::now();
+        let resp = self.client.send(request(address, call)).await?;
+        let header = |name: &str| resp.headers().get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let mut got = Got { status: resp.status().as_u16(), request: header(REQUEST), ..Got::default() };
+        if !resp.status().is_success() {
+            refused(&mut got, &collect(resp).await?);
+            return Ok(got);
+        }
+        if call.stream {
+            return read_stream(resp, got, started).await;
+        }
+        let body = collect(resp).await?;
+        got.first_micros = started.elapsed().as_micros() as u64;
+        "whole".clone_into(&mut got.outcome);
+        got.text = text_of(call, &body);
+        Ok(got)
+    }
+}
+
+/// The whole answer to `call`.
+#[must_use]
+pub fn expected(call: &Call) -> String {
+    if call.tokens == 0 { plain::answer(&call.prompt) } else { answer::whole(&call.prompt, call.tokens) }
+}
+
+fn request(address: &str, call: &Call) -> Request<Full<Bytes>> {
+    let path = match (call.tokens, call.chat) {
+        (0, _) => format!("/services/{}/call", call.target),
+        (_, true) => "/v1/chat/completions".to_owned(),
+        (_, false) => "/v1/completions".to_owned(),
+    };
+    let body = match (call.tokens, call.chat) {
+        (0, _) => call.prompt.clone(),
+        (n, true) => json!({
+            "model": call.target, "max_tokens": n, "stream": call.stream,
+            "messages": [{ "role": "user", "content": call.prompt }],
+        })
+        .to_string(),
+        (n, false) => json!({
+            "model": call.target, "max_tokens": n, "stream": call.stream, "prompt": call.prompt,
+        })
+        .to_string(),
+    };
+    let mut req = Request::post(format!("http://{address}{path}"))
+        .header("content-type", "application/json")
+        .header(KIND, &call.kind)
+        .header(TEAM, &call.team);
+    if let Some(key) = &call.key {
+        req = req.header(IDEMPOTENCY_KEY, key);
+    }
+    if let Some(deadline) = call.deadline_ms {
+        req = req.header(DEADLINE, deadline);
+    }
+    req.body(Full::from(body)).expect("the parts are valid")
+}
+
+async fn collect(resp: Response<Incoming>) -> Result<Bytes, CallError> {
+    let body = resp.into_body().collect().await;
+    body.map(http_body_util::Collected::to_bytes).map_err(|e| CallError::Lost(e.to_string()))
+}
+
+fn refused(got: &mut Got, body: &[u8]) {
+    let Ok(body) = serde_json::from_slice::<ErrorBody>(body) else { return };
+    got.outcome = word(&serde_json::to_value(body.error.outcome).unwrap_or_default());
+    got.reason = body.error.reason;
+    got.retry_after_ms = body.error.retry_after_ms;
+}
+
+fn word(value: &Value) -> String {
+    value.as_str().unwrap_or_default().to_owned()
+}
+
+fn text_of(call: &Call, body: &[u8]) -> String {
+    if call.tokens == 0 {
+        return String::from_utf8_lossy(body).into_owned();
+    }
+    let value: Value = serde_json::from_slice(body).unwrap_or_default();
+    let choice = &value["choices"][0];
+    word(if call.chat { &choice["message"]["content"] } else { &choice["text"] })
+}
+
+async fn read_stream(resp: Response<Incoming>, mut got: Got, started: std::time::Instant) -> Result<Got, CallError> {
+    let mut body = resp.into_body();
+    let mut buf = String::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| CallError::Lost(e.to_string()));
+        // A broken stream is an answer too: not a whole one.
+        let Ok(frame) = frame else { break };
+        buf.push_str(&String::from_utf8_lossy(frame.data_ref().map_or(&[][..], |d| d)));
+        while let Some(end) = buf.find("\n\n") {
+            let event = buf[..end].to_owned();
+            buf.drain(..end + 2);
+            take_event(&mut got, &event, started);
+        }
+    }
+    if got.outcome.is_empty() {
+        "none".clone_into(&mut got.outcome);
+    }
+    Ok(got)
+}
+
+fn take_event(got: &mut Got, event: &str, started: std::time::Instant) {
+    let Some(data) = event.strip_prefix("data: ") else { return };
+    if data == "[DONE]" {
+        "whole".clone_into(&mut got.outcome);
+        return;
+    }
+    if data.starts_with("{\"error\"") {
+        refused(got, data.as_bytes());
+        return;
+    }
+    let value: Value = serde_json::from_str(data).unwrap_or_default();
+    let choice = &value["choices"][0];
+    let text = choice["text"].as_str().or_else(|| choice["delta"]["content"].as_str());
+    if got.first_micros == 0 {
+        got.first_micros = started.elapsed().as_micros() as u64;
+    }
+    got.text.push_str(text.unwrap_or_default());
+}
+
+/// The header in which an answer's outcome is told.
+pub const OUTCOME_HEADER: &str = OUTCOME;
