--- /dev/null
+++ b/stand-ins/src/kv.rs
@@ -0,0 +1,359 @@
+//! The key-value service: the subset of etcd's v3 JSON gateway that the product uses.
+//!
+//! `/fault` takes it down, slows it, or makes writes take effect while their answer is lost.
+//! `/calls` tells how many calls it has had, by path.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    convert::Infallible,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use axum::{
+    Json, Router,
+    body::{Body, Bytes},
+    extract::State,
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
+use futures_util::{StreamExt, stream};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::sync::broadcast;
+
+use crate::serve::Server;
+
+/// How the service misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct KvFault {
+    /// Every call gets no answer and has no effect.
+    pub down: bool,
+    /// Milliseconds before each call.
+    pub slow_ms: u64,
+    /// So many writes take effect and lose their answer.
+    pub lose_answers: u32,
+}
+
+/// Time between two signs of life on a watch.
+const WATCH_ALIVE: Duration = Duration::from_millis(500);
+/// Changes that a slow watch may lag behind.
+const WATCH_LAG: usize = 1_024;
+/// Largest value, as the platform has it.
+const MAX_VALUE: usize = 1 << 20;
+
+#[derive(Clone, Debug)]
+struct Stored {
+    value: String,
+    mod_revision: i64,
+    lease: i64,
+}
+
+#[derive(Debug)]
+struct Store {
+    revision: i64,
+    keys: BTreeMap<String, Stored>,
+    leases: HashMap<i64, (Instant, Duration)>,
+    next_lease: i64,
+    calls: BTreeMap<String, u64>,
+    fault: KvFault,
+    changes: broadcast::Sender<(String, Option<Stored>)>,
+}
+
+type Shared = Arc<Mutex<Store>>;
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Kv {
+    server: Server,
+}
+
+impl Kv {
+    /// Serve at `address`, empty.
+    ///
+    /// # Errors
+    /// Why the address cannot be bound.
+    pub async fn start(address: &str) -> std::io::Result<Self> {
+        let state: Shared = Arc::new(Mutex::new(Store {
+            revision: 1,
+            keys: BTreeMap::new(),
+            leases: HashMap::new(),
+            next_lease: 1,
+            calls: BTreeMap::new(),
+            fault: KvFault::default(),
+            changes: broadcast::channel(WATCH_LAG).0,
+        }));
+        let router = Router::new()
+            .route("/v3/kv/range", post(range))
+            .route("/v3/kv/txn", post(txn))
+            .route("/v3/lease/grant", post(grant))
+            .route("/v3/lease/keepalive", post(keep_alive))
+            .route("/v3/lease/revoke", post(revoke))
+            .route("/v3/watch", post(watch))
+            .route("/fault", post(set_fault))
+            .route("/calls", get(calls))
+            .with_state(state);
+        Ok(Self { server: Server::start(address, router).await? })
+    }
+
+    /// The server.
+    #[must_use]
+    pub const fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// Serve until the process ends.
+    pub async fn forever(self) {
+        self.server.forever().await;
+    }
+}
+
+async fn set_fault(State(state): State<Shared>, Json(fault): Json<KvFault>) {
+    state.lock().expect("no holder panics").fault = fault;
+}
+
+async fn calls(State(state): State<Shared>) -> Json<BTreeMap<String, u64>> {
+    Json(state.lock().expect("no holder panics").calls.clone())
+}
+
+/// Count the call and bring its fault about.
+async fn enter(state: &Shared, path: &str) -> Result<(), Response> {
+    let fault = {
+        let mut store = state.lock().expect("no holder panics");
+        *store.calls.entry(path.to_owned()).or_default() += 1;
+        store.expire();
+        store.fault
+    };
+    tokio::time::sleep(Duration::from_millis(fault.slow_ms)).await;
+    if fault.down { Err(no_answer()) } else { Ok(()) }
+}
+
+/// An answer that breaks off, which is as good as none.
+fn no_answer() -> Response {
+    let broken = stream::once(async { Err::<Bytes, _>(std::io::Error::other("no answer")) });
+    Response::builder().header("content-length", "1000").body(Body::from_stream(broken)).unwrap_or_default()
+}
+
+fn key_of(body: &Value, field: &str) -> Vec<u8> {
+    let text = body.get(field).and_then(Value::as_str).unwrap_or_default();
+    BASE64.decode(text).unwrap_or_default()
+}
+
+fn number(body: &Value, field: &str) -> i64 {
+    match body.get(field) {
+        Some(Value::String(text)) => text.parse().unwrap_or(0),
+        Some(value) => value.as_i64().unwrap_or(0),
+        None => 0,
+    }
+}
+
+impl Store {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let over: Vec<_> = self.leases.iter().filter(|(_, (until, _))| *until <= now).map(|(id, _)| *id).collect();
+        for lease in over {
+            self.drop_lease(lease);
+        }
+    }
+
+    fn drop_lease(&mut self, lease: i64) {
+        self.leases.remove(&lease);
+        let gone: Vec<_> = self.keys.iter().filter(|(_, s)| s.lease == lease).map(|(k, _)| k.clone()).collect();
+        for key in gone {
+            self.revision += 1;
+            self.delete(&key);
+        }
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.keys.remove(key).is_some() {
+            let _ = self.changes.send((key.to_owned(), None));
+        }
+    }
+
+    fn range(&self, body: &Value) -> Value {
+        let key = String::from_utf8_lossy(&key_of(body, "key")).into_owned();
+        let end = String::from_utf8_lossy(&key_of(body, "range_end")).into_owned();
+        let entries: Vec<_> = if end.is_empty() {
+            self.keys.get_key_value(&key).into_iter().collect()
+        } else {
+            self.keys.range(key..end).collect()
+        };
+        let kvs: Vec<_> = entries.into_iter().map(|(k, s)| raw(k, s)).collect();
+        json!({ "header": self.header(), "kvs": kvs, "count": kvs.len().to_string() })
+    }
+
+    fn header(&self) -> Value {
+        json!({ "revision": self.revision.to_string() })
+    }
+
+    /// Run a transaction at the revision that its writes will have.
+    fn txn(&mut self, body: &Value, revision: i64) -> Value {
+        let empty = Vec::new();
+        let list = |field: &str| body.get(field).and_then(Value::as_array).unwrap_or(&empty).clone();
+        let succeeded = list("compare").iter().all(|c| self.compare(c));
+        let ops = list(if succeeded { "success" } else { "failure" });
+        let responses: Vec<_> = ops.iter().map(|op| self.op(op, revision)).collect();
+        json!({ "header": self.header(), "succeeded": succeeded, "responses": responses })
+    }
+
+    fn compare(&self, compare: &Value) -> bool {
+        let key = String::from_utf8_lossy(&key_of(compare, "key")).into_owned();
+        let present = self.keys.get(&key).map_or(0, |s| s.mod_revision);
+        present == number(compare, "mod_revision")
+    }
+
+    fn op(&mut self, op: &Value, revision: i64) -> Value {
+        if let Some(put) = op.get("request_put") {
+            self.put(put, revision);
+            json!({ "response_put": {} })
+        } else if let Some(range) = op.get("request_range") {
+            json!({ "response_range": self.range(range) })
+        } else if let Some(delete) = op.get("request_delete_range") {
+            let key = String::from_utf8_lossy(&key_of(delete, "key")).into_owned();
+            self.revision = revision;
+            self.delete(&key);
+            json!({ "response_delete_range": {} })
+        } else if let Some(inner) = op.get("request_txn") {
+            json!({ "response_txn": self.txn(inner, revision) })
+        } else {
+            json!({})
+        }
+    }
+
+    fn put(&mut self, put: &Value, revision: i64) {
+        self.revision = revision;
+        let key = String::from_utf8_lossy(&key_of(put, "key")).into_owned();
+        let stored = Stored {
+            value: put.get("value").and_then(Value::as_str).unwrap_or_default().to_owned(),
+            mod_revision: revision,
+            lease: number(put, "lease"),
+        };
+        self.keys.insert(key.clone(), stored.clone());
+        let _ = self.changes.send((key, Some(stored)));
+    }
+}
+
+fn raw(key: &str, stored: &Stored) -> Value {
+    json!({
+        "key": BASE64.encode(key),
+        "value": stored.value,
+        "mod_revision": stored.mod_revision.to_string(),
+        "lease": stored.lease.to_string(),
+    })
+}
+
+async fn range(State(state): State<Shared>, body: Bytes) -> Response {
+    if let Err(resp) = enter(&state, "range").await {
+        return resp;
+    }
+    let body = parse(&body);
+    Json(state.lock().expect("no holder panics").range(&body)).into_response()
+}
+
+/// The gateway takes any media type, so the body is read by hand.
+fn parse(body: &Bytes) -> Value {
+    serde_json::from_slice(body).unwrap_or(Value::Null)
+}
+
+async fn txn(State(state): State<Shared>, body: Bytes) -> Response {
+    if let Err(resp) = enter(&state, "txn").await {
+        return resp;
+    }
+    if body.len() > MAX_VALUE * 4 / 3 + MAX_VALUE {
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    }
+    let body = parse(&body);
+    let mut store = state.lock().expect("no holder panics");
+    let revision = store.revision + 1;
+    let answer = store.txn(&body, revision);
+    if store.fault.lose_answers > 0 {
+        store.fault.lose_answers -= 1;
+        return no_answer();
+    }
+    Json(answer).into_response()
+}
+
+async fn grant(State(state): State<Shared>, body: Bytes) -> Response {
+    if let Err(resp) = enter(&state, "grant").await {
+        return resp;
+    }
+    let ttl = Duration::from_secs(number(&parse(&body), "TTL").max(1) as u64);
+    let mut store = state.lock().expect("no holder panics");
+    store.next_lease += 1;
+    let id = store.next_lease;
+    store.leases.insert(id, (Instant::now() + ttl, ttl));
+    Json(json!({ "ID": id.to_string(), "TTL": ttl.as_secs().to_string() })).into_response()
+}
+
+async fn keep_alive(State(state): State<Shared>, body: Bytes) -> Response {
+    if let Err(resp) = enter(&state, "keepalive").await {
+        return resp;
+    }
+    let id = number(&parse(&body), "ID");
+    let mut store = state.lock().expect("no holder panics");
+    let ttl = store.leases.get_mut(&id).map(|(until, ttl)| {
+        *until = Instant::now() + *ttl;
+        ttl.as_secs()
+    });
+    let result = json!({ "ID": id.to_string(), "TTL": ttl.unwrap_or(0).to_string() });
+    Json(json!({ "result": result })).into_response()
+}
+
+async fn revoke(State(state): State<Shared>, body: Bytes) -> Response {
+    if let Err(resp) = enter(&state, "revoke").await {
+        return resp;
+    }
+    let id = number(&parse(&body), "ID");
+    state.lock().expect("no holder panics").drop_lease(id);
+    Json(json!({})).into_response()
+}
+
+async fn watch(State(state): State<Shared>, body: Bytes) -> Response {
+    if let Err(resp) = enter(&state, "watch").await {
+        return resp;
+    }
+    let body = parse(&body);
+    let key = key_of(body.get("create_request").unwrap_or(&Value::Null), "key");
+    let key = String::from_utf8_lossy(&key).into_owned();
+    let rx = state.lock().expect("no holder panics").changes.subscribe();
+    let lines = stream::unfold((rx, state, key, true), next_line);
+    Response::new(Body::from_stream(lines.map(Ok::<_, Infallible>)))
+}
+
+type WatchState = (broadcast::Receiver<(String, Option<Stored>)>, Shared, String, bool);
+
+async fn next_line((mut rx, state, key, first): WatchState) -> Option<(Bytes, WatchState)> {
+    if first {
+        return Some((line(&[]), (rx, state, key, false)));
+    }
+    loop {
+        let change = tokio::time::timeout(WATCH_ALIVE, rx.recv()).await;
+        if state.lock().expect("no holder panics").fault.down {
+            return None;
+        }
+        let events = match change {
+            Ok(Ok((changed, stored))) if changed == key => vec![event(&key, stored.as_ref())],
+            Ok(Ok(_)) => continue,
+            Ok(Err(_)) => return None,
+            Err(_) => Vec::new(),
+        };
+        return Some((line(&events), (rx, state, key, false)));
+    }
+}
+
+fn event(key: &str, stored: Option<&Stored>) -> Value {
+    match stored {
+        Some(stored) => json!({ "kv": raw(key, stored) }),
+        None => json!({ "type": "DELETE", "kv": { "key": BASE64.encode(key) } }),
+    }
+}
+
+fn line(events: &[Value]) -> Bytes {
+    let mut text = json!({ "result": { "header": {}, "events": events } }).to_string();
+    text.push('\n');
+    Bytes::from(text)
+}
--- /dev/null
+++ b/stand-ins/src/plain.rs
@@ -0,0 +1,128 @@
+//! A plain service: a till application or a porting lookup.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use axum::{
+    Json, Router,
+    body::{Body, Bytes},
+    extract::State,
+    http::{HeaderMap, StatusCode},
+    response::{IntoResponse, Response},
+    routing::post,
+};
+use dahliaseam_wire::{
+    caller::IDEMPOTENCY_KEY,
+    engine::{ATTEMPT, NOT_RUN, REQUEST},
+};
+use futures_util::{StreamExt, stream};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    history::{Event, History},
+    serve::Server,
+};
+
+/// How the service misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlainFault {
+    /// Milliseconds before each answer, after the run.
+    pub delay_ms: u64,
+    /// So many requests run and then lose their answer.
+    pub lose_answers: u32,
+    /// So many requests are refused as not run.
+    pub refuse: u32,
+}
+
+/// How a plain service is set up.
+#[derive(Clone, Debug)]
+pub struct PlainSetup {
+    /// Where to serve.
+    pub address: String,
+    /// Milliseconds of one call.
+    pub work_ms: u64,
+    /// Where to note what ran.
+    pub history: History,
+}
+
+#[derive(Clone)]
+struct Shared {
+    setup: Arc<PlainSetup>,
+    fault: Arc<Mutex<PlainFault>>,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Plain {
+    server: Server,
+}
+
+impl Plain {
+    /// Serve any path; the answer repeats the request's body.
+    ///
+    /// # Errors
+    /// Why the address cannot be bound.
+    pub async fn start(setup: PlainSetup) -> std::io::Result<Self> {
+        let address = setup.address.clone();
+        let shared = Shared { setup: Arc::new(setup), fault: Arc::default() };
+        let router = Router::new().route("/fault", post(set_fault)).fallback(run).with_state(shared);
+        Ok(Self { server: Server::start(&address, router).await? })
+    }
+
+    /// The server.
+    #[must_use]
+    pub const fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// Serve until the process ends.
+    pub async fn forever(self) {
+        self.server.forever().await;
+    }
+}
+
+async fn set_fault(State(shared): State<Shared>, Json(fault): Json<PlainFault>) {
+    *shared.fault.lock().expect("no holder panics") = fault;
+}
+
+/// What the service answers to `body`.
+#[must_use]
+pub fn answer(body: &str) -> String {
+    format!("done: {body}")
+}
+
+async fn run(State(shared): State<Shared>, headers: HeaderMap, body: Bytes) -> Response {
+    let fault = take_fault(&shared);
+    if fault.refuse > 0 {
+        return (StatusCode::SERVICE_UNAVAILABLE, [(NOT_RUN, "1")], "busy").into_response();
+    }
+    let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+    shared.setup.history.note(Event::Ran {
+        request: text(REQUEST).unwrap_or_default(),
+        attempt: text(ATTEMPT).and_then(|a| a.parse().ok()).unwrap_or(0),
+        key: text(IDEMPOTENCY_KEY),
+    });
+    tokio::time::sleep(Duration::from_millis(shared.setup.work_ms + fault.delay_ms)).await;
+    if fault.lose_answers > 0 {
+        let broken = stream::once(async { Err::<Bytes, _>(std::io::Error::other("lost")) });
+        return Response::builder()
+            .header("content-length", "1000")
+            .body(Body::from_stream(broken.boxed()))
+            .unwrap_or_default();
+    }
+    answer(&String::from_utf8_lossy(&body)).into_response()
+}
+
+/// The fault for one request, with its counts taken down.
+fn take_fault(shared: &Shared) -> PlainFault {
+    let mut fault = shared.fault.lock().expect("no holder panics");
+    let now = *fault;
+    fault.refuse = fault.refuse.saturating_sub(1);
+    if now.refuse == 0 {
+        fault.lose_answers = fault.lose_answers.saturating_sub(1);
+    }
+    now
+}
--- /dev/null
+++ b/stand-ins/src/vms.rs
@@ -0,0 +1,48 @@
+//! The platform's list of VMs, set by the test.
+
+use std::sync::{Arc, Mutex};
+
+use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use serde_json::Value;
+
+use crate::serve::Server;
+
+type Shared = Arc<Mutex<Option<Value>>>;
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct VmList {
+    server: Server,
+}
+
+impl VmList {
+    /// Serve at `address` with an empty list; `PUT /vms` replaces it, and `null` takes it down.
+    ///
+    /// # Errors
+    /// Why the address cannot be bound.
+    pub async fn start(address: &str) -> std::io::Result<Self> {
+        let state: Shared = Arc::new(Mutex::new(Some(Value::Array(Vec::new()))));
+        let router = Router::new().route("/vms", get(list).put(set)).with_state(state);
+        Ok(Self { server: Server::start(address, router).await? })
+    }
+
+    /// The server.
+    #[must_use]
+    pub const fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// Serve until the process ends.
+    pub async fn forever(self) {
+        self.server.forever().await;
+    }
+}
+
+async fn list(State(state): State<Shared>) -> Result<Json<Value>, StatusCode> {
+    let list = state.lock().expect("no holder panics").clone();
+    list.map(Json).ok_or(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+async fn set(State(state): State<Shared>, Json(value): Json<Value>) {
+    *state.lock().expect("no holder panics") = (!value.is_null()).then_some(value);
+}
