--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,202 @@
+//! What the command does.
+
+use std::{
+    io::Write,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use dahliaseam_settings::settings::Settings;
+use dahliaseam_wire::{
+    error::from_json,
+    operator::{Accepted, ApplyBody, PutBody, RequestRecord, Resource, ResourceList, StatusReport, WatchEvent},
+    resource::{Change, Document, Refused, ResourceKind},
+};
+use http::Method;
+use serde_json::{Value, json};
+
+use crate::{
+    client::{Client, Target},
+    error::CommandError,
+    output::Output,
+    patch,
+};
+
+/// Time between two looks at a drain.
+const DRAIN_LOOK: Duration = Duration::from_millis(250);
+
+/// What is asked of the command.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Show resources of a kind, or one.
+    Get {
+        /// The kind.
+        kind: ResourceKind,
+        /// The name; all of the kind without it.
+        name: Option<String>,
+    },
+    /// Make a file's resources hold, all or none.
+    Apply {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Change fields of one resource.
+    Edit {
+        /// The kind.
+        kind: ResourceKind,
+        /// The name.
+        name: String,
+        /// Assignments, `path=value`.
+        set: Vec<String>,
+    },
+    /// Delete a resource.
+    Delete {
+        /// The kind.
+        kind: ResourceKind,
+        /// The name.
+        name: String,
+        /// The version that must be the present one.
+        version: Option<u64>,
+    },
+    /// Show resources of a kind as they change.
+    Watch {
+        /// The kind.
+        kind: ResourceKind,
+    },
+    /// Show what happened to a request and why.
+    Explain {
+        /// The request's identifier.
+        request: String,
+    },
+    /// Take an endpoint out of service and wait until nothing runs there.
+    Drain {
+        /// The endpoint.
+        endpoint: String,
+        /// Put it back into service instead.
+        undo: bool,
+        /// Seconds to wait.
+        wait_seconds: u64,
+    },
+    /// Check a settings or resource file, without any daemon.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Show the state of every daemon.
+    Status,
+}
+
+/// Carry a command out, with what it shows to `out`.
+///
+/// # Errors
+/// Why it did not do what was asked.
+pub async fn run(command: Command, target: Target, output: Output, out: &mut impl Write) -> Result<(), CommandError> {
+    let client = Client::new(target);
+    let text = match command {
+        Command::Get { kind, name: None } => {
+            let list: ResourceList = client.get(&format!("/v1/{}", kind.plural())).await?;
+            output.text(&list.items)
+        }
+        Command::Get { kind, name: Some(name) } => output.text(&read(&client, kind, &name).await?),
+        Command::Apply { file } => {
+            let body = resources(&file)?;
+            accepted(client.call(Method::POST, "/v1/apply", Some(&body)).await?)
+        }
+        Command::Edit { kind, name, set } => accepted(edit(&client, kind, &name, &set).await?),
+        Command::Delete { kind, name, version } => {
+            let query = version.map(|v| format!("?resource_version={v}")).unwrap_or_default();
+            let path = format!("/v1/{}/{name}{query}", kind.plural());
+            accepted(client.call::<(), _>(Method::DELETE, &path, None).await?)
+        }
+        Command::Watch { kind } => return watch(&client, kind, output, out).await,
+        Command::Explain { request } => {
+            output.text(&client.get::<RequestRecord>(&format!("/v1/requests/{request}")).await?)
+        }
+        Command::Drain { endpoint, undo, wait_seconds } => drain(&client, &endpoint, undo, wait_seconds).await?,
+        Command::Check { file } => check(&file)?,
+        Command::Status => output.text(&client.get::<StatusReport>("/v1/status").await?),
+    };
+    // A reader that has gone, as `head` does, is no error of the command.
+    let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    Ok(())
+}
+
+async fn read(client: &Client, kind: ResourceKind, name: &str) -> Result<Resource, CommandError> {
+    client.get(&format!("/v1/{}/{name}", kind.plural())).await
+}
+
+fn accepted(accepted: Accepted) -> String {
+    format!("accepted as generation {}\n", accepted.generation)
+}
+
+async fn edit(client: &Client, kind: ResourceKind, name: &str, set: &[String]) -> Result<Accepted, CommandError> {
+    let resource = read(client, kind, name).await?;
+    let mut spec = resource.spec;
+    for assignment in set {
+        patch::set(&mut spec, assignment)?;
+    }
+    // Naming the version that was read makes a racing change a conflict instead of a loss.
+    let body = PutBody { resource_version: Some(resource.resource_version), spec };
+    client.call(Method::PUT, &format!("/v1/{}/{name}", kind.plural()), Some(&json!(body_value(&body)))).await
+}
+
+fn body_value(body: &PutBody) -> Value {
+    json!({ "resource_version": body.resource_version, "spec": body.spec })
+}
+
+async fn watch(client: &Client, kind: ResourceKind, output: Output, out: &mut impl Write) -> Result<(), CommandError> {
+    let mut lines = client.lines(&format!("/v1/{}?watch=true", kind.plural())).await?;
+    while let Some(line) = lines.next().await? {
+        let event: WatchEvent = serde_json::from_slice(&line).map_err(|e| CommandError::Answer(e.to_string()))?;
+        if writeln!(out, "{}", output.line(&event)).and_then(|()| out.flush()).is_err() {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+async fn drain(client: &Client, endpoint: &str, undo: bool, wait_seconds: u64) -> Result<String, CommandError> {
+    let set = [format!("drained={}", !undo)];
+    let accepted = edit(client, ResourceKind::Endpoint, endpoint, &set).await?;
+    if undo {
+        return Ok(format!("{endpoint} is back in service as of generation {}\n", accepted.generation));
+    }
+    let until = tokio::time::Instant::now() + Duration::from_secs(wait_seconds);
+    while tokio::time::Instant::now() < until {
+        let resource = read(client, ResourceKind::Endpoint, endpoint).await?;
+        let count = |pointer: &str| resource.status.pointer(pointer).and_then(Value::as_u64);
+        let closed = resource.status.get("open") == Some(&Value::Bool(false));
+        let empty = count("/in_flight") == Some(0) && count("/load/running") == Some(0);
+        if closed && empty {
+            return Ok(format!("{endpoint} is drained as of generation {}\n", accepted.generation));
+        }
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+    Err(CommandError::Late(format!("{endpoint} gets no new work, and still works on what it has")))
+}
+
+fn resources(file: &Path) -> Result<ApplyBody, CommandError> {
+    let text = std::fs::read(file).map_err(|e| CommandError::Open(file.to_owned(), e))?;
+    from_json(&text).map_err(|e| CommandError::Read(file.to_owned(), e))
+}
+
+fn check(file: &Path) -> Result<String, CommandError> {
+    let text = std::fs::read(file).map_err(|e| CommandError::Open(file.to_owned(), e))?;
+    let value: Value = from_json(&text).map_err(|e| CommandError::Read(file.to_owned(), e))?;
+    if value.get("resources").is_none() {
+        Settings::load(file)?;
+        return Ok(format!("{}: the settings are good\n", file.display()));
+    }
+    let body = resources(file)?;
+    let count = body.resources.len();
+    let changes: Vec<_> = body
+        .resources
+        .into_iter()
+        .map(|r| Change { kind: r.kind, name: r.name, based_on: None, spec: Some(r.spec) })
+        .collect();
+    match Document::default().changed(&changes, "check") {
+        Ok(_) => Ok(format!("{}: {count} resources are good\n", file.display())),
+        Err(Refused::Invalid(problems)) => Err(CommandError::Invalid(file.to_owned(), problems)),
+        Err(_) => Err(CommandError::Usage("a resource stands twice".to_owned())),
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,7 @@
-//! The operator's command.
+//! The operators' command, as a library: what it does, apart from how it is asked.
+
+pub mod client;
+pub mod command;
+pub mod error;
+pub mod output;
+pub mod patch;
--- a/crates/cli/src/main.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! The operator's command.
-
-fn main() {}
--- a/crates/daemon/src/bin/dahliaseamd/main.rs
+++ b/crates/daemon/src/bin/dahliaseamd/main.rs
@@ -4,10 +4,10 @@
 
 use std::process::ExitCode;
 
+use dahliaseam_settings::settings::Settings;
 use dahliaseamd::{
     controller::{Controller, Outside},
     error::{StartError, report},
-    settings::Settings,
     telemetry::Telemetry,
 };
 use tokio::signal::unix::{SignalKind, signal};
--- a/crates/daemon/src/caller/body.rs
+++ b/crates/daemon/src/caller/body.rs
@@ -4,9 +4,10 @@
 
 use axum::body::Body;
 use bytes::Bytes;
+use dahliaseam_settings::settings::Limits;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 
-use crate::{exchange::Failure, settings::Limits};
+use crate::exchange::Failure;
 
 /// Read the whole body.
 ///
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -16,6 +16,7 @@
     kv::KeyValue,
     vms::{HttpVmList, VmList},
 };
+use dahliaseam_settings::settings::Settings;
 use dahliaseam_wire::resource::Document;
 use jsonrpsee::server::ServerHandle;
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
@@ -39,7 +40,6 @@
     observe, operator, peer_server,
     peers::{self, PeerClients},
     records::Records,
-    settings::Settings,
 };
 
 /// Time between two ticks of the dispatcher.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,5 +29,4 @@
 pub mod peer_server;
 pub mod peers;
 pub mod records;
-pub mod settings;
 pub mod telemetry;
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -3,6 +3,7 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use axum::{Router, body::Body};
+use dahliaseam_settings::settings::Limits;
 use http::Request;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
@@ -13,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 use tower::ServiceExt;
 
-use crate::{emit, settings::Limits};
+use crate::emit;
 
 /// Wait after the system refuses a connection, as when files run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,13 +8,14 @@
     time::{Span, Time},
 };
 use dahliaseam_platform::{kv::KeyValue, vms::VmList};
+use dahliaseam_settings::settings::Settings;
 use dahliaseam_wire::resource::Document;
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
     claims::Claims, clock::Clock, control::board::Board, desk::Desk, duties::Duties, identity::Identity,
-    metrics::Metrics, peers::PeerClients, records::Records, settings::Settings,
+    metrics::Metrics, peers::PeerClients, records::Records,
 };
 
 /// The shared state of one daemon.
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -2,6 +2,10 @@
 //!
 //! Spans are made whether or not they are sent, so that trace contexts are passed on.
 
+use dahliaseam_settings::{
+    error::SettingsError,
+    settings::{LogFormat, Settings},
+};
 use opentelemetry::{global, propagation::Injector, trace::TracerProvider as _};
 use opentelemetry_otlp::{Protocol, SpanExporter, WithExportConfig};
 use opentelemetry_sdk::{propagation::TraceContextPropagator, trace::SdkTracerProvider};
@@ -9,10 +13,7 @@
 use tracing_opentelemetry::OpenTelemetrySpanExt;
 use tracing_subscriber::{EnvFilter, Layer, layer::SubscriberExt, util::SubscriberInitExt};
 
-use crate::{
-    error::StartError,
-    settings::{LogFormat, Settings},
-};
+use crate::error::StartError;
 
 /// Keeps the exporter running; flushes when told to.
 #[derive(Debug)]
@@ -30,7 +31,7 @@
         let provider = provider(settings)?;
         let tracer = provider.tracer("dahliaseamd");
         let filter = EnvFilter::try_new(&settings.log.filter)
-            .map_err(|e| StartError::Value("log.filter".to_owned(), e.to_string()))?;
+            .map_err(|e| SettingsError::Value("log.filter".to_owned(), e.to_string()))?;
         let lines = match settings.log.format {
             LogFormat::Json => tracing_subscriber::fmt::layer().json().with_writer(std::io::stderr).boxed(),
             LogFormat::Text => tracing_subscriber::fmt::layer().with_writer(std::io::stderr).boxed(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -7,7 +7,7 @@
 use dahliaseam_core::{dispatch::Policy, time::Span};
 use serde::Deserialize;
 
-use crate::error::StartError;
+use crate::error::SettingsError;
 
 /// A value that is never printed.
 #[derive(Clone, Deserialize, PartialEq, Eq)]
@@ -241,10 +241,10 @@
     ///
     /// # Errors
     /// Why it cannot be used; the text names the field and what is expected there.
-    pub fn load(path: &Path) -> Result<Self, StartError> {
-        let text = std::fs::read(path).map_err(|e| StartError::Open(path.to_owned(), e))?;
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read(path).map_err(|e| SettingsError::Open(path.to_owned(), e))?;
         let settings: Self =
-            dahliaseam_wire::error::from_json(&text).map_err(|e| StartError::Settings(path.to_owned(), e))?;
+            dahliaseam_wire::error::from_json(&text).map_err(|e| SettingsError::Read(path.to_owned(), e))?;
         settings.check()?;
         Ok(settings)
     }
@@ -253,7 +253,7 @@
     ///
     /// # Errors
     /// The first field that cannot be used, and what is expected there.
-    pub fn check(&self) -> Result<(), StartError> {
+    pub fn check(&self) -> Result<(), SettingsError> {
         self.check_addresses()?;
         let long = |secret: &Secret| secret.len() >= MIN_SECRET;
         expect(long(&self.peer_secret), "peer_secret", "16 bytes at least")?;
@@ -282,7 +282,7 @@
         self.peer_advertise.as_deref().unwrap_or(&self.peer_address)
     }
 
-    fn check_addresses(&self) -> Result<(), StartError> {
+    fn check_addresses(&self) -> Result<(), SettingsError> {
         let mut all = vec![
             ("caller_address", &self.caller_address),
             ("operator_address", &self.operator_address),
@@ -299,9 +299,9 @@
     }
 }
 
-fn expect(holds: bool, path: &str, expected: &str) -> Result<(), StartError> {
+fn expect(holds: bool, path: &str, expected: &str) -> Result<(), SettingsError> {
     if holds {
         return Ok(());
     }
-    Err(StartError::Value(path.to_owned(), expected.to_owned()))
+    Err(SettingsError::Value(path.to_owned(), expected.to_owned()))
 }
