--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -216,8 +216,8 @@
         (answering + 1, listed.count() + 1)
     }
 
-    /// Whether a process is known to be over: a later one answers in its place, or the platform
-    /// listed its VM and no longer does.
+    /// Whether a process is known to be over: it said so as its last act, a later one answers in
+    /// its place, or the platform listed its VM and no longer does.
     #[must_use]
     pub fn is_over(&self, process: &Incarnation) -> bool {
         if process.vm == self.me.vm {
@@ -225,8 +225,9 @@
         }
         self.by_vm(&process.vm).is_some_and(|member| {
             let replaced = member.start > process.start;
+            let left = member.start == process.start && member.health == Health::Left;
             let gone = !member.listed && !is_live(member.health);
-            replaced || gone
+            replaced || left || gone
         })
     }
 
@@ -239,6 +240,8 @@
         for contact in listed.iter().filter(|c| c.vm != me) {
             let key = self.key_of(contact);
             self.rows[key].listed = true;
+            // The platform knows best where its VMs are.
+            self.rows[key].contact = contact.clone();
         }
     }
 
@@ -308,6 +311,20 @@
         }
     }
 
+    /// What a member must know to refute, if it is believed to be suspect or dead. It goes on
+    /// every probe of that member, so that one who was cut off for long comes back.
+    #[must_use]
+    pub fn accusation(&self, key: MemberKey) -> Option<Update> {
+        let row = self.rows.get(key)?;
+        let accused = matches!(row.health, Health::Suspect | Health::Dead);
+        accused.then(|| Update {
+            contact: row.contact.clone(),
+            start: row.start,
+            refutation: row.refutation,
+            health: row.health,
+        })
+    }
+
     /// News to put on a message, this daemon's own first.
     pub fn take_news(&mut self) -> Vec<Update> {
         let mut out = vec![self.own_update()];
@@ -379,7 +396,9 @@
         if !update.overrides(row.start, row.refutation, row.health) {
             return;
         }
-        row.contact = update.contact.clone();
+        if !row.listed {
+            row.contact = update.contact.clone();
+        }
         row.start = update.start;
         row.refutation = update.refutation;
         row.health = update.health;
--- /dev/null
+++ b/crates/core/tests/member.rs
@@ -0,0 +1,112 @@
+//! Membership: who is believed to be alive, and how that heals.
+
+use dahliaseam_core::{
+    member::{Contact, Health, Incarnation, MemberSettings, Members},
+    time::{Span, Time},
+};
+use proptest::prelude::*;
+
+fn contact(n: usize) -> Contact {
+    Contact { vm: format!("vm-{n}"), hall: "hall".to_owned(), address: format!("127.0.0.1:{n}") }
+}
+
+fn table(n: usize, all: usize) -> Members {
+    let mut members = Members::new(MemberSettings::default(), contact(n), 1, n as u64);
+    members.list(&(0..all).map(contact).collect::<Vec<_>>());
+    members
+}
+
+/// One probe of `to` by `from`, as the daemon does it.
+fn probe(tables: &mut [Members], from: usize, to: usize, now: Time) {
+    let key = tables[from].others().find(|(_, m)| m.contact == contact(to)).map(|(key, _)| key).expect("listed");
+    let mut news = tables[from].take_news();
+    news.extend(tables[from].accusation(key));
+    tables[to].apply(&news, now);
+    let (start, refutation, news) = (tables[to].me().start, tables[to].refutation(), tables[to].take_news());
+    tables[from].answered(key, start, refutation, now);
+    tables[from].apply(&news, now);
+}
+
+fn believed(table: &Members, n: usize) -> Health {
+    table.by_vm(&format!("vm-{n}")).map_or(Health::Listed, |m| m.health)
+}
+
+#[test]
+fn one_that_all_believe_dead_comes_back_with_one_probe() {
+    let mut tables: Vec<_> = (0..3).map(|n| table(n, 3)).collect();
+    let at = Time(1);
+    for (from, to) in [(0, 1), (0, 2), (1, 2), (2, 0), (2, 1), (1, 0)] {
+        probe(&mut tables, from, to, at);
+    }
+    let late = at + Span::millis(60_000);
+    for from in 0..2 {
+        let key = tables[from].others().find(|(_, m)| m.contact.vm == "vm-2").map(|(k, _)| k).expect("listed");
+        tables[from].unreached(key, at);
+        let _ = tables[from].probe(late);
+        assert_eq!(believed(&tables[from], 2), Health::Dead);
+        // The news of the death is told until nobody wants it any more.
+        for _ in 0..100 {
+            let _ = tables[from].take_news();
+        }
+    }
+    probe(&mut tables, 0, 2, late);
+    assert_eq!(believed(&tables[0], 2), Health::Alive);
+    probe(&mut tables, 0, 1, late);
+    assert_eq!(believed(&tables[1], 2), Health::Alive);
+}
+
+#[test]
+fn a_process_is_over_only_on_proof() {
+    let mut tables: Vec<_> = (0..2).map(|n| table(n, 2)).collect();
+    let process = Incarnation { vm: "vm-1".to_owned(), start: 1 };
+    probe(&mut tables, 0, 1, Time(1));
+    let key = tables[0].others().next().map(|(k, _)| k).expect("one other");
+    tables[0].unreached(key, Time(1));
+    let _ = tables[0].probe(Time(1) + Span::millis(60_000));
+    assert_eq!(believed(&tables[0], 1), Health::Dead);
+    assert!(!tables[0].is_over(&process), "silence proves nothing: it may be paused");
+    tables[0].list(&[contact(0)]);
+    assert!(tables[0].is_over(&process), "its VM was listed and no longer is");
+    tables[0].list(&[contact(0), contact(1)]);
+    assert!(!tables[0].is_over(&process));
+    tables[0].answered(key, 2, 0, Time(2));
+    assert!(tables[0].is_over(&process), "a later run answers in its place");
+}
+
+proptest! {
+    /// However probes, silences and restarts interleave, once all can reach each other for one
+    /// whole round of probes, all believe all alive under the latest start.
+    #[test]
+    fn beliefs_heal(steps in prop::collection::vec((0..4_usize, 0..4_usize, 0..4_u8), 1..200)) {
+        let mut tables: Vec<_> = (0..4).map(|n| table(n, 4)).collect();
+        let mut now = Time(1);
+        for (from, to, what) in steps {
+            now = now + Span::millis(700);
+            if from == to {
+                continue;
+            }
+            let key = tables[from].others().find(|(_, m)| m.contact == contact(to)).map(|(k, _)| k);
+            match (what, key) {
+                (0, Some(key)) => tables[from].unreached(key, now),
+                (1, _) => {
+                    let start = tables[to].me().start + 1;
+                    let mut fresh = Members::new(MemberSettings::default(), contact(to), start, 9);
+                    fresh.list(&(0..4).map(contact).collect::<Vec<_>>());
+                    tables[to] = fresh;
+                }
+                (_, Some(_)) => probe(&mut tables, from, to, now),
+                _ => {}
+            }
+            let _ = tables[from].probe(now);
+        }
+        for from in 0..4 {
+            for to in (0..4).filter(|to| *to != from) {
+                probe(&mut tables, from, to, now);
+            }
+        }
+        for table in &tables {
+            prop_assert_eq!(table.live(), 4);
+            prop_assert_eq!(table.reach(), (4, 4));
+        }
+    }
+}
--- a/crates/daemon/examples/quickstart.rs
+++ b/crates/daemon/examples/quickstart.rs
@@ -5,7 +5,6 @@
 use std::{
     collections::BTreeMap,
     error::Error,
-    net::TcpListener,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -27,6 +26,7 @@
     kv::Kv,
     model::ModelParams,
     plain::{Plain, PlainSetup},
+    serve::free_address,
     vms::VmList,
 };
 
@@ -99,19 +99,15 @@
     Ok(Outdoors { kv: Kv::start("127.0.0.1:0").await?, vms: VmList::start("127.0.0.1:0").await?, engines, plains })
 }
 
-fn free_address() -> Result<String, Failure> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
-}
-
 async fn start_daemons(outdoors: &Outdoors) -> Result<Vec<Controller>, Failure> {
     let mut daemons = Vec::new();
     let mut list = Vec::new();
     for n in 1..=DAEMONS {
-        let (vm, hall, peer) = (format!("entry-{n}"), format!("oslo-{n}"), free_address()?);
+        let (vm, hall, peer) = (format!("entry-{n}"), format!("oslo-{n}"), free_address());
         list.push(json!({ "vm": vm, "hall": hall, "address": peer, "part": "entry" }));
         let settings: Settings = serde_json::from_value(json!({
             "vm": vm, "hall": hall, "keyspace": "/quickstart/",
-            "caller_address": free_address()?, "operator_address": free_address()?, "peer_address": peer,
+            "caller_address": free_address(), "operator_address": free_address(), "peer_address": peer,
             "kv_address": outdoors.kv.server().address().to_string(),
             "vm_list_address": outdoors.vms.server().address().to_string(),
             "peer_secret": "quick-start-secret", "operator_token": "quick-start-token",
--- a/crates/daemon/src/control/changes.rs
+++ b/crates/daemon/src/control/changes.rs
@@ -33,6 +33,8 @@
 const DEMAND_EVERY: Span = Span::millis(2_000);
 /// Daemons told of new marks directly; the others hear by gossip.
 const MARK_FANOUT: usize = 16;
+/// Time between two tries to release records without the lease.
+const RELEASE_EVERY: Span = Span::millis(500);
 /// Loads that may be ordered at once.
 const LOAD_BURST: f64 = 2.0;
 const SECONDS_PER_MINUTE: f64 = 60.0;
@@ -47,6 +49,7 @@
     planner: Planner,
     outlook: Outlook,
     look_at: Time,
+    release_at: Time,
     loads: Bucket,
     marks: Option<Marks>,
     /// Marks that were sent out; sent again when they or the fencing number change.
@@ -67,6 +70,7 @@
             planner: Planner::default(),
             outlook: Outlook::default(),
             look_at: Time::default(),
+            release_at: Time::default(),
             loads: Bucket::new(per_second, LOAD_BURST, node.now()),
             marks: None,
             told: None,
@@ -89,19 +93,21 @@
     pub(super) async fn step_down(&mut self, node: &Node) {
         self.targets.clear();
         self.told = None;
-        if self.custodians.values().any(|c| c.is_mine(node)) {
+        if self.release_at.is_past(node.now()) {
+            self.release_at = node.now() + RELEASE_EVERY;
             self.release_all(node).await;
         }
     }
 
-    /// Release every engine's record that names this process.
-    pub(super) async fn release_all(&mut self, node: &Node) {
+    /// Release every engine's record that may name this process; returns whether none is left.
+    pub(super) async fn release_all(&mut self, node: &Node) -> bool {
         let doc = node.document();
         for (name, custodian) in &mut self.custodians {
-            if let Some(endpoint) = doc.endpoints.get(name).filter(|_| custodian.is_mine(node)) {
+            if let Some(endpoint) = doc.endpoints.get(name).filter(|_| custodian.may_be_mine()) {
                 custodian.release(node, &self.client, &endpoint.spec).await;
             }
         }
+        !self.custodians.values().any(Custodian::may_be_mine)
     }
 
     async fn look(&self, doc: &Document) -> Engines {
@@ -221,7 +227,7 @@
     async fn drive(&mut self, node: &Arc<Node>, shard: &Shard, doc: &Document, engines: &Engines) {
         for (name, (spec, status)) in engines {
             let wanted = status.as_ref().and_then(|s| self.wanted(node, doc, name, spec, s));
-            let open = self.custodians.get(name).is_some_and(|c| c.is_mine(node));
+            let open = self.custodians.get(name).is_some_and(Custodian::may_be_mine);
             if wanted.is_none() && !open {
                 continue;
             }
--- a/crates/daemon/src/control/custodian.rs
+++ b/crates/daemon/src/control/custodian.rs
@@ -32,6 +32,8 @@
     name: String,
     key: String,
     record: Option<(EngineRecord, i64)>,
+    /// Whether the stored record may name this process; holds on while that is not known.
+    may_be_mine: bool,
     /// After an order without an answer, nothing is sent before its bytes are surely gone.
     quiet_until: Time,
 }
@@ -53,14 +55,14 @@
             name: name.to_owned(),
             key: format!("{}engines/{name}", node.settings.keyspace),
             record: None,
+            may_be_mine: false,
             quiet_until: Time::default(),
         }
     }
 
-    /// Whether the record, as last seen, names this process.
-    pub(super) fn is_mine(&self, node: &Node) -> bool {
-        let custodian = self.record.as_ref().and_then(|(r, _)| r.custodian.as_ref());
-        custodian == Some(node.identity.me())
+    /// Whether the stored record may name this process.
+    pub(super) const fn may_be_mine(&self) -> bool {
+        self.may_be_mine
     }
 
     /// Take the engine as far towards `wanted` as this round allows.
@@ -89,7 +91,13 @@
             };
             match custody::next(record, &view) {
                 Step::Done => return Reached::Done,
-                Step::Wait(wait) => return Reached::Waits(wait),
+                Step::Wait(wait) => {
+                    // Its release would show in the stored record only.
+                    if wait == Wait::FormerCustodian {
+                        self.record = None;
+                    }
+                    return Reached::Waits(wait);
+                }
                 Step::Write(next) => {
                     if !self.write(node, next).await {
                         return Reached::Going;
@@ -114,7 +122,7 @@
             return;
         }
         let Some((record, _)) = self.record.clone() else { return };
-        if record.custodian.as_ref() != Some(node.identity.me()) {
+        if !self.may_be_mine {
             return;
         }
         let record = match &record.intent {
@@ -145,6 +153,10 @@
             None => Some((EngineRecord::default(), 0)),
             Some(entry) => serde_json::from_str(&entry.value).ok().map(|record| (record, entry.revision)),
         };
+        let custodian = self.record.as_ref().map(|(record, _)| record.custodian.as_ref());
+        if let Some(custodian) = custodian {
+            self.may_be_mine = custodian == Some(node.identity.me());
+        }
         self.record.is_some()
     }
 
@@ -153,9 +165,12 @@
         let Some((_, revision)) = self.record.take() else { return false };
         let swap =
             Swap { key: self.key.clone(), expect: revision, value: serde_json::to_string(&next).ok(), lease: None };
+        let is_mine = next.custodian.as_ref() == Some(node.identity.me());
+        self.may_be_mine |= is_mine;
         node.metrics.kv_call("record_write");
         if let Ok([Swapped::Done(revision)]) = node.kv.swap_each(vec![swap]).await.as_deref() {
             self.record = Some((next, *revision));
+            self.may_be_mine = is_mine;
             return true;
         }
         false
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -21,6 +21,11 @@
 /// Daemons that stand for one shard's lease.
 const CANDIDATES: usize = 3;
 
+/// Tries to release records at a planned stop.
+const RELEASE_TRIES: u32 = 25;
+/// Time between them.
+const RELEASE_AGAIN: Duration = Duration::from_millis(200);
+
 /// One shard as this daemon handles it.
 #[derive(Debug)]
 struct Held {
@@ -45,9 +50,20 @@
         }
     }
     for held in shards.values_mut() {
-        held.changes.release_all(&node).await;
-        held.shard.hand_over(&node).await;
+        hand_over(&node, held).await;
+    }
+}
+
+/// Release all records, then the lease. What cannot be released in time passes on once the
+/// other daemons know that this process is over.
+async fn hand_over(node: &Node, held: &mut Held) {
+    for _ in 0..RELEASE_TRIES {
+        if held.changes.release_all(node).await {
+            break;
+        }
+        tokio::time::sleep(RELEASE_AGAIN).await;
     }
+    held.shard.hand_over(node).await;
 }
 
 async fn round(node: &Arc<Node>, held: &mut Held, candidate: bool) {
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -92,11 +92,11 @@
         let node = Arc::new(node(settings, outside)?);
         let peer = peer_server::start(Arc::clone(&node)).await?;
         let limits = node.settings.limits;
-        let closing = node.stop.closing.clone();
-        let caller = tokio::spawn(listener::serve(caller_listener, caller::router(Arc::clone(&node)), limits, closing));
+        let (begun, closing, over) = (node.stop.begun.clone(), node.stop.closing.clone(), node.stop.over.clone());
+        let routes = caller::router(Arc::clone(&node));
+        let caller = tokio::spawn(listener::serve(caller_listener, routes, limits, begun, closing));
         let routes = health::router(Arc::clone(&node)).merge(operator::router(Arc::clone(&node)));
-        let over = node.stop.over.clone();
-        let operator = tokio::spawn(listener::serve(operator_listener, routes, limits, over));
+        let operator = tokio::spawn(listener::serve(operator_listener, routes, limits, over.clone(), over));
         let background = background(&node);
         emit!(info, STARTED, vm = node.settings.vm, hall = node.settings.hall, start = node.identity.me().start);
         Ok(Self { node, caller, operator, peer, background })
@@ -129,6 +129,7 @@
         stop.over.cancel();
         self.background.close();
         self.background.wait().await;
+        peers::farewell(&self.node).await;
         let _ = self.peer.stop();
         let _ = self.operator.await;
         emit!(info, STOPPED);
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -4,7 +4,7 @@
 
 use axum::{Router, body::Body};
 use dahliaseam_settings::settings::Limits;
-use http::Request;
+use http::{HeaderValue, Request, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -20,7 +20,16 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
 /// Serve `router` until `closing`, then end idle connections and wait for the busy ones.
-pub async fn serve(listener: TcpListener, router: Router, limits: Limits, closing: CancellationToken) {
+///
+/// Once `begun` is cancelled each answer also ends its connection, so that when the listener
+/// closes few are left on which a caller may just be writing.
+pub async fn serve(
+    listener: TcpListener,
+    router: Router,
+    limits: Limits,
+    begun: CancellationToken,
+    closing: CancellationToken,
+) {
     let places = Arc::new(Semaphore::new(limits.connections));
     let graceful = GracefulShutdown::new();
     loop {
@@ -38,9 +47,16 @@
         };
         let _ = stream.set_nodelay(true);
         let router = router.clone();
+        let begun = begun.clone();
         let service = service_fn(move |req: Request<Incoming>| {
-            let router = router.clone();
-            async move { Ok::<_, Infallible>(router.oneshot(req.map(Body::new)).await.unwrap_or_else(|e| match e {})) }
+            let (router, begun) = (router.clone(), begun.clone());
+            async move {
+                let mut resp = router.oneshot(req.map(Body::new)).await.unwrap_or_else(|e| match e {});
+                if begun.is_cancelled() {
+                    resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                Ok::<_, Infallible>(resp)
+            }
         });
         let conn = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -31,11 +31,7 @@
 #[async_trait]
 impl PeerServer for Calls {
     async fn probe(&self, probe: Probe) -> RpcResult<Answer> {
-        let answer = peers::make_answer(&self.node);
-        // What must be fetched from the prober must not hold its answer up.
-        let node = Arc::clone(&self.node);
-        tokio::spawn(async move { peers::absorb_probe(&node, &probe).await });
-        Ok(answer)
+        Ok(peers::answer_probe(&self.node, probe))
     }
 
     async fn probe_via(&self, target: Contact) -> RpcResult<Option<(u64, u32)>> {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -76,7 +76,6 @@
             () = node.stop.over.cancelled() => {}
         }
     }
-    farewell(&node).await;
 }
 
 /// A daemon alone in the list needs no other's answer.
@@ -104,8 +103,9 @@
     }
 }
 
-/// Say that this daemon leaves, to all that are alive.
-async fn farewell(node: &Arc<Node>) {
+/// Say that this process is over. Others take it as proof that no order of its comes any more,
+/// so control must have ended before.
+pub async fn farewell(node: &Arc<Node>) {
     node.members().leave();
     let keys: Vec<_> = node.members().others().map(|(key, _)| key).collect();
     let few = keys.into_iter().take(EAGER * EAGER);
@@ -143,23 +143,22 @@
     let Some(client) = node.peers.get(node, &address) else { return false };
     let asked = node.now();
     node.metrics.peer_call("probe");
-    let Ok(answer) = client.probe(make_probe(node)).await else {
+    let Ok(answer) = client.probe(make_probe(node, key)).await else {
         return false;
     };
     absorb_answer(node, key, &address, answer, asked).await;
     true
 }
 
-fn make_probe(node: &Node) -> Probe {
+fn make_probe(node: &Node, key: MemberKey) -> Probe {
     let mut members = node.members();
-    let (from, news) = (members.contact().clone(), members.take_news());
+    let (from, mut news) = (members.contact().clone(), members.take_news());
+    news.extend(members.accusation(key));
     drop(members);
     Probe { from, news, digest: digest(node), closed_vms: node.duties.closed_vms(), loads: loads(node) }
 }
 
-/// This daemon's answer to a probe.
-#[must_use]
-pub fn make_answer(node: &Node) -> Answer {
+fn make_answer(node: &Node) -> Answer {
     let mut members = node.members();
     let (start, refutation, news) = (members.me().start, members.refutation(), members.take_news());
     drop(members);
@@ -199,12 +198,22 @@
     (ms != u64::MAX).then(|| at - Span::millis(ms))
 }
 
-/// Take in what a daemon that probed this one has sent along.
-pub async fn absorb_probe(node: &Arc<Node>, probe: &Probe) {
+/// Take in what a daemon that probed this one has sent along, and answer it.
+pub fn answer_probe(node: &Arc<Node>, probe: Probe) -> Answer {
     let now = node.now();
+    // An accusation must be known before the answer, which refutes it.
     node.members().apply(&probe.news, now);
     take_loads(node, &probe.loads, now);
-    catch_up(node, &probe.from.address, &probe.digest).await;
+    let answer = make_answer(node);
+    // What must be fetched from the prober must not hold its answer up.
+    let node = Arc::clone(node);
+    tokio::spawn(async move { catch_up_with(&node, &probe).await });
+    answer
+}
+
+async fn catch_up_with(node: &Arc<Node>, probe: &Probe) {
+    let known = node.members().by_vm(&probe.from.vm).map(|m| m.contact.address.clone());
+    catch_up(node, known.as_ref().unwrap_or(&probe.from.address), &probe.digest).await;
 }
 
 /// Fetch what the other daemon has newer.
--- a/proofs/src/check.rs
+++ b/proofs/src/check.rs
@@ -22,7 +22,7 @@
 fn orders_of(who: &str, entries: &[&Entry]) -> Faults {
     let mut faults = Vec::new();
     let mut highest = 0;
-    let mut givers: Vec<&str> = Vec::new();
+    let mut givers: Vec<(&str, u64)> = Vec::new();
     let mut open: Option<(u64, u64)> = None;
     for entry in entries {
         match &entry.event {
@@ -30,15 +30,17 @@
                 if *checks && *epoch < highest {
                     faults.push(format!("{who} took epoch {epoch} after {highest}"));
                 }
-                if givers.last() != Some(&by.as_str()) && givers.contains(&by.as_str()) {
+                // A process that wins the shard again is another giver under its new number.
+                let giver = (by.as_str(), *epoch);
+                if givers.last() != Some(&giver) && givers.contains(&giver) {
                     faults.push(format!("{who} got orders of {by} crossed with another's"));
                 }
                 if let Some(open) = open {
                     faults.push(format!("{who} took ({epoch}, {sequence}) while {open:?} was carried out"));
                 }
                 highest = highest.max(*epoch);
-                if givers.last() != Some(&by.as_str()) {
-                    givers.push(by);
+                if givers.last() != Some(&giver) {
+                    givers.push(giver);
                 }
                 if matches!(kind, OrderKind::SetRole(_)) {
                     open = Some((*epoch, *sequence));
--- a/proofs/src/cluster.rs
+++ b/proofs/src/cluster.rs
@@ -9,12 +9,18 @@
 };
 
 use bytes::Bytes;
-use dahliaseam_core::{custody::Fencing, endpoint::Role};
+use dahliaseam_core::{
+    custody::{EngineStatus, Fencing},
+    endpoint::Role,
+};
 use dahliaseam_platform::{
     error::CallError,
     http::{HttpClient, Reuse},
 };
-use dahliaseam_wire::operator::{Accepted, ResourceList, StatusReport};
+use dahliaseam_wire::{
+    engine::{STATUS_PATH, StatusReport as EngineReport},
+    operator::{Accepted, ResourceList, StatusReport},
+};
 use http::{Request, StatusCode, header::AUTHORIZATION};
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -22,6 +28,9 @@
     caller::Caller,
     history::{Entry, History, read},
     model::ModelParams,
+    relay::{Link, Relay},
+    serve::free_address,
+    vms::VmList,
 };
 
 use crate::process::{Process, program};
@@ -54,8 +63,8 @@
     pub work_ms: u64,
     /// Settings that replace the usual ones.
     pub settings: Value,
-    /// Addresses that daemons use in place of the key-value service's own.
-    pub kv_address: Option<String>,
+    /// Whether each daemon's links to the platform and to the others can be cut.
+    pub links: bool,
 }
 
 impl Default for Plan {
@@ -73,7 +82,7 @@
             },
             work_ms: 5,
             settings: json!({}),
-            kv_address: None,
+            links: false,
         }
     }
 }
@@ -102,6 +111,15 @@
     command: Vec<String>,
 }
 
+/// The links of one daemon, each a relay.
+#[derive(Debug)]
+struct Links {
+    kv: Relay,
+    list: Relay,
+    list_server: VmList,
+    peers: BTreeMap<String, Relay>,
+}
+
 /// A running deployment.
 #[derive(Debug)]
 pub struct Cluster {
@@ -115,6 +133,7 @@
     pub endpoints: BTreeMap<String, EndpointProcess>,
     /// The plan it was made from.
     pub plan: Plan,
+    links: BTreeMap<String, Links>,
     client: HttpClient,
     dir: PathBuf,
     _platform: Vec<Process>,
@@ -129,16 +148,6 @@
     dir
 }
 
-/// A loopback address that is free now.
-///
-/// # Panics
-/// When no port is free.
-#[must_use]
-pub fn free_address() -> String {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("it is bound").to_string()
-}
-
 impl Cluster {
     /// Start everything and wait until each daemon is ready.
     ///
@@ -146,6 +155,9 @@
     /// When that does not come about.
     pub async fn start(plan: Plan) -> Self {
         let mut cluster = Self::start_platform(plan);
+        if cluster.plan.links {
+            cluster.make_links().await;
+        }
         cluster.set_vms(&[]).await;
         for vm in cluster.daemons.keys().cloned().collect::<Vec<_>>() {
             cluster.start_daemon(&vm);
@@ -170,6 +182,7 @@
             vms,
             daemons: BTreeMap::new(),
             endpoints: BTreeMap::new(),
+            links: BTreeMap::new(),
             client: HttpClient::new(Reuse::Fresh),
             dir,
             _platform: vec![kv_process, vms_process],
@@ -225,11 +238,10 @@
     /// Add an entry VM without starting its daemon.
     pub fn add_daemon(&mut self, vm: &str, hall: &str) {
         let (caller, operator, peer) = (free_address(), free_address(), free_address());
-        let kv = self.plan.kv_address.clone().unwrap_or_else(|| self.kv.clone());
         let mut settings = json!({
             "vm": vm, "hall": hall, "keyspace": "/proof/",
             "caller_address": caller, "operator_address": operator, "peer_address": peer,
-            "kv_address": kv, "vm_list_address": self.vms,
+            "kv_address": self.kv, "vm_list_address": self.vms,
             "peer_secret": SECRET, "operator_token": TOKEN,
             "timing": {
                 "probe_ms": 60, "peer_call_ms": 400, "suspicion_ms": 600, "list_ms": 100, "list_lag_ms": 1500,
@@ -329,19 +341,75 @@
         &self.dir
     }
 
+    /// Give each daemon relays of its own to the platform and to every other daemon.
+    async fn make_links(&mut self) {
+        let vms: Vec<_> = self.daemons.keys().cloned().collect();
+        for vm in &vms {
+            let list_server = VmList::start("127.0.0.1:0").await.expect("a free port");
+            let list = relay(&list_server.server().address().to_string()).await;
+            let kv = relay(&self.kv).await;
+            let mut peers = BTreeMap::new();
+            for other in vms.iter().filter(|other| *other != vm) {
+                peers.insert(other.clone(), relay(&self.daemons[other].peer).await);
+            }
+            let addresses = json!({
+                "kv_address": kv.address().to_string(), "vm_list_address": list.address().to_string(),
+            });
+            self.set(vm, &addresses);
+            self.links.insert(vm.clone(), Links { kv, list, list_server, peers });
+        }
+    }
+
+    /// Cut a daemon off from the platform and the others, or join it again.
+    pub fn set_links(&self, vm: &str, link: Link) {
+        for (from, links) in &self.links {
+            if from == vm {
+                links.kv.set(link);
+                links.list.set(link);
+            }
+            for (to, relay) in &links.peers {
+                if from == vm || to == vm {
+                    relay.set(link);
+                }
+            }
+        }
+    }
+
+    /// Set only a daemon's link to the key-value service.
+    pub fn set_kv_link(&self, vm: &str, link: Link) {
+        self.links[vm].kv.set(link);
+    }
+
+    /// Set only a daemon's link to the platform's list.
+    pub fn set_list_link(&self, vm: &str, link: Link) {
+        self.links[vm].list.set(link);
+    }
+
     /// Set the platform's list: all VMs, those in `leaving` as leaving.
     pub async fn set_vms(&self, leaving: &[&str]) {
+        let list = self.vm_list(leaving, |vm| self.daemons[vm].peer.clone());
+        self.put_json(&format!("http://{}/vms", self.vms), &list).await;
+        for (from, links) in &self.links {
+            let address = |vm: &str| match links.peers.get(vm) {
+                Some(relay) => relay.address().to_string(),
+                None => self.daemons[vm].peer.clone(),
+            };
+            let url = format!("http://{}/vms", links.list_server.server().address());
+            assert!(self.daemons.contains_key(from));
+            self.put_json(&url, &self.vm_list(leaving, address)).await;
+        }
+    }
+
+    fn vm_list(&self, leaving: &[&str], address: impl Fn(&str) -> String) -> Value {
         let entry = self.daemons.iter().map(|(vm, d)| {
-            let peer = d.settings.get("peer_advertise").and_then(Value::as_str).unwrap_or(&d.peer);
-            json!({ "vm": vm, "hall": d.settings["hall"], "address": peer, "part": "entry",
+            json!({ "vm": vm, "hall": d.settings["hall"], "address": address(vm), "part": "entry",
                 "leaving": leaving.contains(&vm.as_str()) })
         });
         let endpoints = self.endpoints.keys().map(|name| {
             let vm = format!("vm-{name}");
             json!({ "vm": vm, "hall": "hall-0", "part": "endpoint", "leaving": leaving.contains(&vm.as_str()) })
         });
-        let list: Vec<_> = entry.chain(endpoints).collect();
-        self.put_json(&format!("http://{}/vms", self.vms), &Value::Array(list)).await;
+        Value::Array(entry.chain(endpoints).collect())
     }
 
     /// Take the platform's list down.
@@ -507,6 +575,66 @@
         }
     }
 
+    /// The VM whose daemon holds the engines' shard, as `vm` sees it.
+    pub async fn holder(&self, vm: &str) -> Option<String> {
+        let report = self.status(vm).await?;
+        report.vms.into_iter().find(|vm| !vm.shards.is_empty()).map(|vm| vm.vm)
+    }
+
+    /// Wait until a daemon holds the engines' shard, as `vm` sees it.
+    ///
+    /// # Panics
+    /// When none does in time.
+    pub async fn wait_holder(&self, vm: &str) -> String {
+        self.wait("a holder", async || self.holder(vm).await.is_some()).await;
+        self.holder(vm).await.expect("there was one just now")
+    }
+
+    /// Wait until an engine says that it plays a role.
+    ///
+    /// # Panics
+    /// When it does not in time.
+    pub async fn wait_role(&self, engine: &str, role: Role) {
+        let what = format!("{engine} plays {role:?}");
+        self.wait(&what, async || self.engine_status(engine).await.is_some_and(|s| s.role == role && !s.cordoned))
+            .await;
+    }
+
+    /// What an engine says of itself.
+    pub async fn engine_status(&self, engine: &str) -> Option<EngineStatus> {
+        let url = format!("http://{}{STATUS_PATH}", self.endpoints[engine].address);
+        self.client.get::<EngineReport>(&url, CALL).await.ok().map(|report| report.status)
+    }
+
+    /// Have the engines' roles fixed through `vm`.
+    pub async fn fix_roles(&self, vm: &str, roles: &[(&str, Role)]) {
+        let fixed: BTreeMap<_, _> = roles.iter().copied().collect();
+        self.edit(vm, "roles", "catalogue", &json!({ "fixed": fixed })).await;
+    }
+
+    /// Kill an endpoint.
+    ///
+    /// # Panics
+    /// When there is no such endpoint.
+    pub fn kill_endpoint(&mut self, name: &str) {
+        self.endpoints.get_mut(name).expect("the endpoint is known").process = None;
+    }
+
+    /// A daemon's metrics as text.
+    ///
+    /// # Panics
+    /// When it does not answer.
+    pub async fn metrics(&self, vm: &str) -> String {
+        let req = Request::get(format!("http://{}/metrics", self.daemons[vm].operator)).body(Full::default());
+        let (_, body) = self.client.fetch(req.expect("the parts are valid"), CALL).await.expect("it answers");
+        String::from_utf8_lossy(&body).into_owned()
+    }
+
+    /// Calls that the key-value service has had.
+    pub async fn kv_calls(&self) -> BTreeMap<String, u64> {
+        self.client.get(&format!("http://{}/calls", self.kv), CALL).await.unwrap_or_default()
+    }
+
     /// Wait until `holds`.
     ///
     /// # Panics
@@ -535,6 +663,10 @@
     }
 }
 
+async fn relay(target: &str) -> Relay {
+    Relay::start(target.parse().expect("an address")).await.expect("a free port")
+}
+
 /// Put the members of `change` into `value`, deep.
 pub fn merge(value: &mut Value, change: &Value) {
     match (value, change) {
--- a/proofs/src/load.rs
+++ b/proofs/src/load.rs
@@ -9,7 +9,7 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use stand_ins::caller::{Call, Caller, Got};
+use stand_ins::caller::{Call, Caller, Got, NO_CONNECTION};
 use tokio::task::JoinSet;
 
 /// Requests of one caller at most, so that a test's load always ends.
@@ -123,6 +123,14 @@
     }
 }
 
+/// Requests of protected kinds that did not get their whole answer.
+#[must_use]
+pub fn unprotected(answers: &[(Call, Got)]) -> Vec<String> {
+    let protected = |call: &Call| matches!(call.kind.as_str(), "stock-ping" | "order-confirm");
+    let bad = answers.iter().filter(|(call, got)| protected(call) && !(got.outcome == "whole" && got.exact));
+    bad.map(|(call, got)| format!("{} {}: {got:?}", call.kind, call.prompt)).collect()
+}
+
 struct One {
     caller: Caller,
     addresses: Vec<String>,
@@ -149,7 +157,7 @@
         all
     }
 
-    /// Send as the platform's balancer would: another daemon when one accepts no connection or
+    /// Send as the platform's balancer does: another daemon when one accepts no connection or
     /// says that nothing ran.
     async fn send(&mut self, call: &Call) -> Got {
         let start = self.rng.random_range(0..self.addresses.len());
@@ -159,7 +167,7 @@
             let address = &self.addresses[(start + i) % self.addresses.len()];
             self.sent.fetch_add(1, Ordering::Relaxed);
             got = self.caller.send(address, call).await;
-            let elsewhere = got.status == 0 || (got.outcome == "not_run" && got.reason == "not_ready");
+            let elsewhere = got.reason == NO_CONNECTION || got.reason == "not_ready";
             if !elsewhere {
                 break;
             }
--- /dev/null
+++ b/proofs/tests/config.rs
@@ -0,0 +1,356 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts; and who is
+//! let in.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use dahliaseam_core::member::Contact;
+use dahliaseam_wire::peer::{Marks, PeerClient};
+use jsonrpsee::http_client::{HttpClient as RpcClient, HttpClientBuilder};
+use porcupine_rs::{Model, Operation, check_operations};
+use proofs::{
+    check::expect_none,
+    cluster::{Cluster, Plan, SECRET},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde_json::{Value, json};
+use stand_ins::{history::monotonic_micros, relay::Link};
+
+async fn start(links: bool) -> Cluster {
+    Cluster::start(Plan { daemons: 3, engines: Vec::new(), plains: 1, links, ..Plan::default() }).await
+}
+
+/// A register that is changed by compare-and-swap on its version.
+#[derive(Clone, Debug)]
+struct Register;
+
+/// One change or attempt at one.
+#[derive(Clone, Debug)]
+enum Op {
+    /// A change from one version, accepted as another.
+    Accepted { based_on: u64, made: u64 },
+    /// A change from one version, refused because another was present.
+    Conflict { based_on: u64, present: u64 },
+    /// A change whose outcome is not known.
+    Unknown,
+}
+
+impl Model for Register {
+    type State = u64;
+    type Op = Op;
+    type Metadata = ();
+
+    fn init() -> u64 {
+        0
+    }
+
+    fn step(state: &u64, op: &Op) -> (bool, u64) {
+        match op {
+            Op::Accepted { based_on, made } => (state == based_on && made > state, *made),
+            Op::Conflict { based_on, present } => (state == present && based_on != present, *state),
+            // It may have taken effect as any later version, or not; versions it made are seen
+            // by later operations, so only the chains without it are followed here.
+            Op::Unknown => (true, *state),
+        }
+    }
+}
+
+#[test]
+fn the_register_check_refuses_a_lost_update() {
+    let op = |call_time, return_time, op| Operation::<Register> {
+        client_id: None,
+        call_time,
+        return_time,
+        op,
+        metadata: None,
+    };
+    let lost = [
+        op(0, 1, Op::Accepted { based_on: 0, made: 5 }),
+        op(2, 3, Op::Accepted { based_on: 5, made: 6 }),
+        op(4, 5, Op::Accepted { based_on: 5, made: 7 }),
+    ];
+    assert!(!check_operations(&lost));
+    let reverted =
+        [op(0, 1, Op::Accepted { based_on: 0, made: 5 }), op(2, 3, Op::Conflict { based_on: 4, present: 3 })];
+    assert!(!check_operations(&reverted));
+}
+
+/// Generations that each daemon showed, and when; a daemon that starts again is another one.
+type Seen = BTreeMap<(String, u64), Vec<(u64, u64)>>;
+
+async fn watch_generations(cluster: &Cluster, stop: &AtomicBool) -> Seen {
+    let mut seen = Seen::new();
+    while !stop.load(Ordering::Relaxed) {
+        for vm in cluster.daemons.keys() {
+            let Some(report) = cluster.status(vm).await else { continue };
+            let own = report.vms.into_iter().find(|v| v.vm == *vm);
+            if let Some(own) = own.filter(|own| own.ready) {
+                seen.entry((vm.clone(), own.start)).or_default().push((monotonic_micros(), own.generation));
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    seen
+}
+
+fn reverts(seen: &Seen) -> Vec<String> {
+    let falls = seen.iter().flat_map(|(who, views)| {
+        let falls = views.windows(2).filter(|pair| pair[1].1 < pair[0].1);
+        falls.map(move |pair| format!("{who:?} fell from {} to {}", pair[0].1, pair[1].1))
+    });
+    falls.collect()
+}
+
+/// Ready daemons that show an older generation more than `within` after one was accepted.
+fn late(seen: &Seen, accepted: &[(u64, u64)], within: Duration) -> Vec<String> {
+    let mut faults = Vec::new();
+    for (who, views) in seen {
+        for (at, generation) in views {
+            let due = accepted.iter().filter(|(when, _)| when + within.as_micros() as u64 <= *at);
+            let wanted = due.map(|(_, made)| *made).max().unwrap_or(0);
+            if *generation < wanted {
+                faults.push(format!("{who:?} still shows {generation}, {wanted} was accepted"));
+            }
+        }
+    }
+    faults
+}
+
+#[test]
+fn the_checks_of_generations_refuse_a_revert_and_a_straggler() {
+    let seen = Seen::from([(("a".to_owned(), 1), vec![(10, 4), (20, 5), (30, 4)])]);
+    assert_eq!(reverts(&seen).len(), 1);
+    assert_eq!(late(&seen, &[(5, 5)], Duration::from_micros(20)).len(), 1);
+    assert!(late(&seen, &[(5, 5)], Duration::from_micros(40)).is_empty());
+}
+
+/// Change one team's rate again and again, from the version last read, through one daemon.
+async fn race(cluster: &Cluster, vm: &str, seed: u64, rounds: usize) -> (Vec<Operation<Register>>, Vec<(u64, u64)>) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut ops = Vec::new();
+    let mut accepted = Vec::new();
+    let mut based_on = 0;
+    for _ in 0..rounds {
+        let body = json!({ "resource_version": based_on, "spec": { "rate": rng.random_range(1..1000) } });
+        let call_time = monotonic_micros() as i64;
+        let answer = cluster.operate(vm, "PUT", "/v1/teams/raced", Some(&body)).await;
+        let return_time = monotonic_micros() as i64;
+        let op = match answer {
+            Ok((status, value)) if status.is_success() => {
+                let made = value["generation"].as_u64().expect("a generation");
+                accepted.push((return_time as u64, made));
+                let op = Op::Accepted { based_on, made };
+                based_on = made;
+                Some(op)
+            }
+            Ok((status, value)) if status == 409 => {
+                let present = value["present_version"].as_u64().expect("the present version");
+                let op = Op::Conflict { based_on, present };
+                based_on = present;
+                Some(op)
+            }
+            Ok((_, value)) if value["code"] == "unavailable" => None,
+            _ => Some(Op::Unknown),
+        };
+        ops.extend(op.map(|op| Operation { client_id: None, call_time, return_time, op, metadata: None }));
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..15))).await;
+    }
+    (ops, accepted)
+}
+
+#[tokio::test]
+async fn operators_race_while_answers_are_lost() {
+    let cluster = start(false).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let watching = watch_generations(&cluster, &stop);
+    let racing = async {
+        let trouble = async {
+            for _ in 0..5 {
+                tokio::time::sleep(Duration::from_millis(120)).await;
+                cluster.fault(&cluster.kv, &json!({ "lose_answers": 1 })).await;
+            }
+        };
+        let racers =
+            (race(&cluster, "entry-1", 1, 30), race(&cluster, "entry-2", 2, 30), race(&cluster, "entry-3", 3, 30));
+        let (a, b, c, ()) = tokio::join!(racers.0, racers.1, racers.2, trouble);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        stop.store(true, Ordering::Relaxed);
+        [a, b, c]
+    };
+    let (seen, raced) = tokio::join!(watching, racing);
+    let ops: Vec<_> = raced.iter().flat_map(|(ops, _)| ops.clone()).collect();
+    let accepted: Vec<_> = raced.iter().flat_map(|(_, accepted)| accepted.clone()).collect();
+    assert!(accepted.len() > 20, "{} changes were accepted", accepted.len());
+    assert!(check_operations(&ops), "the changes are not linearizable: {ops:#?}");
+    expect_none("never reverts", &reverts(&seen));
+    expect_none("in force everywhere", &late(&seen, &accepted, Duration::from_secs(3)));
+}
+
+#[tokio::test]
+async fn a_daemon_that_was_cut_off_is_not_ready_until_it_has_caught_up() {
+    let cluster = start(true).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let watching = watch_generations(&cluster, &stop);
+    let changing = async {
+        cluster.set_links("entry-3", Link::Cut);
+        let mut accepted = Vec::new();
+        for rate in 1..40 {
+            let body = json!({ "spec": { "rate": rate } });
+            let (status, value) =
+                cluster.operate("entry-1", "PUT", "/v1/teams/cut", Some(&body)).await.expect("it answers");
+            assert!(status.is_success(), "{value}");
+            accepted.push((monotonic_micros(), value["generation"].as_u64().expect("a generation")));
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert!(!cluster.is_ready("entry-3").await);
+        let body = json!({ "spec": { "rate": 1 } });
+        let (status, _) = cluster.operate("entry-3", "PUT", "/v1/teams/cut", Some(&body)).await.expect("it answers");
+        assert_eq!(status, 503, "a daemon without a majority accepts no change");
+        cluster.set_links("entry-3", Link::Pass);
+        cluster.wait("it is ready again", async || cluster.is_ready("entry-3").await).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        stop.store(true, Ordering::Relaxed);
+        accepted
+    };
+    let (seen, accepted) = tokio::join!(watching, changing);
+    expect_none("never reverts", &reverts(&seen));
+    expect_none("in force everywhere", &late(&seen, &accepted, Duration::from_secs(3)));
+}
+
+#[tokio::test]
+async fn a_daemon_starts_during_an_outage_with_the_newest_copy_of_its_peers() {
+    let mut cluster = start(false).await;
+    let generation = cluster.apply_eventually(&[json!({ "kind": "team", "name": "new", "spec": { "rate": 5 } })]).await;
+    cluster
+        .wait("all have it", async || {
+            let report = cluster.status("entry-1").await;
+            report.is_some_and(|r| r.vms.iter().all(|vm| vm.generation == generation))
+        })
+        .await;
+    cluster.fault(&cluster.kv, &json!({ "down": true })).await;
+    cluster.kill_daemon("entry-2");
+    cluster.start_daemon("entry-2");
+    cluster.wait("it is ready without the service", async || cluster.is_ready("entry-2").await).await;
+    let report = cluster.status("entry-2").await.expect("it answers");
+    assert!(report.vms.iter().all(|vm| vm.generation == generation), "{report:?}");
+    let got = cluster
+        .caller("caller")
+        .send(&cluster.daemons["entry-2"].caller, &proofs::load::call("stock-ping", 1, &proofs::load::Mix::default()))
+        .await;
+    assert_eq!(got.outcome, "whole", "{got:?}");
+    // Nothing new can be accepted, and that is said.
+    let body = json!({ "spec": { "rate": 1 } });
+    let (status, _) = cluster.operate("entry-1", "PUT", "/v1/teams/new", Some(&body)).await.expect("it answers");
+    assert!(status == 503 || status == 504, "{status}");
+}
+
+#[tokio::test]
+async fn bad_changes_name_the_field_and_change_nothing() {
+    let cluster = start(false).await;
+    let cases: [(&str, Value, &str); 5] = [
+        ("/v1/kinds/k", json!({ "spec": { "priority": 1 } }), "spec"),
+        ("/v1/teams/t", json!({ "spec": { "rate": -1 } }), "teams.t.rate"),
+        (
+            "/v1/endpoints/e",
+            json!({ "spec": { "pool": "none", "address": "x", "vm": "v", "hall": "h" } }),
+            "endpoints.e.pool",
+        ),
+        ("/v1/teams/t", json!({ "spec": { "rate": 1 }, "colour": "red" }), "colour"),
+        ("/v1/teams/t", json!({ "spec": { "rate": "fast" } }), "spec.rate"),
+    ];
+    let before = cluster.status("entry-1").await.expect("it answers").vms[0].generation;
+    for (path, body, field) in cases {
+        let (status, value) = cluster.operate("entry-1", "PUT", path, Some(&body)).await.expect("it answers");
+        assert_eq!(status, 422, "{value}");
+        let problems = value["problems"].as_array().expect("problems").clone();
+        assert!(problems.iter().any(|p| p.to_string().contains(field)), "{field}: {value}");
+    }
+    let after = cluster.status("entry-1").await.expect("it answers").vms[0].generation;
+    assert_eq!(before, after);
+}
+
+fn peer(cluster: &Cluster, vm: &str, secret: &str) -> RpcClient {
+    let mut headers = http::HeaderMap::new();
+    headers.insert("authorization", format!("Bearer {secret}").parse().expect("plain text"));
+    HttpClientBuilder::default()
+        .set_headers(headers)
+        .build(format!("http://{}", cluster.daemons[vm].peer))
+        .expect("an address")
+}
+
+fn marks(epoch: u64, sequence: u64, leaving: &[&str]) -> Marks {
+    Marks {
+        shard: "foreign".to_owned(),
+        epoch,
+        sequence,
+        leaving: leaving.iter().map(|name| (*name).to_owned()).collect(),
+        roles: Vec::new(),
+    }
+}
+
+#[tokio::test]
+async fn marks_of_a_holder_without_authority_have_no_effect() {
+    let cluster = start(false).await;
+    let client = peer(&cluster, "entry-1", SECRET);
+    assert!(client.marks(marks(5, 1, &["plain-1"])).await.expect("it answers").taken);
+    assert!(!client.marks(marks(4, 9, &[])).await.expect("it answers").taken, "an older holder");
+    assert!(!client.marks(marks(5, 0, &[])).await.expect("it answers").taken, "a late message of the same holder");
+    let status = cluster.resource("entry-1", "endpoints", "plain-1").await;
+    assert_eq!(status["status"]["open"], false, "{status}");
+    // The marks reach the others by gossip.
+    cluster
+        .wait("the others have them", async || {
+            cluster.resource("entry-3", "endpoints", "plain-1").await["status"]["open"] == false
+        })
+        .await;
+    assert!(client.marks(marks(6, 1, &[])).await.expect("it answers").taken);
+    cluster
+        .wait("the endpoint is open again", async || {
+            cluster.resource("entry-3", "endpoints", "plain-1").await["status"]["open"] == true
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn intruders_and_malformed_messages_are_refused_and_counted() {
+    let cluster = start(false).await;
+    let stranger = peer(&cluster, "entry-1", "a-secret-that-is-wrong");
+    let target = Contact { vm: "x".into(), hall: "y".into(), address: "127.0.0.1:1".into() };
+    assert!(stranger.probe_via(target).await.is_err());
+    assert!(stranger.marks(marks(99, 1, &["plain-1"])).await.is_err());
+    let client = dahliaseam_platform::http::HttpClient::new(dahliaseam_platform::http::Reuse::Fresh);
+    let operator = &cluster.daemons["entry-1"].operator;
+    let limit = Duration::from_secs(5);
+    let req = http::Request::get(format!("http://{operator}/v1/status")).body(http_body_util::Full::default());
+    let (status, _) = client.fetch(req.expect("valid"), limit).await.expect("it answers");
+    assert_eq!(status, 401);
+    let bodies = [
+        "",
+        "{",
+        "[]",
+        "{\"jsonrpc\":\"2.0\"}",
+        "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"peer_marks\",\"params\":[7]}",
+    ];
+    for body in bodies {
+        let req = http::Request::post(format!("http://{}", cluster.daemons["entry-1"].peer))
+            .header("authorization", format!("Bearer {SECRET}"))
+            .header("content-type", "application/json")
+            .body(http_body_util::Full::from(bytes::Bytes::from(body)));
+        let (_, answer) = client.fetch(req.expect("valid"), limit).await.expect("it answers");
+        assert!(!String::from_utf8_lossy(&answer).contains("\"result\""), "{body}: {answer:?}");
+    }
+    let metrics = cluster.metrics("entry-1").await;
+    assert!(metrics.contains("dahliaseam_refused_calls_total{from=\"peer\""), "{metrics}");
+    assert!(metrics.contains("dahliaseam_refused_calls_total{from=\"operator\""), "{metrics}");
+    let got = cluster
+        .caller("caller")
+        .send(&cluster.daemons["entry-1"].caller, &proofs::load::call("stock-ping", 1, &proofs::load::Mix::default()))
+        .await;
+    assert_eq!(got.outcome, "whole", "nothing was disturbed: {got:?}");
+}
--- a/stand-ins/src/caller.rs
+++ b/stand-ins/src/caller.rs
@@ -10,7 +10,7 @@
     error::CallError,
     http::{HttpClient, Incoming, Reuse},
 };
-use dahliaseam_wire::caller::{DEADLINE, ErrorBody, IDEMPOTENCY_KEY, KIND, OUTCOME, REQUEST, TEAM};
+use dahliaseam_wire::caller::{DEADLINE, ErrorBody, IDEMPOTENCY_KEY, KIND, REQUEST, TEAM};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use serde_json::{Value, json};
@@ -23,6 +23,9 @@
 
 static NEXT_CALL: AtomicU64 = AtomicU64::new(1);
 
+/// Reason when the daemon accepted no connection.
+pub const NO_CONNECTION: &str = "no_connection";
+
 /// One request of a caller.
 #[derive(Clone, Debug, Default)]
 pub struct Call {
@@ -87,7 +90,12 @@
         let number = NEXT_CALL.fetch_add(1, Ordering::Relaxed);
         self.history.note(Event::Sent { call: number, kind: call.kind.clone(), key: call.key.clone() });
         let answered = tokio::time::timeout(self.limit, self.exchange(address, call)).await;
-        let mut got = answered.unwrap_or_else(|_| Err(CallError::Lost("late".to_owned()))).unwrap_or_default();
+        let mut got = match answered {
+            Ok(Ok(got)) => got,
+            Ok(Err(CallError::NotSent(_))) => Got { reason: NO_CONNECTION.to_owned(), ..Got::default() },
+            Ok(Err(e)) => Got { reason: e.to_string(), ..Got::default() },
+            Err(_) => Got { reason: "late".to_owned(), ..Got::default() },
+        };
         got.exact = got.text == expected(call);
         if got.outcome.is_empty() {
             "none".clone_into(&mut got.outcome);
@@ -221,6 +229,3 @@
     }
     got.text.push_str(text.unwrap_or_default());
 }
-
-/// The header in which an answer's outcome is told.
-pub const OUTCOME_HEADER: &str = OUTCOME;
--- a/stand-ins/src/engine.rs
+++ b/stand-ins/src/engine.rs
@@ -220,6 +220,8 @@
         let Some(sink) = self.sinks.get_mut(&id) else { return };
         let open = match event {
             model::Event::Token(_) => sink.send_token(),
+            // A silent engine does not say that it has ended either.
+            model::Event::Done(_) if sink.is_silent() => return,
             model::Event::Done(_) => {
                 let handle = sink.ask.export.then(|| format!("kv-{id}"));
                 self.exports.extend(handle.clone());
@@ -235,6 +237,10 @@
 }
 
 impl Sink {
+    fn is_silent(&self) -> bool {
+        self.fault.stall_after.is_some_and(|at| self.position >= at)
+    }
+
     /// Send the next token; returns whether the stream goes on.
     fn send_token(&mut self) -> bool {
         let position = self.position;
--- a/stand-ins/src/serve.rs
+++ b/stand-ins/src/serve.rs
@@ -1,11 +1,36 @@
 //! Serving a stand-in on a loopback address until it is stopped.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU32, Ordering},
+};
 
 use axum::Router;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+/// Ports that the system does not give to outgoing connections.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// A loopback address that is free now and that no outgoing connection will take.
+///
+/// # Panics
+/// When no port is free.
+#[must_use]
+pub fn free_address() -> String {
+    let count = u32::from(PORTS.end - PORTS.start);
+    // Test processes that run side by side begin far apart.
+    let first = std::process::id().wrapping_mul(331);
+    let ports = (0..count).map(|_| {
+        let n = first.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        PORTS.start + (n % count) as u16
+    });
+    let free = ports.map(|port| format!("127.0.0.1:{port}")).find(|a| std::net::TcpListener::bind(a).is_ok());
+    free.expect("a free port")
+}
+
 /// A running server; dropping it stops it.
 #[derive(Debug)]
 pub struct Server {
