--- a/crates/daemon/examples/quickstart.rs
+++ b/crates/daemon/examples/quickstart.rs
@@ -74,7 +74,7 @@
         example = answers.into_iter().rfind(|(call, got)| call.kind == "catalogue-query" && got.outcome == "whole");
     }
     if let Some((_, got)) = example {
-        explain(&daemons, got.request.as_deref().unwrap_or_default()).await;
+        explain(&daemons, got.request.as_deref().unwrap_or_default());
     }
     let started = Instant::now();
     join_all(daemons.into_iter().map(Controller::stop)).await;
@@ -240,7 +240,7 @@
     }
 }
 
-async fn explain(daemons: &[Controller], request: &str) {
+fn explain(daemons: &[Controller], request: &str) {
     let record = daemons.iter().find_map(|d| d.node().records.get(request));
     let Some(record) = record else { return };
     println!("\nwhy request {request} went where it went:");
--- /dev/null
+++ b/proofs/tests/checkers.rs
@@ -0,0 +1,105 @@
+//! Each checker rejects a history that breaks its promise, and passes one that keeps it.
+
+use dahliaseam_core::{custody::OrderKind, endpoint::Role};
+use proofs::check::{at_most_once, cuts, exactness, not_run, orders, orders_with_crashes, quiet_after};
+use stand_ins::history::{Entry, Event};
+
+fn entries(events: Vec<(&str, Event)>) -> Vec<Entry> {
+    let numbered = events.into_iter().enumerate();
+    numbered.map(|(n, (who, event))| Entry { at: n as u64, who: who.to_owned(), event }).collect()
+}
+
+fn taken(epoch: u64, sequence: u64, by: &str, kind: OrderKind, checks: bool) -> Event {
+    Event::OrderTaken { epoch, sequence, by: by.to_owned(), kind, checks }
+}
+
+fn done(epoch: u64, sequence: u64) -> Event {
+    Event::OrderDone { epoch, sequence }
+}
+
+fn ran(request: &str, key: Option<&str>) -> Event {
+    Event::Ran { request: request.to_owned(), attempt: 0, key: key.map(str::to_owned) }
+}
+
+fn got(request: &str, outcome: &str, exact: bool) -> Event {
+    Event::Got { call: 1, request: Some(request.to_owned()), outcome: outcome.to_owned(), exact }
+}
+
+const ROLE: OrderKind = OrderKind::SetRole(Role::Decode);
+
+#[test]
+fn orders_that_cross_at_an_engine_that_ignores_numbers() {
+    let crossed = entries(vec![
+        ("e", taken(1, 1, "a", OrderKind::Cordon, false)),
+        ("e", taken(2, 2, "b", OrderKind::Cordon, false)),
+        ("e", taken(1, 3, "a", OrderKind::Uncordon, false)),
+    ]);
+    assert_eq!(orders(&crossed).len(), 1);
+    let passed_on = entries(vec![
+        ("e", taken(1, 1, "a", OrderKind::Cordon, false)),
+        ("e", taken(2, 2, "b", OrderKind::Cordon, false)),
+        ("e", taken(3, 3, "a", OrderKind::Uncordon, false)),
+    ]);
+    assert!(orders(&passed_on).is_empty());
+}
+
+#[test]
+fn an_older_number_at_an_engine_that_checks() {
+    let older = entries(vec![
+        ("e", taken(2, 1, "b", OrderKind::Cordon, true)),
+        ("e", taken(1, 2, "a", OrderKind::Uncordon, true)),
+    ]);
+    assert_eq!(orders(&older).len(), 1);
+}
+
+#[test]
+fn an_order_while_another_is_carried_out() {
+    let overlapping =
+        entries(vec![("e", taken(1, 1, "a", ROLE, true)), ("e", taken(1, 2, "a", OrderKind::Cordon, true))]);
+    assert_eq!(orders(&overlapping).len(), 1);
+    assert!(orders_with_crashes(&overlapping).is_empty());
+    let in_turn = entries(vec![
+        ("e", taken(1, 1, "a", ROLE, true)),
+        ("e", done(1, 1)),
+        ("e", taken(1, 2, "a", OrderKind::Cordon, true)),
+    ]);
+    assert!(orders(&in_turn).is_empty());
+    let elsewhere =
+        entries(vec![("e", taken(1, 1, "a", ROLE, true)), ("f", taken(1, 2, "a", OrderKind::Cordon, true))]);
+    assert!(orders(&elsewhere).is_empty());
+}
+
+#[test]
+fn a_request_that_was_cut() {
+    assert_eq!(cuts(&entries(vec![("e", Event::Cut { request: "r".into() })])).len(), 1);
+    assert!(cuts(&entries(vec![("e", ran("r", None))])).is_empty());
+}
+
+#[test]
+fn a_wrong_answer_told_as_whole() {
+    assert_eq!(exactness(&entries(vec![("c", got("r", "whole", false))])).len(), 1);
+    let honest = entries(vec![("c", got("r", "ran", false)), ("c", got("s", "whole", true))]);
+    assert!(exactness(&honest).is_empty());
+}
+
+#[test]
+fn not_run_told_of_what_ran() {
+    assert_eq!(not_run(&entries(vec![("e", ran("r", None)), ("c", got("r", "not_run", false))])).len(), 1);
+    let honest = entries(vec![("e", ran("r", None)), ("c", got("s", "not_run", false))]);
+    assert!(not_run(&honest).is_empty());
+}
+
+#[test]
+fn a_key_that_ran_twice() {
+    let twice = entries(vec![("e", ran("r", Some("k"))), ("f", ran("s", Some("k")))]);
+    assert_eq!(at_most_once(&twice).len(), 1);
+    let once = entries(vec![("e", ran("r", Some("k"))), ("f", ran("s", Some("l"))), ("f", ran("t", None))]);
+    assert!(at_most_once(&once).is_empty());
+}
+
+#[test]
+fn work_that_begins_at_a_leaving_endpoint() {
+    let late = entries(vec![("e", ran("r", None)), ("e", ran("s", None))]);
+    assert_eq!(quiet_after(&late, &["e"], 0).len(), 1);
+    assert!(quiet_after(&late, &["f"], 0).is_empty());
+}
