Add a bench of the decisions on the engine model

Eight dispatchers that do not see each other's state against twelve engines of the model that the engine stand-in runs, through swings of the mix; baselines and a bound from above in the same run.

--- /dev/null
+++ b/experiments/benches/scale.rs
@@ -0,0 +1,3 @@
+//! What the decisions cost at the sizes of today and of the target.
+
+fn main() {}
--- /dev/null
+++ b/experiments/examples/policy.rs
@@ -0,0 +1,203 @@
+//! Compare the policies through swings of the mix, and write tables, CSV and plots.
+
+use std::{
+    error::Error,
+    path::PathBuf,
+    sync::atomic::{AtomicUsize, Ordering},
+    thread,
+};
+
+use bpaf::Bpaf;
+use dahliaseam_core::{
+    endpoint::Role,
+    planner::{PlannerMode, PlannerSettings, RoleRates},
+};
+use experiments::{
+    report::{Cell, csv, plot, table},
+    routing::Which,
+    workload::{User, Workload},
+    world::{Fault, Setup, run},
+};
+use stand_ins::model::ModelParams;
+
+/// Compare dahliaseam's decisions with baselines on the engine model
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Seeds of each setting
+    #[bpaf(argument("N"), fallback(10))]
+    seeds: u64,
+    /// Seconds of each run
+    #[bpaf(argument("N"), fallback(240.0))]
+    seconds: f64,
+    /// Folder for the CSV and the plots
+    #[bpaf(argument("DIR"))]
+    out: Option<PathBuf>,
+    /// File with the engine model's parameters, in JSON
+    #[bpaf(argument("FILE"))]
+    params: Option<PathBuf>,
+    /// Parts to run: loads, faults, roles
+    #[bpaf(positional("PART"))]
+    parts: Vec<String>,
+}
+
+const ENGINES: usize = 12;
+const DAEMONS: usize = 8;
+const SWING: f64 = 60.0;
+const LOADS: [f64; 5] = [0.5, 0.8, 1.0, 1.2, 1.5];
+
+/// One setting, to be run with several seeds.
+struct Task {
+    scenario: String,
+    policy: String,
+    x: f64,
+    setup: Setup,
+}
+
+struct Bench {
+    seeds: u64,
+    seconds: f64,
+    params: ModelParams,
+}
+
+impl Bench {
+    fn setup(&self, user: User, load: f64, which: Which) -> Setup {
+        Setup {
+            workload: Workload { user, load, engines: ENGINES, seconds: self.seconds, swing: SWING },
+            which,
+            daemons: DAEMONS,
+            roles: vec![Role::Mixed; ENGINES],
+            params: self.params,
+            planner: None,
+            fault: Fault::None,
+            seed: 0,
+        }
+    }
+
+    fn loads(&self) -> Vec<Task> {
+        let mut tasks = Vec::new();
+        for user in User::ALL {
+            for load in LOADS {
+                for which in Which::ALL {
+                    tasks.push(Task {
+                        scenario: format!("{} at {load}", user.name()),
+                        policy: which.name().to_owned(),
+                        x: load,
+                        setup: self.setup(user, load, which),
+                    });
+                }
+            }
+        }
+        tasks
+    }
+
+    fn faults(&self) -> Vec<Task> {
+        let mut tasks = Vec::new();
+        let lag = |seconds: f64| ModelParams { report_lag: seconds, ..self.params };
+        let cases = [
+            ("reports 0.5 s late", lag(0.5), Fault::None),
+            ("reports 2 s late", lag(2.0), Fault::None),
+            ("reports 10 s late", lag(10.0), Fault::None),
+            ("a third withdrawn", self.params, Fault::Withdrawn),
+            ("a hall lost for 30 s", self.params, Fault::HallLost),
+            ("a daemon deaf for 20 s", self.params, Fault::DaemonDeaf),
+        ];
+        for (name, params, fault) in cases {
+            for which in [Which::LeastReported, Which::TwoChoices, Which::Product] {
+                let setup = Setup { params, fault, ..self.setup(User::Fjordkjede, 0.9, which) };
+                tasks.push(Task { scenario: name.to_owned(), policy: which.name().to_owned(), x: 0.0, setup });
+            }
+        }
+        tasks
+    }
+
+    fn roles(&self) -> Vec<Task> {
+        let rates = RoleRates { prefill: 7_900.0, decode: 1_450.0, mixed_share: 0.85 };
+        let planner = |mode, price| {
+            let change_seconds = self.params.change_seconds;
+            Some((PlannerSettings { mode, price, change_seconds, ..PlannerSettings::default() }, rates))
+        };
+        let mut split = vec![Role::Prefill; ENGINES / 2];
+        split.resize(ENGINES, Role::Decode);
+        let mixed = vec![Role::Mixed; ENGINES];
+        let modes = [
+            ("all mixed, never", &mixed, None),
+            ("half split, never", &split, None),
+            ("half split, greedy", &split, planner(PlannerMode::Greedy, 0.0)),
+            ("half split, hysteresis", &split, planner(PlannerMode::Hysteresis, 0.0)),
+            ("half split, price 4", &split, planner(PlannerMode::Priced, 4.0)),
+            ("half split, price 40", &split, planner(PlannerMode::Priced, 40.0)),
+            ("all mixed, price 4", &mixed, planner(PlannerMode::Priced, 4.0)),
+            ("all mixed, greedy", &mixed, planner(PlannerMode::Greedy, 0.0)),
+        ];
+        let mut tasks = Vec::new();
+        for user in User::ALL {
+            for load in [0.8, 1.2] {
+                for (name, roles, planner) in modes {
+                    let setup = Setup { roles: roles.clone(), planner, ..self.setup(user, load, Which::Product) };
+                    let scenario = format!("{} at {load}", user.name());
+                    tasks.push(Task { scenario, policy: name.to_owned(), x: load, setup });
+                }
+            }
+        }
+        tasks
+    }
+
+    /// Run all seeds of all tasks on all cores.
+    fn run(&self, tasks: Vec<Task>) -> Vec<Cell> {
+        let next = AtomicUsize::new(0);
+        let seeds = self.seeds as usize;
+        let count = tasks.len() * seeds;
+        let work = || {
+            let mut done = Vec::new();
+            loop {
+                let n = next.fetch_add(1, Ordering::Relaxed);
+                if n >= count {
+                    return done;
+                }
+                let setup = Setup { seed: (n % seeds) as u64 + 1, ..tasks[n / seeds].setup.clone() };
+                done.push((n, run(&setup)));
+            }
+        };
+        let threads = thread::available_parallelism().map_or(1, std::num::NonZero::get);
+        let mut all: Vec<_> = thread::scope(|scope| {
+            let handles: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+            handles.into_iter().flat_map(|h| h.join().unwrap_or_default()).collect()
+        });
+        all.sort_by_key(|(n, _)| *n);
+        let mut outcomes = all.into_iter().map(|(_, outcome)| outcome);
+        let cell = |task: Task| {
+            let runs = outcomes.by_ref().take(seeds).collect();
+            Cell { scenario: task.scenario, policy: task.policy, x: task.x, runs }
+        };
+        tasks.into_iter().map(cell).collect()
+    }
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let args = options().run();
+    let params = match &args.params {
+        Some(path) => serde_json::from_slice(&std::fs::read(path)?)?,
+        None => ModelParams::default(),
+    };
+    let bench = Bench { seeds: args.seeds, seconds: args.seconds, params };
+    let wanted = |part: &str| args.parts.is_empty() || args.parts.iter().any(|p| p == part);
+    for (part, tasks) in [("loads", bench.loads()), ("faults", bench.faults()), ("roles", bench.roles())] {
+        if !wanted(part) {
+            continue;
+        }
+        let cells = bench.run(tasks);
+        println!("## {part}: {} seeds of {} s, {ENGINES} engines, {DAEMONS} daemons\n", args.seeds, args.seconds);
+        println!("{}", table(&cells));
+        let Some(dir) = &args.out else { continue };
+        std::fs::create_dir_all(dir)?;
+        std::fs::write(dir.join(format!("{part}.csv")), csv(&cells))?;
+        if part == "loads" {
+            for user in User::ALL {
+                let mine: Vec<_> = cells.iter().filter(|c| c.scenario.starts_with(user.name())).cloned().collect();
+                plot(&dir.join(format!("loads-{}.svg", user.name())), user.name(), &mine)?;
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/experiments/src/bound.rs
@@ -0,0 +1,39 @@
+//! What no policy can exceed.
+//!
+//! A relaxation: engines that always run full batches, never wait for prompts, keep every prefix
+//! cached after its first use and may serve parts of requests. Then the best choice is by worth
+//! for cost until the engines' time is used up, in each stretch of the run that holds together.
+
+use std::collections::HashSet;
+
+use stand_ins::model::ModelParams;
+
+use crate::workload::{Arrival, User, cost};
+
+/// The largest weight that could be answered in time.
+#[must_use]
+pub fn upper(arrivals: &[Arrival], user: User, engines: usize, seconds: f64, params: &ModelParams) -> f64 {
+    let kinds = user.kinds();
+    let slack = kinds.iter().map(|k| k.deadline).fold(0.0, f64::max);
+    let mut seen = HashSet::new();
+    let mut jobs: Vec<(f64, f64)> = arrivals
+        .iter()
+        .map(|a| {
+            let cached = if seen.insert(a.prefix) { 0.0 } else { params.cached_share };
+            let prompt = f64::from(a.prompt) * (1.0 - cached);
+            (kinds[a.kind].traits.weight, cost(prompt, f64::from(a.output), params))
+        })
+        .collect();
+    jobs.sort_by(|a, b| (b.0 / b.1).total_cmp(&(a.0 / a.1)));
+    let mut left = engines as f64 * (seconds + slack);
+    let mut total = 0.0;
+    for (weight, cost) in jobs {
+        let part = (left / cost).min(1.0);
+        total += weight * part;
+        left -= cost * part;
+        if left <= 0.0 {
+            break;
+        }
+    }
+    total
+}
--- /dev/null
+++ b/experiments/src/report.rs
@@ -0,0 +1,140 @@
+//! Medians and spreads over seeds, as tables, CSV and plots.
+
+use std::{error::Error, fmt::Write, path::Path};
+
+use plotters::prelude::*;
+
+use crate::world::Outcome;
+
+/// The runs of one setting, one for each seed.
+#[derive(Clone, Debug)]
+pub struct Cell {
+    /// What is compared: the scenario.
+    pub scenario: String,
+    /// And the policy.
+    pub policy: String,
+    /// A number to plot against, such as the load.
+    pub x: f64,
+    /// The runs.
+    pub runs: Vec<Outcome>,
+}
+
+/// Median, least and greatest.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Spread {
+    /// The median.
+    pub median: f64,
+    /// The least.
+    pub low: f64,
+    /// The greatest.
+    pub high: f64,
+}
+
+impl Cell {
+    /// The spread of a figure over the seeds.
+    #[must_use]
+    pub fn spread(&self, figure: impl Fn(&Outcome) -> f64) -> Spread {
+        let mut values: Vec<_> = self.runs.iter().map(figure).collect();
+        values.sort_by(f64::total_cmp);
+        let at = |i: usize| values.get(i).copied().unwrap_or(0.0);
+        Spread { median: at(values.len() / 2), low: at(0), high: at(values.len().saturating_sub(1)) }
+    }
+}
+
+/// Goodput as a share of the bound.
+#[must_use]
+pub fn of_bound(outcome: &Outcome) -> f64 {
+    outcome.goodput / outcome.bound.max(f64::MIN_POSITIVE)
+}
+
+/// A Markdown table.
+#[must_use]
+pub fn table(cells: &[Cell]) -> String {
+    let mut out = String::from(
+        "| scenario | policy | goodput of bound | spread | long kind in time | short kind in time | refused | late | \
+         wasted | changes |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for cell in cells {
+        let good = cell.spread(of_bound);
+        let median = |figure: fn(&Outcome) -> f64| cell.spread(figure).median;
+        let _ = writeln!(
+            out,
+            "| {} | {} | {:.3} | {:.3} to {:.3} | {:.4} | {:.4} | {:.0} | {:.0} | {:.3} | {:.0} |",
+            cell.scenario,
+            cell.policy,
+            good.median,
+            good.low,
+            good.high,
+            median(|o| o.in_time[0]),
+            median(|o| o.in_time[1]),
+            median(|o| o.refused as f64),
+            median(|o| o.late as f64),
+            median(|o| o.wasted),
+            median(|o| o.changes as f64),
+        );
+    }
+    out
+}
+
+/// One line a run.
+#[must_use]
+pub fn csv(cells: &[Cell]) -> String {
+    let mut out = String::from(
+        "scenario,policy,x,seed,goodput,bound,offered,in_time_long,in_time_short,refused,late,wasted,changes\n",
+    );
+    for cell in cells {
+        for (seed, o) in cell.runs.iter().enumerate() {
+            let _ = writeln!(
+                out,
+                "{},{},{},{seed},{:.1},{:.1},{:.1},{:.4},{:.4},{},{},{:.4},{}",
+                cell.scenario,
+                cell.policy,
+                cell.x,
+                o.goodput,
+                o.bound,
+                o.offered,
+                o.in_time[0],
+                o.in_time[1],
+                o.refused,
+                o.late,
+                o.wasted,
+                o.changes,
+            );
+        }
+    }
+    out
+}
+
+/// Lines of goodput over `x`, one for each policy, as SVG.
+///
+/// # Errors
+/// Why the file cannot be written.
+pub fn plot(path: &Path, title: &str, cells: &[Cell]) -> Result<(), Box<dyn Error>> {
+    let root = SVGBackend::new(path, (720, 440)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let xs = || cells.iter().map(|c| c.x);
+    let (low, high) = (xs().fold(f64::MAX, f64::min), xs().fold(f64::MIN, f64::max));
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(48)
+        .build_cartesian_2d(low..high, 0.0..1.05)?;
+    chart.configure_mesh().x_desc("load, of capacity").y_desc("goodput, of the bound").draw()?;
+    let mut policies: Vec<_> = cells.iter().map(|c| c.policy.clone()).collect();
+    policies.dedup();
+    policies.sort();
+    policies.dedup();
+    for (n, policy) in policies.iter().enumerate() {
+        let color = Palette99::pick(n).mix(1.0);
+        let mine = cells.iter().filter(|c| c.policy == *policy);
+        let points: Vec<_> = mine.map(|c| (c.x, c.spread(of_bound).median)).collect();
+        chart
+            .draw_series(LineSeries::new(points, color.stroke_width(2)))?
+            .label(policy.as_str())
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color.stroke_width(2)));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    root.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/experiments/src/roles.rs
@@ -0,0 +1,63 @@
+//! Role changes in a run: the planner's decisions, carried out as control does it.
+
+use dahliaseam_core::{
+    endpoint::Role,
+    mix::Demand,
+    planner::{Outlook, Planner, PlannerSettings, RoleCounts, RoleRates},
+    time::Time,
+};
+
+/// A change under way.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stage {
+    /// It waits until nothing runs.
+    Emptying(Role),
+    /// It is away until this second.
+    Away(Role, f64),
+}
+
+/// The planner of a run.
+#[derive(Debug)]
+pub struct Roles {
+    settings: PlannerSettings,
+    rates: RoleRates,
+    planner: Planner,
+    /// Changes under way, by engine.
+    pub under_way: Vec<Option<Stage>>,
+    /// Changes decided on.
+    pub changes: usize,
+}
+
+impl Roles {
+    /// A planner for so many engines.
+    #[must_use]
+    pub fn new(settings: PlannerSettings, rates: RoleRates, engines: usize) -> Self {
+        Self { settings, rates, planner: Planner::default(), under_way: vec![None; engines], changes: 0 }
+    }
+
+    /// The change to begin now: an engine and its new role.
+    pub fn decide(&mut self, roles: &[Role], running: &[u32], demands: &[Outlook], now: Time) -> Option<(usize, Role)> {
+        let sum = |pick: fn(&Outlook) -> Demand| demands.iter().map(pick).fold(Demand::default(), Demand::plus);
+        let outlook = Outlook { short: sum(|o| o.short), long: sum(|o| o.long) };
+        let mut counts = RoleCounts::default();
+        for (engine, role) in roles.iter().enumerate() {
+            let role = match self.under_way[engine] {
+                Some(Stage::Emptying(role) | Stage::Away(role, _)) => role,
+                None => *role,
+            };
+            match role {
+                Role::Prefill => counts.prefill += 1,
+                Role::Decode => counts.decode += 1,
+                Role::Mixed => counts.mixed += 1,
+                Role::Plain => {}
+            }
+        }
+        let in_flight = self.under_way.iter().flatten().count();
+        let change = self.planner.plan(&self.settings, self.rates, counts, outlook, in_flight, now)?;
+        let candidates = (0..roles.len()).filter(|e| roles[*e] == change.from && self.under_way[*e].is_none());
+        let engine = candidates.min_by_key(|e| running[*e])?;
+        self.under_way[engine] = Some(Stage::Emptying(change.to));
+        self.changes += 1;
+        Some((engine, change.to))
+    }
+}
