Bring about what three proofs did not reach

No protected kind ran on engines, so a role change that did not wait cut nothing that counts; the store never showed an old copy, so nothing could revert; and no check knew that a settled order must never take effect. Each is now brought about: a protected kind on engines, stale reads, settled orders.

--- a/crates/core/tests/custody.rs
+++ b/crates/core/tests/custody.rs
@@ -117,6 +117,8 @@
     holders: Vec<Holder>,
     starts: u64,
     in_flight: Vec<Order>,
+    /// Orders that were settled as not taken: they must never take effect.
+    settled: Vec<Order>,
 }
 
 #[derive(Clone, Debug)]
@@ -151,6 +153,23 @@
             holders: (0..HOLDERS).map(holder).collect(),
             starts: 1,
             in_flight: Vec::new(),
+            settled: Vec::new(),
+        }
+    }
+
+    fn deliver(&mut self, order: &Order) {
+        let before = self.engine.taken;
+        self.engine.take(order);
+        if self.engine.taken > before && self.settled.contains(order) {
+            self.engine.faults.push(format!("{order:?} took effect after it was settled as not taken"));
+        }
+    }
+
+    fn settle(&mut self, next: &EngineRecord) {
+        let Some(intent) = self.record.intent.clone().filter(|_| next.intent.is_none()) else { return };
+        let last = self.engine.crashed_at.max((self.engine.status.epoch, self.engine.status.sequence));
+        if last < (intent.epoch, intent.sequence) {
+            self.settled.push(intent);
         }
     }
 
@@ -174,7 +193,7 @@
                 if let Some(order) = self.holders[*n].deciding.take() {
                     self.holders[*n].status = None;
                     if *delivered {
-                        self.engine.take(&order);
+                        self.deliver(&order);
                     } else {
                         self.in_flight.push(order);
                     }
@@ -183,7 +202,7 @@
             Move::Deliver(n) => {
                 if !self.in_flight.is_empty() {
                     let order = self.in_flight.remove(n % self.in_flight.len());
-                    self.engine.take(&order);
+                    self.deliver(&order);
                 }
             }
             Move::Finish => self.engine.finish(),
@@ -223,6 +242,7 @@
             Step::Write(record) => {
                 let applied = revision == self.revision;
                 if applied {
+                    self.settle(&record);
                     self.record = record;
                     self.revision += 1;
                 }
--- a/proofs/src/cluster.rs
+++ b/proofs/src/cluster.rs
@@ -443,7 +443,8 @@
         self.fault(&self.endpoints[name].address, fault).await;
     }
 
-    /// The resources of this deployment: Fjordkjede's, with these endpoints.
+    /// The resources of this deployment: Fjordkjede's, with these endpoints and a protected kind
+    /// that engines serve.
     ///
     /// # Panics
     /// When the committed file is broken.
@@ -463,6 +464,10 @@
             }
             resources.push(json!({ "kind": "endpoint", "name": name, "spec": spec }));
         }
+        let protected = json!({
+            "priority": 8, "weight": 4, "deadline_ms": 10_000, "repeatable": true, "protected": true,
+        });
+        resources.push(json!({ "kind": "kind", "name": "counter-answer", "spec": protected }));
         for resource in &mut resources {
             if resource["kind"] == "role" {
                 // Tests change roles themselves.
--- a/proofs/src/load.rs
+++ b/proofs/src/load.rs
@@ -43,7 +43,7 @@
 }
 
 /// The kinds that a load consists of.
-pub const KINDS: [&str; 4] = ["stock-ping", "order-confirm", "chat-reply", "catalogue-query"];
+pub const KINDS: [&str; 5] = ["stock-ping", "order-confirm", "counter-answer", "chat-reply", "catalogue-query"];
 
 /// A request of the given kind, told apart by `n`.
 #[must_use]
@@ -54,6 +54,13 @@
         "order-confirm" => {
             Call { target: "till".into(), prompt: format!("order {n}"), key: Some(format!("order-{n}")), ..base }
         }
+        "counter-answer" => Call {
+            target: "catalogue-7b".into(),
+            prompt: format!("contract {n}: may the number move?"),
+            tokens: mix.chat_tokens,
+            stream: n.is_multiple_of(3),
+            ..base
+        },
         "chat-reply" => Call {
             target: "catalogue-7b".into(),
             prompt: format!("chat {n}: which pad fits?"),
@@ -126,7 +133,7 @@
 /// Requests of protected kinds that did not get their whole answer.
 #[must_use]
 pub fn unprotected(answers: &[(Call, Got)]) -> Vec<String> {
-    let protected = |call: &Call| matches!(call.kind.as_str(), "stock-ping" | "order-confirm");
+    let protected = |call: &Call| matches!(call.kind.as_str(), "stock-ping" | "order-confirm" | "counter-answer");
     let bad = answers.iter().filter(|(call, got)| protected(call) && !(got.outcome == "whole" && got.exact));
     bad.map(|(call, got)| format!("{} {}: {got:?}", call.kind, call.prompt)).collect()
 }
--- a/proofs/tests/config.rs
+++ b/proofs/tests/config.rs
@@ -250,6 +250,28 @@
     assert!(status == 503 || status == 504, "{status}");
 }
 
+#[tokio::test]
+async fn the_service_shows_a_stale_copy_after_an_outage() {
+    let cluster = start(false).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let watching = watch_generations(&cluster, &stop);
+    let troubling = async {
+        for rate in 1..4 {
+            cluster.apply_eventually(&[json!({ "kind": "team", "name": "stale", "spec": { "rate": rate } })]).await;
+            // Watches break, and the read that follows shows the copy before the last change.
+            cluster.fault(&cluster.kv, &json!({ "down": true })).await;
+            tokio::time::sleep(Duration::from_millis(800)).await;
+            cluster.fault(&cluster.kv, &json!({ "stale_reads": true })).await;
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+            cluster.fault(&cluster.kv, &json!({})).await;
+        }
+        stop.store(true, Ordering::Relaxed);
+    };
+    let (seen, ()) = tokio::join!(watching, troubling);
+    assert!(seen.values().all(|views| views.len() > 50), "{} daemons were watched", seen.len());
+    expect_none("never reverts", &reverts(&seen));
+}
+
 #[tokio::test]
 async fn bad_changes_name_the_field_and_change_nothing() {
     let cluster = start(false).await;
--- a/stand-ins/src/kv.rs
+++ b/stand-ins/src/kv.rs
@@ -36,6 +36,8 @@
     pub slow_ms: u64,
     /// So many writes take effect and lose their answer.
     pub lose_answers: u32,
+    /// Reads show what was there before the last change.
+    pub stale_reads: bool,
 }
 
 /// Time between two signs of life on a watch.
@@ -56,6 +58,7 @@
 struct Store {
     revision: i64,
     keys: BTreeMap<String, Stored>,
+    before: BTreeMap<String, Stored>,
     leases: HashMap<i64, (Instant, Duration)>,
     next_lease: i64,
     calls: BTreeMap<String, u64>,
@@ -80,6 +83,7 @@
         let state: Shared = Arc::new(Mutex::new(Store {
             revision: 1,
             keys: BTreeMap::new(),
+            before: BTreeMap::new(),
             leases: HashMap::new(),
             next_lease: 1,
             calls: BTreeMap::new(),
@@ -182,7 +186,11 @@
         } else {
             self.keys.range(key..end).collect()
         };
-        let kvs: Vec<_> = entries.into_iter().map(|(k, s)| raw(k, s)).collect();
+        let shown = |k: &String, s: &Stored| {
+            let old = self.before.get(k).filter(|_| self.fault.stale_reads);
+            raw(k, old.unwrap_or(s))
+        };
+        let kvs: Vec<_> = entries.into_iter().map(|(k, s)| shown(k, s)).collect();
         json!({ "header": self.header(), "kvs": kvs, "count": kvs.len().to_string() })
     }
 
@@ -232,7 +240,9 @@
             mod_revision: revision,
             lease: number(put, "lease"),
         };
-        self.keys.insert(key.clone(), stored.clone());
+        if let Some(old) = self.keys.insert(key.clone(), stored.clone()) {
+            self.before.insert(key.clone(), old);
+        }
         let _ = self.changes.send((key, Some(stored)));
     }
 }
