Hold work back where its worth can still be weighed, and count the harm a prompt does

Cause: at 1.2 of capacity 30% of the generated tokens belonged to answers that came too late. Steps of a mixed engine are up to eight times as long while it processes prompts, but the learned step was bounded at four times the configured one, so chat replies were sent that could not be in time; and most work was sent at once, so that refusals fell on whoever came last, not on the least worth.

Changes: the learned step may be ten times the configured one; a daemon's window starts at its share and does not grow beyond; engines with 1.5 s of prompts before them get only urgent kinds; a tenth of the time by which a prompt holds up others' sequences counts in the choice.

Also: a role change that did not wait for the engine to be empty still passed its proof, since protected answers were seldom there; they now always are.

--- a/crates/core/src/choose.rs
+++ b/crates/core/src/choose.rs
@@ -25,6 +25,10 @@
 const NEAR: f64 = 1.1;
 /// And within these seconds.
 const NEAR_SECONDS: f64 = 0.002;
+/// Seconds of prompts that may wait at an engine for other kinds than urgent ones.
+const BACKLOG: f64 = 1.5;
+/// Part of the harm to others that counts in the choice.
+const HARM: f64 = 0.1;
 /// Places in a window that only urgent kinds use.
 const HEADROOM: f64 = 1.0;
 
@@ -123,6 +127,9 @@
     pub prefill: Option<EndpointKey>,
     /// The predicted times.
     pub prediction: Prediction,
+    /// Seconds by which candidates are compared: until the whole answer, and a part of those by
+    /// which the prompt holds up what the engine generates for others.
+    pub score: f64,
     /// Why it was passed over, if it was.
     pub skipped: Option<Skip>,
 }
@@ -174,11 +181,11 @@
         .map(|key| judge(rows, key, prefill, request, now))
         .collect();
     let open: Vec<_> = candidates.iter().filter(|c| c.skipped.is_none()).collect();
-    let Some(best) = open.iter().map(|c| c.prediction.whole).reduce(f64::min) else {
+    let Some(best) = open.iter().map(|c| c.score).reduce(f64::min) else {
         return Err(candidates);
     };
     let bound = (best * NEAR).max(best + NEAR_SECONDS);
-    let near: Vec<_> = open.iter().filter(|c| c.prediction.whole <= bound).collect();
+    let near: Vec<_> = open.iter().filter(|c| c.score <= bound).collect();
     let reason = match (open.len(), near.len()) {
         (1, _) => Reason::OnlyOne,
         (_, 1) => Reason::Fastest,
@@ -219,7 +226,16 @@
         Some((k, p)) if row.role != Role::Plain && prefers_split(p) => (Some(k), p),
         _ => (None, alone),
     };
-    Candidate { endpoint: key, prefill, prediction, skipped: skip(row, key, request, now) }
+    let harm = if prefill.is_some() { 0.0 } else { crate::predict::harm(row, &request.spec) };
+    let score = HARM.mul_add(harm, prediction.whole);
+    Candidate { endpoint: key, prefill, prediction, score, skipped: skip(row, key, request, now) }
+}
+
+/// Whether an engine has enough prompts before it for now: what waits here can still be chosen
+/// by its worth, what waits there cannot.
+fn is_backlogged(row: &Endpoint, request: &Request, now: Time) -> bool {
+    let seconds = crate::predict::backlog(row, now) / row.rates.prefill;
+    row.role != Role::Plain && !request.spec.kind.is_urgent() && seconds > BACKLOG
 }
 
 fn skip(row: &Endpoint, key: EndpointKey, request: &Request, now: Time) -> Option<Skip> {
@@ -233,7 +249,7 @@
         Some(Skip::Ejected)
     } else if adapter != 0 && !row.adapters.contains(&adapter) {
         Some(Skip::NoAdapter)
-    } else if !row.window.has_room(headroom) {
+    } else if !row.window.has_room(headroom) || is_backlogged(row, request, now) {
         Some(Skip::Full)
     } else {
         None
--- a/crates/core/src/endpoint.rs
+++ b/crates/core/src/endpoint.rs
@@ -130,7 +130,7 @@
             own_since: 0.0,
             peer_prefill: 0.0,
             rates,
-            window: Window::new(start, 4.0 * slots),
+            window: Window::new(start, start),
             health: Health::default(),
             prefixes: HashMap::new(),
             adapters: Vec::new(),
--- a/crates/core/src/predict.rs
+++ b/crates/core/src/predict.rs
@@ -14,8 +14,9 @@
 pub const TRANSFER_PER_KTOKEN: f64 = 0.004;
 /// Seconds of fixed cost of such a move.
 pub const TRANSFER_BASE: f64 = 0.005;
-/// Bounds of a learned rate against the configured one.
-const LEARN_BOUND: f64 = 4.0;
+/// Bounds of a learned rate against the configured one. Prompts between the steps of a mixed
+/// engine make a step up to eight times as long as in a batch that only generates.
+const LEARN_BOUND: f64 = 10.0;
 
 /// The predicted times of one request at one endpoint, in seconds from now.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -85,6 +86,13 @@
     Prediction { first, whole }
 }
 
+/// Seconds by which `spec`'s prompt holds up what `endpoint` generates, summed over its sequences.
+#[must_use]
+pub fn harm(endpoint: &Endpoint, spec: &RequestSpec) -> f64 {
+    let running = endpoint.report.running.max(endpoint.window.in_flight());
+    f64::from(running) * uncached(endpoint, spec) / endpoint.rates.prefill
+}
+
 /// Learn the prefill rate from a first token that took `seconds` for `tokens` of work.
 pub fn learn_prefill(endpoint: &mut Endpoint, tokens: f64, seconds: f64, configured: f64) {
     if seconds <= 0.0 || tokens < 64.0 {
--- a/proofs/src/load.rs
+++ b/proofs/src/load.rs
@@ -26,11 +26,13 @@
     pub chat_tokens: u32,
     /// Whether callers send to one daemon first and another after a refusal.
     pub try_another: bool,
+    /// The one kind to send, in place of all.
+    pub only: Option<&'static str>,
 }
 
 impl Default for Mix {
     fn default() -> Self {
-        Self { pause_ms: 5, prompt_bytes: 800, chat_tokens: 40, try_another: true }
+        Self { pause_ms: 5, prompt_bytes: 800, chat_tokens: 40, try_another: true, only: None }
     }
 }
 
@@ -93,7 +95,7 @@
                 stop: Arc::clone(&stop),
                 sent: Arc::clone(&sent),
                 mix,
-                first: n as u64 * 1_000_000,
+                first: (seed * 100 + n as u64) * 1_000_000,
                 rng: SmallRng::seed_from_u64(seed + n as u64),
             };
             tasks.spawn(one.run());
@@ -155,7 +157,7 @@
             if self.stop.load(Ordering::Relaxed) {
                 break;
             }
-            let kind = KINDS[self.rng.random_range(0..KINDS.len())];
+            let kind = self.mix.only.unwrap_or(KINDS[self.rng.random_range(0..KINDS.len())]);
             let call = call(kind, n, &self.mix);
             let got = self.send(&call).await;
             all.push((call, got));
--- a/proofs/tests/planned.rs
+++ b/proofs/tests/planned.rs
@@ -50,6 +50,9 @@
     let cluster = start(3, false).await;
     let caller = cluster.caller("caller");
     let load = Load::start(&caller, &cluster.callers(), CALLERS, 3, Mix::default());
+    // Protected answers are always under way at every engine.
+    let protected = Mix { chat_tokens: 120, only: Some("counter-answer"), ..Mix::default() };
+    let busy = Load::start(&caller, &cluster.callers(), 2 * CALLERS, 30, protected);
     let resources = [
         json!({ "kind": "version", "name": "catalogue-7b-r4",
             "spec": { "model": "catalogue-7b", "artifact": "catalogue-7b/r4" } }),
@@ -71,7 +74,8 @@
             ["brakes", "catalogue-7b-r4"].iter().all(|item| loaded.iter().any(|l| l == item))
         })
         .await;
-    let answers = load.finish().await;
+    let mut answers = load.finish().await;
+    answers.extend(busy.finish().await);
     check(&cluster, &answers);
 }
 
