--- /dev/null
+++ b/crates/cli/tests/command.rs
@@ -0,0 +1,119 @@
+//! The real command against snapshots: help, offline checks, errors and exit codes.
+
+#![expect(clippy::needless_raw_string_hashes, reason = "expect-test writes its snapshots so")]
+
+use std::process::Command;
+
+use expect_test::{Expect, expect};
+
+/// Run the command; its exit code, output and errors as one text.
+fn run(args: &[&str]) -> String {
+    let out = Command::new(env!("CARGO_BIN_EXE_dahliaseam"))
+        .args(args)
+        .current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."))
+        .env_remove("DAHLIASEAM_ADDRESS")
+        .env_remove("DAHLIASEAM_TOKEN")
+        .output()
+        .expect("the command runs");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    format!("exit {}\n{}{}", out.status.code().unwrap_or(-1), text(&out.stdout), text(&out.stderr))
+}
+
+fn check(args: &[&str], expected: &Expect) {
+    expected.assert_eq(&run(args));
+}
+
+fn file(name: &str, text: &str) -> String {
+    let path = std::env::temp_dir().join(format!("dahliaseam-command-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("the folder can be written");
+    path.display().to_string()
+}
+
+#[test]
+fn the_committed_examples_are_good() {
+    for user in ["fjordkjede", "portalinea"] {
+        for part in ["settings", "resources"] {
+            let path = format!("deploy/{user}/{part}.json");
+            let out = run(&["check", &path]);
+            assert!(out.starts_with("exit 0"), "{out}");
+        }
+    }
+}
+
+#[test]
+fn help() {
+    check(
+        &["drain", "--help"],
+        &expect![[r#"
+        exit 0
+        Take an endpoint out of service and wait until it is empty
+
+        Usage: dahliaseam drain [--undo] [--wait-seconds=N] ENDPOINT
+
+        Available positional items:
+            ENDPOINT              the endpoint's name
+
+        Available options:
+                --undo            put the endpoint back into service
+                --wait-seconds=N  how long to wait
+            -h, --help            Prints help information
+
+    "#]],
+    );
+}
+
+#[test]
+fn a_resource_file_with_faults() {
+    let path = file(
+        "resources.json",
+        r#"{ "resources": [
+            { "kind": "team", "name": "t", "spec": { "rate": 0 } },
+            { "kind": "endpoint", "name": "e", "spec": { "pool": "p", "address": "here", "vm": "v", "hall": "h" } } ] }"#,
+    );
+    let out = run(&["check", &path]).replace(&path, "FILE");
+    expect![[r#"
+        exit 1
+        dahliaseam: FILE: not valid
+          endpoints.e.pool: expected the name of a pool that exists, not "p"
+          endpoints.e.address: expected an IP number and a port, as in 10.0.0.1:8000
+          teams.t.rate: expected requests a second above 0
+    "#]]
+    .assert_eq(&out);
+}
+
+#[test]
+fn a_settings_file_with_a_fault() {
+    let path = file("settings.json", r#"{ "vm": "a", "colour": 1 }"#);
+    let out = run(&["check", &path]).replace(&path, "FILE");
+    expect![[r#"
+        exit 1
+        dahliaseam: FILE: colour: unknown field `colour`, expected one of `vm`, `hall`, `caller_address`, `operator_address`, `peer_address`, `peer_advertise`, `kv_address`, `vm_list_address`, `keyspace`, `peer_secret`, `operator_token`, `default_kind`, `limits`, `timing`, `policy`, `loads_per_minute`, `log`, `otlp_endpoint` at line 1 column 21
+    "#]].assert_eq(&out);
+}
+
+#[test]
+fn no_such_kind() {
+    check(
+        &["get", "engines"],
+        &expect![[r#"
+        exit 2
+        Error: couldn't parse `engines`: expected a kind of resource, such as pools or endpoints
+    "#]],
+    );
+}
+
+#[test]
+fn no_daemon() {
+    let out = run(&["--address", "127.0.0.1:1", "status"]);
+    assert!(out.starts_with("exit 3\ndahliaseam: the daemon does not answer: not sent"), "{out}");
+}
+
+#[test]
+fn a_change_needs_a_path_and_a_value() {
+    let mut spec = serde_json::json!({ "a": { "b": 1 }, "c": 2 });
+    dahliaseam::patch::set(&mut spec, "a.b=[3]").expect("it is set");
+    dahliaseam::patch::set(&mut spec, "d.e=words").expect("it is made");
+    assert_eq!(spec, serde_json::json!({ "a": { "b": [3] }, "c": 2, "d": { "e": "words" } }));
+    assert!(dahliaseam::patch::set(&mut spec, "c").is_err());
+    assert!(dahliaseam::patch::set(&mut spec, "c.x=1").is_err());
+}
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -56,6 +56,8 @@
 const RETRY_BURST: f64 = 50.0;
 /// Retries that come back a second when nothing else arrives.
 const RETRY_FLOOR: f64 = 1.0;
+/// Least share of a pool that a daemon reckons with.
+const MIN_LANES: f64 = 0.1;
 /// A refused caller is told to wait at least this long.
 const MIN_RETRY_AFTER: Span = Span::millis(200);
 
@@ -151,6 +153,8 @@
 #[derive(Clone, Debug, Default)]
 struct Pool {
     rates: Rates,
+    /// This daemon's share of the open endpoints, as of the last tick.
+    lanes: f64,
     index: PoolIndex,
     queue: Queue,
     mix: Mix,
@@ -213,6 +217,7 @@
         let hash = row.hash;
         let key = self.endpoints.0.insert(row);
         self.pools[pool].index.insert(key, hash, role);
+        self.count_lanes(pool, Time::default());
         key
     }
 
@@ -222,6 +227,7 @@
             return Vec::new();
         };
         row.duty = Duty::Leaving;
+        row.removed = true;
         let pool = row.pool;
         self.pools[pool].index.remove(key);
         if self.requests.values().any(|r| uses(r, key)) {
@@ -368,6 +374,7 @@
         let mut actions = self.stalled(now);
         let pools: Vec<_> = self.pools.keys().collect();
         for pool in pools {
+            self.count_lanes(pool, now);
             actions.extend(self.pump(pool, now));
         }
         actions
@@ -401,20 +408,24 @@
         }
     }
 
-    /// Note how the present attempt ended, and at which of its two engines.
+    /// Note how the present attempt ended, and at which of its two engines. Without an attempt
+    /// there is nothing to end, and nothing changes.
     pub fn attempt_ended(&mut self, key: RequestKey, end: AttemptEnd, at: Site, now: Time) -> Next {
         let Some(request) = self.requests.get_mut(key) else {
             return Next::Over(Outcome::Unknown);
         };
         let spec = request.spec;
-        if let Stage::Running { endpoint, prefill } = request.stage {
-            let visit = Visit::of(request, endpoint, prefill);
-            request.ends.push(end);
-            if end != AttemptEnd::Whole && end != AttemptEnd::Cancelled {
-                request.avoid.push(visit.blamed(at));
-            }
-            self.leave(&visit, &spec, end, at, now);
+        let Stage::Running { endpoint, prefill } = request.stage else {
+            return Next::Again;
+        };
+        let visit = Visit::of(request, endpoint, prefill);
+        // Whoever delivered a token cannot vouch that nothing ran.
+        let end = if request.first_seen && end.surely_not_run() { AttemptEnd::Broken } else { end };
+        request.ends.push(end);
+        if end != AttemptEnd::Whole && end != AttemptEnd::Cancelled {
+            request.avoid.push(visit.blamed(at));
         }
+        self.leave(&visit, &spec, end, at, now);
         let request = &self.requests[key];
         let outcome = combine(&request.ends);
         let may_repeat = spec.kind.repeatable || outcome == Outcome::NotRun;
@@ -489,9 +500,7 @@
     /// Drop the row of an endpoint that left its pool, once nothing is there.
     fn forget_if_removed(&mut self, key: EndpointKey) {
         let row = &self.endpoints.0[key];
-        let index = &self.pools[row.pool].index;
-        let listed = index.prefilling().contains(&key) || index.serving().any(|k| k == key);
-        if !listed && row.window.in_flight() == 0 {
+        if row.removed && row.window.in_flight() == 0 {
             self.endpoints.0.remove(key);
         }
     }
@@ -558,7 +567,7 @@
         let Some(request) = self.requests.remove(key) else { return };
         let pool = &mut self.pools[request.spec.pool];
         pool.queue.remove(&place(key, &request.spec));
-        let lanes = self.lanes(request.spec.pool, now);
+        let lanes = self.pools[request.spec.pool].lanes;
         let ahead = self.queued_cost(request.spec.pool) / lanes;
         actions.push(Action::Refuse {
             request: key,
@@ -574,7 +583,7 @@
             return;
         }
         let jobs: Vec<_> = self.pools[pool].queue.iter().map(|key| self.job(key, now)).collect();
-        for key in hopeless(&jobs, self.lanes(pool, now)) {
+        for key in hopeless(&jobs, self.pools[pool].lanes) {
             self.refuse(key, Refusal::TooLate, Vec::new(), now, actions);
         }
     }
@@ -606,12 +615,11 @@
         self.pools[pool].queue.iter().map(|key| self.cost(&self.requests[key])).sum()
     }
 
-    /// This daemon's share of the pool's open endpoints.
-    fn lanes(&self, pool: PoolKey, now: Time) -> f64 {
+    fn count_lanes(&mut self, pool: PoolKey, now: Time) {
         let index = &self.pools[pool].index;
         let all = index.serving().chain(index.prefilling().iter().copied());
         let open = all.filter(|key| self.endpoints.0[*key].is_open(now)).count();
-        (open as f64 / self.live as f64).max(0.1)
+        self.pools[pool].lanes = (open as f64 / self.live as f64).max(MIN_LANES);
     }
 
     fn stalled(&self, now: Time) -> Vec<Action> {
--- a/crates/core/src/endpoint.rs
+++ b/crates/core/src/endpoint.rs
@@ -106,6 +106,8 @@
     pub prefixes: HashMap<u64, Time>,
     /// Adapters loaded, by identifier.
     pub adapters: Vec<u64>,
+    /// Whether it left the configuration; the row goes with its last attempt.
+    pub removed: bool,
 }
 
 /// Prefixes remembered for one endpoint at most.
@@ -134,6 +136,7 @@
             health: Health::default(),
             prefixes: HashMap::new(),
             adapters: Vec::new(),
+            removed: false,
         }
     }
 
--- a/experiments/benches/scale.rs
+++ b/experiments/benches/scale.rs
@@ -1,3 +1,136 @@
 //! What the decisions cost at the sizes of today and of the target.
 
-fn main() {}
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use dahliaseam_core::{
+    custody::{EngineRecord, EngineStatus, Fencing, OrderKind, View, next},
+    dispatch::{Dispatcher, Policy, Site},
+    endpoint::{LoadReport, PoolKey, Rates, Role},
+    member::{Contact, Incarnation, MemberSettings, Members},
+    outcome::AttemptEnd,
+    request::{KindTraits, RequestSpec},
+    time::{Span, Time},
+};
+
+const ENDPOINTS: [usize; 3] = [12, 120, 2_000];
+const DAEMONS: [usize; 3] = [8, 64, 690];
+const NOW: Time = Time(1_000_000_000);
+
+fn dispatcher(endpoints: usize) -> (Dispatcher, PoolKey) {
+    let mut dispatcher = Dispatcher::new(Policy::default(), 7, NOW);
+    let pool = dispatcher.add_pool(Rates::default());
+    for n in 0..endpoints {
+        let key = dispatcher.add_endpoint(&format!("engine-{n}"), pool, Role::Mixed);
+        dispatcher.observe(key, LoadReport { running: (n % 20) as u32, ..LoadReport::default() }, NOW);
+    }
+    (dispatcher, pool)
+}
+
+fn spec(pool: PoolKey, n: u64, now: Time) -> RequestSpec {
+    RequestSpec {
+        pool,
+        kind: KindTraits { priority: 3, weight: 1.0, repeatable: true, protected: false },
+        prompt_tokens: 600,
+        output_tokens: 80,
+        prefix: n.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        adapter: 0,
+        deadline: now + Span::millis(20_000),
+    }
+}
+
+/// Take a request in, choose its endpoint, and hear that it ended.
+fn choice(c: &mut Criterion) {
+    let mut group = c.benchmark_group("request");
+    for endpoints in ENDPOINTS {
+        let (mut dispatcher, pool) = dispatcher(endpoints);
+        let mut n = 0;
+        group.bench_function(BenchmarkId::from_parameter(endpoints), |b| {
+            b.iter(|| {
+                n += 1;
+                let now = NOW + Span::millis(200 * n);
+                let key = dispatcher.submit("team", spec(pool, n, now), now).expect("there is room");
+                black_box(dispatcher.pump(pool, now));
+                dispatcher.progress(key, 1, now);
+                dispatcher.attempt_ended(key, AttemptEnd::Whole, Site::Serving, now);
+            });
+        });
+    }
+    group.finish();
+}
+
+fn tick(c: &mut Criterion) {
+    let mut group = c.benchmark_group("dispatcher tick");
+    for endpoints in ENDPOINTS {
+        let (mut dispatcher, _) = dispatcher(endpoints);
+        group.bench_function(BenchmarkId::from_parameter(endpoints), |b| {
+            b.iter(|| black_box(dispatcher.tick(NOW)));
+        });
+    }
+    group.finish();
+}
+
+fn members(daemons: usize) -> Members {
+    let contact = |n: usize| Contact {
+        vm: format!("entry-{n}"),
+        hall: format!("hall-{}", n % 12),
+        address: format!("10.0.{}.{}:8082", n / 250, n % 250),
+    };
+    let mut members = Members::new(MemberSettings::default(), contact(0), 1, 1);
+    members.list(&(0..daemons).map(contact).collect::<Vec<_>>());
+    let keys: Vec<_> = members.others().map(|(key, _)| key).collect();
+    for key in keys {
+        members.answered(key, 1, 0, NOW);
+    }
+    members
+}
+
+fn membership(c: &mut Criterion) {
+    let mut group = c.benchmark_group("membership round");
+    for daemons in DAEMONS {
+        let mut table = members(daemons);
+        let mut now = NOW;
+        group.bench_function(BenchmarkId::from_parameter(daemons), |b| {
+            b.iter(|| {
+                now = now + Span::millis(500);
+                if let Some(key) = table.probe(now) {
+                    black_box(table.take_news());
+                    table.answered(key, 1, 0, now);
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
+fn custody(c: &mut Criterion) {
+    let me = Incarnation { vm: "entry-1".into(), start: 1 };
+    let record = EngineRecord { custodian: Some(me.clone()), epoch: 3, ..EngineRecord::default() };
+    let status = EngineStatus {
+        boot: 1,
+        role: Role::Mixed,
+        cordoned: false,
+        changing: false,
+        epoch: 3,
+        sequence: 1,
+        running: 4,
+        loaded: Vec::new(),
+    };
+    let wanted = OrderKind::Cordon;
+    let view = View {
+        me: &me,
+        epoch: Some(3),
+        fencing: Fencing::Checks,
+        custodian_over: false,
+        status: Some(&status),
+        wanted: Some(&wanted),
+    };
+    c.bench_function("custody step", |b| b.iter(|| black_box(next(&record, &view))));
+}
+
+criterion_group! {
+    name = scale;
+    config = Criterion::default().sample_size(20).without_plots();
+    targets = choice, tick, membership, custody
+}
+criterion_main!(scale);
--- /dev/null
+++ b/proofs/examples/cost.rs
@@ -0,0 +1,79 @@
+//! What idle daemons cost at several sizes: calls to the key-value service, bytes between daemons,
+//! processor time and memory. Run in a release build after `cargo build --release --workspace
+//! --bins --examples`.
+
+use std::time::Duration;
+
+use dahliaseam_core::{custody::Fencing, endpoint::Role};
+use proofs::cluster::{Cluster, Plan};
+use serde_json::json;
+
+/// How long is measured.
+const MEASURED: Duration = Duration::from_secs(10);
+/// Clock ticks a second in `/proc/PID/stat`.
+const TICKS: f64 = 100.0;
+
+/// Processor seconds and resident bytes of a process.
+fn usage(pid: u32) -> (f64, u64) {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields: Vec<_> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    let pages = fields.get(21).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
+    ((ticks(11) + ticks(12)) / TICKS, pages * 4_096)
+}
+
+/// Bytes that the loopback device has carried.
+fn loopback() -> u64 {
+    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.trim().strip_prefix("lo:")).unwrap_or_default().to_owned();
+    line.split_whitespace().next().and_then(|bytes| bytes.parse().ok()).unwrap_or(0)
+}
+
+#[tokio::main]
+async fn main() {
+    let sizes: Vec<usize> = std::env::args().skip(1).filter_map(|arg| arg.parse().ok()).collect();
+    let sizes = if sizes.is_empty() { vec![2, 8, 32] } else { sizes };
+    println!("| daemons | kv calls/s | by path | bytes/s a daemon | processor a daemon | memory a daemon |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for daemons in sizes {
+        let timing = json!({ "timing": {
+            "probe_ms": 500, "suspicion_ms": 2_000, "list_ms": 1_000, "observe_ms": 500, "confirm_ms": 3_000,
+            "lease_ms": 6_000, "control_ms": 250,
+        } });
+        let plan = Plan {
+            daemons,
+            engines: vec![(Role::Mixed, Fencing::Checks); 12],
+            plains: 3,
+            settings: timing,
+            ..Plan::default()
+        };
+        let mut cluster = Cluster::start(plan).await;
+        // The engines' first loads are paced; what is measured is the steady state.
+        tokio::time::sleep(Duration::from_secs(30)).await;
+        let vms: Vec<_> = cluster.daemons.keys().cloned().collect();
+        let pids: Vec<_> = vms.iter().map(|vm| cluster.daemon(vm).id()).collect();
+        let calls_before = cluster.kv_calls().await;
+        let (bytes_before, usage_before) = (loopback(), pids.iter().map(|p| usage(*p).0).sum::<f64>());
+        tokio::time::sleep(MEASURED).await;
+        let bytes = loopback() - bytes_before;
+        let processor = pids.iter().map(|p| usage(*p).0).sum::<f64>() - usage_before;
+        let memory = pids.iter().map(|p| usage(*p).1).max().unwrap_or(0);
+        let calls = cluster.kv_calls().await;
+        let seconds = MEASURED.as_secs_f64();
+        let rates: Vec<_> = calls
+            .iter()
+            .map(|(path, count)| (path, count - calls_before.get(path).copied().unwrap_or(0)))
+            .filter(|(_, count)| *count > 0)
+            .map(|(path, count)| format!("{path} {:.1}", count as f64 / seconds))
+            .collect();
+        let all: u64 = calls.values().sum::<u64>() - calls_before.values().sum::<u64>();
+        println!(
+            "| {daemons} | {:.1} | {} | {:.0} | {:.2}% of a core | {:.1} MB |",
+            all as f64 / seconds,
+            rates.join(", "),
+            bytes as f64 / seconds / daemons as f64,
+            processor / seconds / daemons as f64 * 100.0,
+            memory as f64 / 1e6,
+        );
+    }
+}
--- /dev/null
+++ b/proofs/examples/latency.rs
@@ -0,0 +1,124 @@
+//! What a daemon adds to the first token and to each answer, against the caller talking to the
+//! stand-in itself, in one run; requests a second; memory idle and with live streams. Run in a
+//! release build after `cargo build --release --workspace --bins --examples`.
+
+use std::time::{Duration, Instant};
+
+use dahliaseam_core::{custody::Fencing, endpoint::Role};
+use hdrhistogram::Histogram;
+use proofs::{
+    cluster::{Cluster, Plan},
+    load::{Mix, call},
+};
+use stand_ins::{caller::Call, model::ModelParams};
+
+/// Requests of each comparison.
+const PAIRS: u64 = 2_000;
+/// Callers at once in the throughput run.
+const CALLERS: u64 = 64;
+/// Length of the throughput run.
+const THROUGHPUT: Duration = Duration::from_secs(5);
+/// Live streams whose memory is measured.
+const STREAMS: u64 = 500;
+/// Clock ticks a second in `/proc/PID/stat`.
+const TICKS: f64 = 100.0;
+
+fn usage(pid: u32) -> (f64, u64) {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields: Vec<_> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    let pages = fields.get(21).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
+    ((ticks(11) + ticks(12)) / TICKS, pages * 4_096)
+}
+
+fn show(what: &str, h: &Histogram<u64>) {
+    let ms = |q: f64| h.value_at_quantile(q) as f64 / 1_000.0;
+    println!("{what}: p50 {:.3} ms, p99 {:.3} ms", ms(0.5), ms(0.99));
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new(3).expect("three digits are few enough")
+}
+
+#[tokio::main]
+async fn main() {
+    let params =
+        ModelParams { step: 0.002, step_per_seq: 0.0, slots: 2_048, kv_tokens: u32::MAX, ..ModelParams::default() };
+    let plan = Plan {
+        daemons: 1,
+        engines: vec![(Role::Mixed, Fencing::Checks)],
+        plains: 1,
+        params,
+        work_ms: 0,
+        settings: serde_json::json!({ "policy": { "queue_limit": 100_000, "stall_ms": 30_000 } }),
+        ..Plan::default()
+    };
+    let mut cluster = Cluster::start(plan).await;
+    let pid = cluster.daemon("entry-1").id();
+    let idle = usage(pid).1;
+    println!("idle memory: {:.1} MB", idle as f64 / 1e6);
+    let caller = cluster.caller("caller");
+    let daemon = cluster.daemons["entry-1"].caller.clone();
+    let engine = cluster.endpoints["engine-1"].address.clone();
+
+    let (mut direct, mut through) = (histogram(), histogram());
+    for n in 0..PAIRS {
+        let ask = Call { prompt: format!("p{n}"), tokens: 1, ..call("chat-reply", n, &Mix::default()) };
+        let _ = direct.record(caller.send(&engine, &ask).await.first_micros);
+        let _ = through.record(caller.send(&daemon, &ask).await.first_micros);
+    }
+    show("first token, direct", &direct);
+    show("first token, through the daemon", &through);
+
+    throughput(&cluster, &daemon, pid).await;
+    streams(&cluster, &daemon, pid, idle).await;
+}
+
+/// Short plain calls from many callers; requests for each second of the daemon's processor time.
+async fn throughput(cluster: &Cluster, daemon: &str, pid: u32) {
+    let until = Instant::now() + THROUGHPUT;
+    let before = usage(pid).0;
+    let tasks: Vec<_> = (0..CALLERS)
+        .map(|n| {
+            let (caller, daemon) = (cluster.caller("throughput"), daemon.to_owned());
+            tokio::spawn(async move {
+                let (mut whole, mut h) = (0_u64, histogram());
+                while Instant::now() < until {
+                    let got = caller.send(&daemon, &call("stock-ping", n, &Mix::default())).await;
+                    whole += u64::from(got.outcome == "whole");
+                    let _ = h.record(got.first_micros);
+                }
+                (whole, h)
+            })
+        })
+        .collect();
+    let (mut whole, mut all) = (0, histogram());
+    for task in tasks {
+        let (count, h) = task.await.expect("callers do not panic");
+        whole += count;
+        let _ = all.add(h);
+    }
+    let processor = usage(pid).0 - before;
+    let rate = whole as f64 / THROUGHPUT.as_secs_f64();
+    println!("short plain calls: {rate:.0}/s, {:.0} for each second of a core", whole as f64 / processor);
+    show("their time", &all);
+}
+
+/// Long streams held open at once.
+async fn streams(cluster: &Cluster, daemon: &str, pid: u32, idle: u64) {
+    let tasks: Vec<_> = (0..STREAMS)
+        .map(|n| {
+            let (caller, daemon) = (cluster.caller("streams"), daemon.to_owned());
+            let ask = Call { tokens: 400, ..call("chat-reply", n, &Mix::default()) };
+            tokio::spawn(async move { caller.send(&daemon, &ask).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    let busy = usage(pid).1;
+    let mut whole = 0;
+    for task in tasks {
+        whole += u64::from(task.await.expect("callers do not panic").outcome == "whole");
+    }
+    let each = busy.saturating_sub(idle) as f64 / STREAMS as f64 / 1_024.0;
+    println!("{STREAMS} streams at once: {whole} whole, {each:.1} KB each above idle ({:.1} MB)", busy as f64 / 1e6);
+}
