Count a majority only once the newer configuration is here

Cause: a daemon that was cut off hears a peer's answer, counts it towards its majority and is ready at once, while the newer configuration that the answer names is still being fetched. Under the load of a second build beside it, the proof a_daemon_that_was_cut_off_is_not_ready_until_it_has_caught_up saw it ready with generation 1 when 14 had been accepted more than 3 s before. Ruled out: the watch and the read of the service, which put a document in force before they confirm it.

Conclusion: an answer counts, and confirms, only after the daemon has caught up with what it names.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -4,6 +4,8 @@
 //! after each change and on each tick, and carries out the [`Action`]s it returns. Each daemon
 //! runs one dispatcher and decides alone.
 
+mod shed;
+
 use std::collections::HashMap;
 
 use rand::{SeedableRng, rngs::SmallRng};
@@ -16,8 +18,8 @@
     limit::TeamLimits,
     mix::Mix,
     outcome::{AttemptEnd, Outcome, combine},
-    predict::{learn_plain, learn_prefill, learn_step, step, uncached},
-    queue::{Job, Place, Queue, hopeless},
+    predict::{learn_plain, learn_prefill, learn_step, uncached},
+    queue::{Place, Queue},
     request::{Request, RequestKey, RequestSpec, Stage},
     time::{Span, Time},
 };
@@ -578,50 +580,6 @@
         });
     }
 
-    fn shed(&mut self, pool: PoolKey, now: Time, actions: &mut Vec<Action>) {
-        if self.pools[pool].queue.is_empty() {
-            return;
-        }
-        let jobs: Vec<_> = self.pools[pool].queue.iter().map(|key| self.job(key, now)).collect();
-        for key in hopeless(&jobs, self.pools[pool].lanes) {
-            self.refuse(key, Refusal::TooLate, Vec::new(), now, actions);
-        }
-    }
-
-    fn job(&self, key: RequestKey, now: Time) -> Job {
-        let request = &self.requests[key];
-        let spec = &request.spec;
-        let rates = self.pools[spec.pool].rates;
-        let alone = f64::from(spec.prompt_tokens) / rates.prefill
-            + f64::from(request.remaining()) * (rates.step + rates.step_per_seq);
-        Job {
-            key,
-            cost: self.cost(request),
-            due: spec.deadline.since(now).as_seconds() - alone,
-            weight: spec.kind.weight,
-            can_drop: request.delivered == 0,
-        }
-    }
-
-    /// Seconds of one engine's work, at a full batch.
-    fn cost(&self, request: &Request) -> f64 {
-        let rates = self.pools[request.spec.pool].rates;
-        let slots = f64::from(rates.slots.max(1));
-        let each = (rates.step + rates.step_per_seq * slots) / slots;
-        f64::from(request.spec.prompt_tokens) / rates.prefill + f64::from(request.remaining()) * each
-    }
-
-    fn queued_cost(&self, pool: PoolKey) -> f64 {
-        self.pools[pool].queue.iter().map(|key| self.cost(&self.requests[key])).sum()
-    }
-
-    fn count_lanes(&mut self, pool: PoolKey, now: Time) {
-        let index = &self.pools[pool].index;
-        let all = index.serving().chain(index.prefilling().iter().copied());
-        let open = all.filter(|key| self.endpoints.0[*key].is_open(now)).count();
-        self.pools[pool].lanes = (open as f64 / self.live as f64).max(MIN_LANES);
-    }
-
     fn stalled(&self, now: Time) -> Vec<Action> {
         let limit = |r: &Request| self.policy.stall.max(Span::seconds(r.predicted * 3.0));
         self.requests
@@ -640,12 +598,6 @@
             .map(|(request, _)| Action::Stop { request, end: AttemptEnd::Cancelled })
             .collect()
     }
-
-    /// Seconds of one decode step at `key` as this daemon predicts it.
-    #[must_use]
-    pub fn step_at(&self, key: EndpointKey) -> f64 {
-        self.endpoints.0.get(key).map_or(0.0, step)
-    }
 }
 
 fn uses(request: &Request, key: EndpointKey) -> bool {
--- /dev/null
+++ b/crates/core/src/dispatch/shed.rs
@@ -0,0 +1,56 @@
+//! What the waiting work costs, and what is given up of it.
+
+use super::{Action, Dispatcher, MIN_LANES, Refusal};
+use crate::{
+    endpoint::PoolKey,
+    queue::{Job, hopeless},
+    request::{Request, RequestKey},
+    time::Time,
+};
+
+impl Dispatcher {
+    /// Give up the waiting work that makes the rest late.
+    pub(super) fn shed(&mut self, pool: PoolKey, now: Time, actions: &mut Vec<Action>) {
+        if self.pools[pool].queue.is_empty() {
+            return;
+        }
+        let jobs: Vec<_> = self.pools[pool].queue.iter().map(|key| self.job(key, now)).collect();
+        for key in hopeless(&jobs, self.pools[pool].lanes) {
+            self.refuse(key, Refusal::TooLate, Vec::new(), now, actions);
+        }
+    }
+
+    fn job(&self, key: RequestKey, now: Time) -> Job {
+        let request = &self.requests[key];
+        let spec = &request.spec;
+        let rates = self.pools[spec.pool].rates;
+        let alone = f64::from(spec.prompt_tokens) / rates.prefill
+            + f64::from(request.remaining()) * (rates.step + rates.step_per_seq);
+        Job {
+            key,
+            cost: self.cost(request),
+            due: spec.deadline.since(now).as_seconds() - alone,
+            weight: spec.kind.weight,
+            can_drop: request.delivered == 0,
+        }
+    }
+
+    /// Seconds of one engine's work, at a full batch.
+    fn cost(&self, request: &Request) -> f64 {
+        let rates = self.pools[request.spec.pool].rates;
+        let slots = f64::from(rates.slots.max(1));
+        let each = (rates.step + rates.step_per_seq * slots) / slots;
+        f64::from(request.spec.prompt_tokens) / rates.prefill + f64::from(request.remaining()) * each
+    }
+
+    pub(super) fn queued_cost(&self, pool: PoolKey) -> f64 {
+        self.pools[pool].queue.iter().map(|key| self.cost(&self.requests[key])).sum()
+    }
+
+    pub(super) fn count_lanes(&mut self, pool: PoolKey, now: Time) {
+        let index = &self.pools[pool].index;
+        let all = index.serving().chain(index.prefilling().iter().copied());
+        let open = all.filter(|key| self.endpoints.0[*key].is_open(now)).count();
+        self.pools[pool].lanes = (open as f64 / self.live as f64).max(MIN_LANES);
+    }
+}
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -6,7 +6,7 @@
     task::{Context, Poll},
 };
 
-use dahliaseam_core::member::{Contact, Incarnation};
+use dahliaseam_core::member::Contact;
 use dahliaseam_wire::{
     operator::{RequestRecord, VmStatus},
     peer::{Answer, DemandReport, Marks, MarksAnswer, PeerClient, PeerServer, PoolDemand, Probe},
@@ -91,10 +91,6 @@
     async fn status(&self) -> RpcResult<VmStatus> {
         Ok(operator::status::of(&self.node))
     }
-
-    async fn is_running(&self, process: Incarnation) -> RpcResult<bool> {
-        Ok(*self.node.identity.me() == process)
-    }
 }
 
 /// Serve other daemons.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -173,13 +173,15 @@
         members.apply(&answer.news, now);
         members.reach()
     };
-    node.freshness().count(reach.0, reach.1, asked);
     take_loads(node, &answer.loads, now);
     catch_up(node, address, &answer.digest).await;
-    if node.document().generation >= answer.digest.generation
-        && let Some(at) = minus(asked, answer.digest.confirmed_ms)
-    {
-        node.freshness().confirm_config(at);
+    // A daemon that knows of a newer configuration than its own has not caught up: neither may
+    // its copy count as confirmed, nor may it go on by its majority.
+    if node.document().generation >= answer.digest.generation {
+        node.freshness().count(reach.0, reach.1, asked);
+        if let Some(at) = minus(asked, answer.digest.confirmed_ms) {
+            node.freshness().confirm_config(at);
+        }
     }
     take_closed(node, &answer, asked);
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -2,7 +2,7 @@
 //!
 //! Each call carries the deployment's secret in the HTTP `authorization` header.
 
-use dahliaseam_core::member::{Contact, Incarnation, Update};
+use dahliaseam_core::member::{Contact, Update};
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 use serde::{Deserialize, Serialize};
 
@@ -166,8 +166,4 @@
     /// The state of this daemon.
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<VmStatus>;
-
-    /// Whether the process at this address is the one given.
-    #[method(name = "is_running")]
-    async fn is_running(&self, process: Incarnation) -> RpcResult<bool>;
 }
--- a/proofs/examples/cost.rs
+++ b/proofs/examples/cost.rs
@@ -5,22 +5,14 @@
 use std::time::Duration;
 
 use dahliaseam_core::{custody::Fencing, endpoint::Role};
-use proofs::cluster::{Cluster, Plan};
+use proofs::{
+    cluster::{Cluster, Plan},
+    process::usage,
+};
 use serde_json::json;
 
 /// How long is measured.
 const MEASURED: Duration = Duration::from_secs(10);
-/// Clock ticks a second in `/proc/PID/stat`.
-const TICKS: f64 = 100.0;
-
-/// Processor seconds and resident bytes of a process.
-fn usage(pid: u32) -> (f64, u64) {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    let fields: Vec<_> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
-    let pages = fields.get(21).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
-    ((ticks(11) + ticks(12)) / TICKS, pages * 4_096)
-}
 
 /// Bytes that the loopback device has carried.
 fn loopback() -> u64 {
--- a/proofs/examples/latency.rs
+++ b/proofs/examples/latency.rs
@@ -9,6 +9,7 @@
 use proofs::{
     cluster::{Cluster, Plan},
     load::{Mix, call},
+    process::usage,
 };
 use serde_json::json;
 use stand_ins::{caller::Call, model::ModelParams};
@@ -21,16 +22,6 @@
 const THROUGHPUT: Duration = Duration::from_secs(5);
 /// Live streams whose memory is measured.
 const STREAMS: u64 = 100;
-/// Clock ticks a second in `/proc/PID/stat`.
-const TICKS: f64 = 100.0;
-
-fn usage(pid: u32) -> (f64, u64) {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    let fields: Vec<_> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
-    let pages = fields.get(21).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
-    ((ticks(11) + ticks(12)) / TICKS, pages * 4_096)
-}
 
 fn show(what: &str, h: &Histogram<u64>) {
     let ms = |q: f64| h.value_at_quantile(q) as f64 / 1_000.0;
--- a/proofs/src/cluster.rs
+++ b/proofs/src/cluster.rs
@@ -375,11 +375,6 @@
         }
     }
 
-    /// Set only a daemon's link to the key-value service.
-    pub fn set_kv_link(&self, vm: &str, link: Link) {
-        self.links[vm].kv.set(link);
-    }
-
     /// Set only a daemon's link to the platform's list.
     pub fn set_list_link(&self, vm: &str, link: Link) {
         self.links[vm].list.set(link);
@@ -411,11 +406,6 @@
         Value::Array(entry.chain(endpoints).collect())
     }
 
-    /// Take the platform's list down.
-    pub async fn take_list_down(&self) {
-        self.put_json(&format!("http://{}/vms", self.vms), &Value::Null).await;
-    }
-
     async fn put_json(&self, url: &str, value: &Value) {
         let req = Request::put(url)
             .header("content-type", "application/json")
--- a/proofs/src/process.rs
+++ b/proofs/src/process.rs
@@ -41,6 +41,21 @@
     path
 }
 
+/// Clock ticks a second in `/proc/PID/stat`.
+const TICKS: f64 = 100.0;
+/// Bytes of a page of memory.
+const PAGE: u64 = 4_096;
+
+/// Processor seconds and resident bytes of a process, on Linux.
+#[must_use]
+pub fn usage(pid: u32) -> (f64, u64) {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields: Vec<_> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    let pages = fields.get(21).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
+    ((ticks(11) + ticks(12)) / TICKS, pages * PAGE)
+}
+
 impl Process {
     /// Start a program.
     ///
--- a/stand-ins/src/history.rs
+++ b/stand-ins/src/history.rs
@@ -89,24 +89,6 @@
         /// Whether the answer is exactly the expected one.
         exact: bool,
     },
-    /// A configuration change was asked for.
-    ConfigAsked {
-        /// The writer's number for it.
-        call: u64,
-        /// The value written, or `None` for a read.
-        value: Option<u64>,
-    },
-    /// A configuration change was answered, or a read returned.
-    ConfigAnswered {
-        /// The writer's number for it.
-        call: u64,
-        /// Whether a write was accepted.
-        accepted: bool,
-        /// The value read.
-        value: Option<u64>,
-        /// The generation.
-        generation: u64,
-    },
 }
 
 /// Where a process writes its part.
--- a/stand-ins/src/model.rs
+++ b/stand-ins/src/model.rs
@@ -240,12 +240,6 @@
         std::mem::take(&mut self.evicted)
     }
 
-    /// Whether `prefix` is cached.
-    #[must_use]
-    pub fn has_prefix(&self, prefix: u64) -> bool {
-        self.prefixes.contains(&prefix)
-    }
-
     const fn chunk(&self) -> u32 {
         match self.role {
             Role::Prefill => self.params.chunk_prefill,
