Wait for the desk's stop in one place

The loop that waits until the desk stops an attempt stood in the engine's and in the plain service's attempt; it is now a method of the ticket.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -22,7 +22,7 @@
 use tracing::{Instrument, info_span};
 
 use crate::{
-    desk::{Command, Dispatch, Target, Ticket},
+    desk::{Dispatch, Target, Ticket},
     emit,
     exchange::Progress,
     node::Node,
@@ -123,22 +123,11 @@
     let work = generate_inner(node, clients, ask, dispatch, assembly, out).instrument(span);
     tokio::select! {
         ended = work => ended,
-        end = stopped(ticket) => Ended::serving(end),
+        end = ticket.stopped() => Ended::serving(end),
         () = out.closed() => Ended::serving(AttemptEnd::Cancelled),
     }
 }
 
-/// Wait until the desk stops the attempt.
-async fn stopped(ticket: &mut Ticket) -> AttemptEnd {
-    loop {
-        match ticket.next().await {
-            Some(Command::Stop(end)) => return end,
-            Some(_) => {}
-            None => return AttemptEnd::Cancelled,
-        }
-    }
-}
-
 async fn generate_inner(
     node: &Arc<Node>,
     clients: &Clients,
--- a/crates/daemon/src/caller/plain.rs
+++ b/crates/daemon/src/caller/plain.rs
@@ -23,7 +23,7 @@
 use super::{Caller, body, refusal, terms};
 use crate::{
     attempt::{Clients, Ended, end_of, is_not_run},
-    desk::{Command, Dispatch},
+    desk::Dispatch,
     exchange::{Exchange, Failure, Size, Step},
     telemetry,
 };
@@ -148,21 +148,11 @@
     let work = send(clients, call, dispatch, &request, repeatable).instrument(span);
     let (end, answer) = tokio::select! {
         done = work => done,
-        end = stopped(exchange) => (end, None),
+        end = exchange.ticket().stopped() => (end, None),
     };
     (Ended { end, at: Site::Serving, words: String::new() }, answer)
 }
 
-async fn stopped(exchange: &mut Exchange) -> AttemptEnd {
-    loop {
-        match exchange.ticket().next().await {
-            Some(Command::Stop(end)) => return end,
-            Some(_) => {}
-            None => return AttemptEnd::Cancelled,
-        }
-    }
-}
-
 async fn send(
     clients: &Clients,
     call: &Call,
--- a/crates/daemon/src/desk.rs
+++ b/crates/daemon/src/desk.rs
@@ -81,6 +81,17 @@
     pub async fn next(&mut self) -> Option<Command> {
         self.commands.recv().await
     }
+
+    /// Wait until the desk stops the attempt under way; the end to report.
+    pub async fn stopped(&mut self) -> AttemptEnd {
+        loop {
+            match self.next().await {
+                Some(Command::Stop(end)) => return end,
+                Some(_) => {}
+                None => return AttemptEnd::Cancelled,
+            }
+        }
+    }
 }
 
 #[derive(Debug)]
