--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use dahliaseam_platform::{
+use dahliaseam_border::{
     error::CallError,
     http::{HttpClient, Incoming, Reuse},
 };
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::{io, path::PathBuf};
 
-use dahliaseam_platform::error::CallError;
+use dahliaseam_border::error::CallError;
 use dahliaseam_settings::error::SettingsError;
 use dahliaseam_wire::{error::ReadError, operator::ApiError};
 use quick_error::quick_error;
--- a/crates/daemon/examples/quickstart.rs
+++ b/crates/daemon/examples/quickstart.rs
@@ -9,8 +9,8 @@
     time::{Duration, Instant},
 };
 
+use dahliaseam_border::http::{HttpClient, Reuse};
 use dahliaseam_core::{custody::Fencing, endpoint::Role};
-use dahliaseam_platform::http::{HttpClient, Reuse};
 use dahliaseam_settings::settings::Settings;
 use dahliaseam_wire::resource::{Change, ResourceKind};
 use dahliaseamd::{
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use dahliaseam_border::{
+    error::CallError,
+    http::{HttpClient, Incoming, Reuse},
+};
 use dahliaseam_core::{
     dispatch::Site,
     frame::{Assembly, Verdict},
     outcome::AttemptEnd,
 };
-use dahliaseam_platform::{
-    error::CallError,
-    http::{HttpClient, Incoming, Reuse},
-};
 use dahliaseam_wire::engine::{Ask, EXTENSION, Import, Mark, NOT_RUN};
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -9,14 +9,14 @@
     time::Duration,
 };
 
+use dahliaseam_border::{
+    error::CallError,
+    kv::{Entry, LeaseId, Swap, Swapped},
+};
 use dahliaseam_core::{
     claim::{Claim, Recorded, Second, second},
     time::{Span, Time},
 };
-use dahliaseam_platform::{
-    error::CallError,
-    kv::{Entry, LeaseId, Swap, Swapped},
-};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{emit, node::Node};
--- a/crates/daemon/src/configure.rs
+++ b/crates/daemon/src/configure.rs
@@ -6,15 +6,15 @@
 
 use std::{sync::Arc, time::Duration};
 
+use dahliaseam_border::{
+    error::CallError,
+    kv::{Entry, Swap, Swapped, WatchNews},
+};
 use dahliaseam_core::{
     hash,
     member::Health,
     time::{Span, Time},
 };
-use dahliaseam_platform::{
-    error::CallError,
-    kv::{Entry, Swap, Swapped, WatchNews},
-};
 use dahliaseam_wire::resource::{Change, Document, Refused};
 use futures_util::StreamExt;
 
--- a/crates/daemon/src/control/board.rs
+++ b/crates/daemon/src/control/board.rs
@@ -5,12 +5,12 @@
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
+use dahliaseam_border::{http::USER_TIMEOUT, vms::ListedVm};
 use dahliaseam_core::{
     custody::Wait,
     member::Incarnation,
     time::{Span, Time},
 };
-use dahliaseam_platform::{http::USER_TIMEOUT, vms::ListedVm};
 
 use crate::node::Node;
 
--- a/crates/daemon/src/control/changes.rs
+++ b/crates/daemon/src/control/changes.rs
@@ -6,6 +6,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use dahliaseam_border::http::{HttpClient, Reuse};
 use dahliaseam_core::{
     bucket::Bucket,
     custody::{EngineStatus, Fencing, OrderKind, Wait},
@@ -14,7 +15,6 @@
     planner::{Outlook, Planner, RoleCounts},
     time::{Span, Time},
 };
-use dahliaseam_platform::http::{HttpClient, Reuse};
 use dahliaseam_wire::{
     peer::{Marks, PeerClient},
     resource::{Document, EndpointSpec, RoleSpec},
--- a/crates/daemon/src/control/custodian.rs
+++ b/crates/daemon/src/control/custodian.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use dahliaseam_core::{
-    custody::{self, EngineRecord, EngineStatus, Fencing, Order, OrderKind, Step, View, Wait},
-    time::{Span, Time},
-};
-use dahliaseam_platform::{
+use dahliaseam_border::{
     error::CallError,
     http::{HttpClient, USER_TIMEOUT},
     kv::{Swap, Swapped},
 };
+use dahliaseam_core::{
+    custody::{self, EngineRecord, EngineStatus, Fencing, Order, OrderKind, Step, View, Wait},
+    time::{Span, Time},
+};
 use dahliaseam_wire::{
     engine::{ORDER_PATH, OrderAnswer, OrderRequest, STATUS_PATH, StatusReport},
     resource::EndpointSpec,
--- a/crates/daemon/src/control/shard.rs
+++ b/crates/daemon/src/control/shard.rs
@@ -1,13 +1,13 @@
 //! A shard's lease and fencing number.
 
+use dahliaseam_border::{
+    error::CallError,
+    kv::{LeaseId, Swap},
+};
 use dahliaseam_core::{
     lease::Authority,
     time::{Span, Time},
 };
-use dahliaseam_platform::{
-    error::CallError,
-    kv::{LeaseId, Swap},
-};
 
 use crate::{emit, node::Node};
 
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -5,17 +5,17 @@
     time::Duration,
 };
 
+use dahliaseam_border::{
+    etcd::Etcd,
+    kv::KeyValue,
+    vms::{HttpVmList, VmList},
+};
 use dahliaseam_core::{
     freshness::Freshness,
     hash,
     member::{Contact, Incarnation, MemberSettings, Members},
     time::Span,
 };
-use dahliaseam_platform::{
-    etcd::Etcd,
-    kv::KeyValue,
-    vms::{HttpVmList, VmList},
-};
 use dahliaseam_settings::settings::Settings;
 use dahliaseam_wire::resource::Document;
 use jsonrpsee::server::ServerHandle;
--- a/crates/daemon/src/duties.rs
+++ b/crates/daemon/src/duties.rs
@@ -10,8 +10,8 @@
     time::Duration,
 };
 
+use dahliaseam_border::vms::{ListedVm, VmPart};
 use dahliaseam_core::{endpoint::Duty, hash, member::Contact, time::Time};
-use dahliaseam_platform::vms::{ListedVm, VmPart};
 use dahliaseam_wire::{peer::Marks, resource::EndpointSpec};
 
 use crate::{emit, node::Node};
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,12 +2,12 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use dahliaseam_border::{kv::KeyValue, vms::VmList};
 use dahliaseam_core::{
     freshness::{Freshness, Standing},
     member::Members,
     time::{Span, Time},
 };
-use dahliaseam_platform::{kv::KeyValue, vms::VmList};
 use dahliaseam_settings::settings::Settings;
 use dahliaseam_wire::resource::Document;
 use tokio::sync::watch;
--- a/crates/daemon/src/observe.rs
+++ b/crates/daemon/src/observe.rs
@@ -5,11 +5,11 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use dahliaseam_border::http::{HttpClient, Reuse};
 use dahliaseam_core::{
     hash,
     time::{Span, Time},
 };
-use dahliaseam_platform::http::{HttpClient, Reuse};
 use dahliaseam_wire::{
     engine::{CACHE_PATH, CacheEvent, STATUS_PATH, StatusReport},
     resource::{EndpointClass, EndpointSpec},
--- a/crates/daemon/tests/catch_up.rs
+++ b/crates/daemon/tests/catch_up.rs
@@ -85,7 +85,7 @@
 }
 
 async fn put(address: &str, path: &str, method: &str, body: &serde_json::Value) {
-    let client = dahliaseam_platform::http::HttpClient::new(dahliaseam_platform::http::Reuse::Fresh);
+    let client = dahliaseam_border::http::HttpClient::new(dahliaseam_border::http::Reuse::Fresh);
     let req = http::Request::builder()
         .method(method)
         .uri(format!("http://{address}{path}"))
--- a/crates/daemon/tests/limits.rs
+++ b/crates/daemon/tests/limits.rs
@@ -192,7 +192,7 @@
     assert!(read > 0);
     drop(stream);
     let status = format!("http://{}/control/status", one.engine.server().address());
-    let client = dahliaseam_platform::http::HttpClient::new(dahliaseam_platform::http::Reuse::Fresh);
+    let client = dahliaseam_border::http::HttpClient::new(dahliaseam_border::http::Reuse::Fresh);
     let until = tokio::time::Instant::now() + PATIENCE;
     loop {
         let report: Value = client.get(&status, PATIENCE).await.expect("the engine answers");
--- a/proofs/src/cluster.rs
+++ b/proofs/src/cluster.rs
@@ -9,14 +9,14 @@
 };
 
 use bytes::Bytes;
+use dahliaseam_border::{
+    error::CallError,
+    http::{HttpClient, Reuse},
+};
 use dahliaseam_core::{
     custody::{EngineStatus, Fencing},
     endpoint::Role,
 };
-use dahliaseam_platform::{
-    error::CallError,
-    http::{HttpClient, Reuse},
-};
 use dahliaseam_wire::{
     engine::{STATUS_PATH, StatusReport as EngineReport},
     operator::{Accepted, ResourceList, StatusReport},
--- a/proofs/tests/config.rs
+++ b/proofs/tests/config.rs
@@ -346,7 +346,7 @@
     let target = Contact { vm: "x".into(), hall: "y".into(), address: "127.0.0.1:1".into() };
     assert!(stranger.probe_via(target).await.is_err());
     assert!(stranger.marks(marks(99, 1, &["plain-1"])).await.is_err());
-    let client = dahliaseam_platform::http::HttpClient::new(dahliaseam_platform::http::Reuse::Fresh);
+    let client = dahliaseam_border::http::HttpClient::new(dahliaseam_border::http::Reuse::Fresh);
     let operator = &cluster.daemons["entry-1"].operator;
     let limit = Duration::from_secs(5);
     let req = http::Request::get(format!("http://{operator}/v1/status")).body(http_body_util::Full::default());
--- a/stand-ins/src/caller.rs
+++ b/stand-ins/src/caller.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use dahliaseam_platform::{
+use dahliaseam_border::{
     error::CallError,
     http::{HttpClient, Incoming, Reuse},
 };
--- a/stand-ins/src/engine.rs
+++ b/stand-ins/src/engine.rs
@@ -399,7 +399,7 @@
 
 /// Take an exported KV cache over from the engine that has it.
 async fn fetch_export(import: &Import) -> bool {
-    let client = dahliaseam_platform::http::HttpClient::new(dahliaseam_platform::http::Reuse::Fresh);
+    let client = dahliaseam_border::http::HttpClient::new(dahliaseam_border::http::Reuse::Fresh);
     let url = format!("http://{}{RELEASE_PATH}", import.from);
     let answer = client.post::<_, Value>(&url, &import.handle, Duration::from_secs(2)).await;
     answer.is_ok()
