--- a/crates/border/src/error.rs
+++ b/crates/border/src/error.rs
@@ -28,3 +28,18 @@
         !matches!(self, Self::Lost(_))
     }
 }
+
+quick_error! {
+    /// Why something of the outside could not be read or written.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum DecodeError {
+        /// Something that must be there is missing.
+        Missing(what: &'static str) {
+            display("{} is missing", what)
+        }
+        /// Something is not as expected.
+        Invalid(what: &'static str, why: String) {
+            display("{}: {}", what, why)
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/cache.rs
@@ -0,0 +1,66 @@
+//! What an engine's memory probably still holds of earlier prompts.
+//!
+//! The model follows what this daemon and its peers sent there and gives up the parts unused
+//! longest, as engines do. It is an estimate: a wrong one costs time, never an answer.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::prompt::{Part, Prompt};
+
+/// Share of an engine's memory that the estimate counts on; the rest is taken by running work.
+const USABLE_SHARE: f64 = 0.8;
+
+/// The estimated contents of one engine's memory.
+#[derive(Clone, Debug, Default)]
+pub struct Cache {
+    capacity: u64,
+    held: u64,
+    uses: u64,
+    parts: HashMap<u64, (u32, u64)>,
+    by_use: BTreeMap<u64, u64>,
+}
+
+impl Cache {
+    /// An empty memory of `tokens`.
+    #[must_use]
+    pub fn new(tokens: u64) -> Self {
+        Self { capacity: (tokens as f64 * USABLE_SHARE) as u64, ..Self::default() }
+    }
+
+    /// Tokens at the beginning of `prompt` that need not be read again.
+    #[must_use]
+    pub fn held_tokens(&self, prompt: &Prompt) -> u32 {
+        let held = prompt.parts.iter().take_while(|part| self.parts.contains_key(&part.chain));
+        held.map(|part| part.tokens).sum()
+    }
+
+    /// Note that a prompt with these parts is read there.
+    pub fn read(&mut self, parts: &[Part]) {
+        // The first part is used by the most prompts, so it is noted last.
+        for part in parts.iter().rev() {
+            self.touch(*part);
+        }
+        self.shrink();
+    }
+
+    fn touch(&mut self, part: Part) {
+        self.uses += 1;
+        if let Some((tokens, at)) = self.parts.insert(part.chain, (part.tokens, self.uses)) {
+            self.by_use.remove(&at);
+            self.held -= u64::from(tokens);
+        }
+        self.by_use.insert(self.uses, part.chain);
+        self.held += u64::from(part.tokens);
+    }
+
+    fn shrink(&mut self) {
+        while self.held > self.capacity {
+            let Some((_, chain)) = self.by_use.pop_first() else {
+                return;
+            };
+            if let Some((tokens, _)) = self.parts.remove(&chain) {
+                self.held -= u64::from(tokens);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/choose.rs
@@ -0,0 +1,216 @@
+//! Which replicas serve a request, and whether it can be in time.
+//!
+//! A prompt is read by a prefill engine and answered by a decode engine, or read and answered by
+//! one engine. For each way the time to the first event is predicted from the work that is known
+//! to be ahead, and the way that costs least is taken: its time, and something for crossing
+//! halls. What cannot be in time is refused before anything is sent.
+
+use crate::{
+    endpoint::Role,
+    fleet::{
+        Fleet,
+        replica::{Replica, ReplicaKey},
+    },
+    prompt::Prompt,
+    time::{Span, Time},
+};
+
+/// Milliseconds that a step in another hall counts more: the way there, and bytes that cost.
+const OTHER_HALL_MS: f64 = 5.0;
+/// Milliseconds to hand a prompt's memory over to another engine and begin there.
+const HAND_OVER_MS: f64 = 6.0;
+/// How many times as long a decode engine takes to read.
+const DECODE_READ_FACTOR: f64 = 2.0;
+/// Milliseconds for each request beyond an engine's slots.
+const OVER_SLOTS_MS: f64 = 20.0;
+/// Milliseconds that a plain replica counts more when all its slots are taken, since it slows down.
+const CROWD_MS: f64 = 10.0;
+/// Part of the remaining objective that a prediction may use up.
+const ADMIT_SHARE: f64 = 0.9;
+/// Part of its remaining time after which a caller does not come back any more.
+const COME_BACK_SHARE: f64 = 0.33;
+/// Shortest time after which a caller is told to come back.
+const COME_BACK_MIN: Span = Span::millis(60);
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The prompt, if engines are to read one.
+    pub prompt: Option<&'a Prompt>,
+    /// Time left in which the first event would be in time.
+    pub objective_left: Span,
+    /// Time left at all.
+    pub time_left: Span,
+    /// Whether to refuse what cannot be in time.
+    pub may_refuse: bool,
+    /// Replicas that were tried.
+    pub tried: &'a [ReplicaKey],
+    /// A number drawn for this request.
+    pub draw: u64,
+}
+
+/// One replica's part in serving a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Step {
+    /// Where.
+    pub key: ReplicaKey,
+    /// Milliseconds of work that are ahead of it.
+    pub wait_ms: f64,
+    /// Milliseconds of work that it is.
+    pub work_ms: f64,
+    /// Tokens to be read.
+    pub uncached: u32,
+}
+
+/// How a request is to be served.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Plan {
+    /// One replica does it all.
+    Whole(Step),
+    /// One engine reads the prompt, another one answers.
+    TwoSteps {
+        /// The reading engine.
+        read: Step,
+        /// The answering engine.
+        write: Step,
+    },
+}
+
+/// Why a request is not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPlan {
+    /// No replica of the service takes work.
+    NoReplica,
+    /// No replica would be in time.
+    TooLate {
+        /// Predicted milliseconds to the first event.
+        predicted_ms: u64,
+        /// When the caller may come back.
+        come_back: Span,
+    },
+}
+
+impl Plan {
+    /// Predicted milliseconds to the first event.
+    #[must_use]
+    pub fn predicted_ms(&self) -> f64 {
+        match self {
+            Self::Whole(step) => step.wait_ms + step.work_ms,
+            Self::TwoSteps { read, write } => read.wait_ms + read.work_ms + write.wait_ms + write.work_ms,
+        }
+    }
+}
+
+impl Fleet {
+    /// Choose how to serve a request.
+    ///
+    /// # Errors
+    /// Why it is not to be served.
+    pub fn choose(&self, ask: &Ask<'_>, now: Time) -> Result<Plan, NoPlan> {
+        let plan = match ask.prompt {
+            Some(prompt) => self.choose_engines(ask, prompt, now),
+            None => self.choose_plain(ask, now),
+        };
+        let plan = plan.ok_or(NoPlan::NoReplica)?;
+        let limit = if ask.prompt.is_some() {
+            ask.objective_left.as_seconds() * ADMIT_SHARE
+        } else {
+            ask.time_left.as_seconds()
+        };
+        let predicted_ms = plan.predicted_ms();
+        if ask.may_refuse && predicted_ms > limit * 1_000.0 {
+            let come_back = come_back(ask, predicted_ms);
+            return Err(NoPlan::TooLate { predicted_ms: predicted_ms as u64, come_back });
+        }
+        Ok(plan)
+    }
+
+    fn choose_plain(&self, ask: &Ask<'_>, now: Time) -> Option<Plan> {
+        let usual = self.services.get(ask.service).map_or(super::PLAIN_GUESS_MS, |state| state.plain_ms);
+        let steps = self.open(ask, now).map(|(key, replica)| {
+            let work_ms = usual * replica.slowness(now);
+            let over = f64::from((replica.active() + 1).saturating_sub(replica.facts.slots));
+            let crowd = f64::from(replica.active()) / f64::from(replica.facts.slots.max(1));
+            let wait_ms = work_ms * over / f64::from(replica.facts.slots.max(1)) + crowd * CROWD_MS;
+            let step = Step { key, wait_ms, work_ms, uncached: 0 };
+            (step.wait_ms + work_ms + self.hall_ms(replica), step)
+        });
+        lowest(steps).map(Plan::Whole)
+    }
+
+    fn choose_engines(&self, ask: &Ask<'_>, prompt: &Prompt, now: Time) -> Option<Plan> {
+        let whole = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).map(
+            |(key, replica)| {
+                let step = self.reading_step(key, replica, ask.service, prompt, now);
+                let over = slot_wait_ms(replica);
+                let step = Step { wait_ms: step.wait_ms + over, ..step };
+                (step.wait_ms + step.work_ms + self.hall_ms(replica), step)
+            },
+        ));
+        let read = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role == Role::Prefill).map(
+            |(key, replica)| {
+                let step = self.reading_step(key, replica, ask.service, prompt, now);
+                (step.wait_ms + step.work_ms + self.hall_ms(replica), step)
+            },
+        ));
+        let write = self.choose_writer(ask, now);
+        let two = read.zip(write).map(|(read, write)| Plan::TwoSteps { read, write });
+        match (whole.map(Plan::Whole), two) {
+            (Some(whole), Some(two)) if two.predicted_ms() < whole.predicted_ms() => Some(two),
+            (whole, two) => whole.or(two),
+        }
+    }
+
+    fn choose_writer(&self, ask: &Ask<'_>, now: Time) -> Option<Step> {
+        lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).map(|(key, replica)| {
+            let wait_ms = slot_wait_ms(replica) + replica.reading_ms(now) * 0.5;
+            let step = Step { key, wait_ms, work_ms: HAND_OVER_MS, uncached: 0 };
+            (wait_ms + self.hall_ms(replica) + f64::from(replica.active()) * 0.2, step)
+        }))
+    }
+
+    fn reading_step(&self, key: ReplicaKey, replica: &Replica, service: &str, prompt: &Prompt, now: Time) -> Step {
+        let held = replica.cache.held_tokens(prompt);
+        let uncached = prompt.tokens.saturating_sub(held).max(1);
+        let rate = self.services.get(service).map(|state| state.rate).unwrap_or_default();
+        let factor = if replica.facts.role == Role::Decode { DECODE_READ_FACTOR } else { 1.0 };
+        Step {
+            key,
+            wait_ms: replica.reading_ms(now),
+            work_ms: rate.work_ms(uncached) * factor * replica.slowness(now),
+            uncached,
+        }
+    }
+
+    fn open<'a>(&'a self, ask: &'a Ask<'a>, now: Time) -> impl Iterator<Item = (ReplicaKey, &'a Replica)> {
+        self.replicas.iter().filter(move |(key, replica)| {
+            &*replica.facts.service == ask.service
+                && replica.is_open(now)
+                && replica.health.allows(now)
+                && !ask.tried.contains(key)
+        })
+    }
+
+    fn hall_ms(&self, replica: &Replica) -> f64 {
+        if *replica.facts.hall == *self.hall { 0.0 } else { OTHER_HALL_MS }
+    }
+}
+
+fn slot_wait_ms(replica: &Replica) -> f64 {
+    f64::from((replica.active() + 1).saturating_sub(replica.facts.slots)) * OVER_SLOTS_MS
+}
+
+fn lowest(steps: impl Iterator<Item = (f64, Step)>) -> Option<Step> {
+    steps.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, step)| step)
+}
+
+/// When a refused caller should come back: once the work ahead is likely to be done, spread out.
+fn come_back(ask: &Ask<'_>, predicted_ms: f64) -> Span {
+    let longest = Span::seconds(ask.time_left.as_seconds() * COME_BACK_SHARE);
+    let over_ms = predicted_ms - ask.objective_left.as_seconds() * 1_000.0 * ADMIT_SHARE;
+    let earliest = Span::seconds(over_ms / 1_000.0).max(COME_BACK_MIN).min(longest);
+    let spread = longest.0 - earliest.0;
+    Span(earliest.0 + if spread == 0 { 0 } else { ask.draw % spread })
+}
--- /dev/null
+++ b/crates/core/src/fleet/mod.rs
@@ -0,0 +1,230 @@
+//! The replicas behind the routes: which there are, what they are doing, and who gets a request.
+//!
+//! [`replica`] is a row of the table. Discovery changes which rows there are ([`discovery`]);
+//! daemons tell each other what they have under way ([`peers`]); [`choose`] picks replicas for a
+//! request from that view, or says that it cannot be in time. [`cache`] and [`rates`] are
+//! estimates that this needs, [`budget`] bounds repeated sends, and [`split`] decides which role
+//! an engine should play.
+
+use std::{collections::HashMap, sync::Arc};
+
+use slotmap::SlotMap;
+
+use crate::{
+    endpoint::Role,
+    fleet::{
+        budget::{Budget, BudgetTerms},
+        peers::PeerLoads,
+        rates::ReadRate,
+        replica::{Load, Replica, ReplicaKey},
+    },
+    prompt::Prompt,
+    time::{Span, Time},
+};
+
+pub mod budget;
+pub mod cache;
+pub mod choose;
+pub mod discovery;
+pub mod peers;
+pub mod rates;
+pub mod replica;
+pub mod split;
+
+/// Milliseconds of a plain call before anything is learned.
+const PLAIN_GUESS_MS: f64 = 20.0;
+/// Weight of a new observation of a plain call.
+const LEARN_PLAIN: f64 = 0.05;
+/// Memory of an engine whose configuration is not known yet, in tokens.
+const MEMORY_GUESS: u64 = 100_000;
+
+/// What is learned of one service.
+#[derive(Clone, Debug)]
+struct ServiceState {
+    rate: ReadRate,
+    plain_ms: f64,
+    budget: Budget,
+    memory_tokens: u64,
+}
+
+impl Default for ServiceState {
+    fn default() -> Self {
+        Self {
+            rate: ReadRate::default(),
+            plain_ms: PLAIN_GUESS_MS,
+            budget: Budget::default(),
+            memory_tokens: MEMORY_GUESS,
+        }
+    }
+}
+
+/// How one step at a replica ended, for what is learned from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StepEnd {
+    /// It did what was asked.
+    Done,
+    /// It rejected the request without running it.
+    Rejected,
+    /// It failed, or its answer was lost.
+    Failed,
+    /// The caller left or the daemon gave up first; nothing is learned.
+    Unknown,
+}
+
+/// Work that was sent to a replica and is not over.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sent {
+    /// Where.
+    pub key: ReplicaKey,
+    /// Milliseconds of reading that it counts as.
+    pub work_ms: f64,
+    /// Tokens to be read.
+    pub uncached: u32,
+    /// Milliseconds after which it should be over.
+    pub expected_ms: f64,
+    /// Whether the replica had nothing else to read.
+    pub alone: bool,
+    /// When it was sent.
+    pub at: Time,
+}
+
+/// The replicas of all services, as this daemon sees them.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    hall: String,
+    replicas: SlotMap<ReplicaKey, Replica>,
+    by_id: HashMap<Arc<str>, ReplicaKey>,
+    by_hash: HashMap<u32, ReplicaKey>,
+    services: HashMap<Arc<str>, ServiceState>,
+    peers: HashMap<u64, PeerLoads>,
+    notes: Vec<peers::ReadNote>,
+}
+
+impl Fleet {
+    /// No replicas, seen from `hall`.
+    #[must_use]
+    pub fn new(hall: &str) -> Self {
+        Self { hall: hall.to_owned(), ..Self::default() }
+    }
+
+    /// A replica's row.
+    #[must_use]
+    pub fn get(&self, key: ReplicaKey) -> Option<&Replica> {
+        self.replicas.get(key)
+    }
+
+    /// The key of the replica `id`.
+    #[must_use]
+    pub fn key(&self, id: &str) -> Option<ReplicaKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// All rows.
+    pub fn replicas(&self) -> impl Iterator<Item = (ReplicaKey, &Replica)> {
+        self.replicas.iter()
+    }
+
+    /// Tokens a millisecond that an engine of `service` reads.
+    #[must_use]
+    pub fn read_rate(&self, service: &str) -> f64 {
+        self.services.get(service).map_or_else(|| ReadRate::default().tokens_per_ms(), |s| s.rate.tokens_per_ms())
+    }
+
+    /// Note what the configuration says of the memory of a service's engines.
+    pub fn set_memory(&mut self, service: &Arc<str>, tokens: u64) {
+        self.service_mut(service).memory_tokens = tokens;
+    }
+
+    /// Note that work begins at a replica; `prompt` is what it reads.
+    pub fn begin(&mut self, key: ReplicaKey, step: &choose::Step, prompt: Option<&Prompt>, now: Time) -> Option<Sent> {
+        let replica = self.replicas.get_mut(key)?;
+        let alone = replica.own.reading_ms + replica.peers.reading_ms <= 0.0;
+        replica.own.reading_ms += step.work_ms;
+        replica.own.active += 1;
+        replica.health.sent();
+        if let Some(prompt) = prompt {
+            replica.cache.read(&prompt.parts);
+            self.notes.push(peers::ReadNote::new(&replica.facts.id, prompt));
+        }
+        let expected_ms = step.wait_ms + step.work_ms;
+        Some(Sent { key, work_ms: step.work_ms, uncached: step.uncached, expected_ms, alone, at: now })
+    }
+
+    /// Note that reading is over while the request goes on; returns the work that remains counted.
+    pub fn reading_over(&mut self, sent: &mut Sent, end: StepEnd, now: Time) {
+        if let Some(replica) = self.replicas.get_mut(sent.key) {
+            replica.own.reading_ms = (replica.own.reading_ms - sent.work_ms).max(0.0);
+        }
+        if end == StepEnd::Done {
+            self.learn_read(sent, now);
+        }
+        sent.work_ms = 0.0;
+    }
+
+    /// Note that work at a replica is over; returns whether the replica is left out from now on.
+    pub fn end(&mut self, sent: &Sent, end: StepEnd, now: Time) -> bool {
+        let Some(replica) = self.replicas.get_mut(sent.key) else {
+            return false;
+        };
+        replica.own.reading_ms = (replica.own.reading_ms - sent.work_ms).max(0.0);
+        replica.own.active = replica.own.active.saturating_sub(1);
+        if replica.own.active == 0 {
+            // Rounding errors do not add up.
+            replica.own.reading_ms = 0.0;
+        }
+        match end {
+            StepEnd::Done => replica.health.success(),
+            StepEnd::Failed => return replica.health.fault(now),
+            StepEnd::Rejected | StepEnd::Unknown => replica.health.probe_ended(),
+        }
+        false
+    }
+
+    /// Learn from a plain call that took `took`.
+    pub fn learn_plain(&mut self, sent: &Sent, took: Span, now: Time) {
+        let Some(replica) = self.replicas.get_mut(sent.key) else {
+            return;
+        };
+        replica.learn_slowness(sent.expected_ms, took, now);
+        let service = Arc::clone(&replica.facts.service);
+        let state = self.service_mut(&service);
+        state.plain_ms += LEARN_PLAIN * (took.as_seconds() * 1_000.0 - state.plain_ms);
+    }
+
+    /// Note a new request for a service.
+    pub fn request(&mut self, service: &Arc<str>, terms: &BudgetTerms, now: Time) {
+        self.service_mut(service).budget.request(terms, now);
+    }
+
+    /// Take one repeated send to a service from the budget, if it is there.
+    pub fn take_repeat(&mut self, service: &Arc<str>, terms: &BudgetTerms, now: Time) -> bool {
+        let daemons = self.peers.len() + 1;
+        self.service_mut(service).budget.take(terms, daemons, now)
+    }
+
+    fn learn_read(&mut self, sent: &Sent, now: Time) {
+        let Some(replica) = self.replicas.get_mut(sent.key) else {
+            return;
+        };
+        let took = now.since(sent.at);
+        replica.learn_slowness(sent.expected_ms, took, now);
+        if sent.alone && replica.facts.role != Role::Decode {
+            let service = Arc::clone(&replica.facts.service);
+            self.service_mut(&service).rate.learn(sent.uncached, took);
+        }
+    }
+
+    fn service_mut(&mut self, name: &Arc<str>) -> &mut ServiceState {
+        self.services.entry(Arc::clone(name)).or_default()
+    }
+}
+
+/// Short identifier of a replica in messages between daemons.
+fn short_id(id: &str) -> u32 {
+    crate::hash::bytes(id.as_bytes()) as u32
+}
+
+/// Load as the sum of two.
+fn sum(a: Load, b: Load) -> Load {
+    Load { reading_ms: a.reading_ms + b.reading_ms, active: a.active + b.active }
+}
--- /dev/null
+++ b/crates/core/src/fleet/replica.rs
@@ -0,0 +1,128 @@
+//! One replica: what it says of itself, and what is seen of it.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use slotmap::new_key_type;
+
+use crate::{
+    eject::Health,
+    endpoint::Role,
+    fleet::cache::Cache,
+    time::{Span, Time},
+};
+
+new_key_type! {
+    /// Key of a replica in this daemon's table.
+    pub struct ReplicaKey;
+}
+
+/// What a replica says of itself through discovery.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaFacts {
+    /// Identifier of this start of the replica.
+    pub id: Arc<str>,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its hall.
+    pub hall: Arc<str>,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it announced that it leaves.
+    pub draining: bool,
+    /// What it does in its service.
+    pub role: Role,
+}
+
+/// Work at a replica that one or several daemons know of.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Milliseconds of reading that an idle replica would need for it.
+    pub reading_ms: f64,
+    /// Requests under way, those being read included.
+    pub active: u32,
+}
+
+/// Weight of a new observation in the slowness.
+const LEARN_SLOWNESS: f64 = 0.15;
+/// Bounds of the slowness.
+const SLOWNESS: (f64, f64) = (0.7, 12.0);
+/// Time after which a slow replica is believed half as slow, so that it is tried again.
+const FORGET: Span = Span::millis(3_000);
+
+/// One replica's row.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    /// What it says of itself.
+    pub facts: ReplicaFacts,
+    /// Revision of that in the store.
+    pub revision: i64,
+    /// When a replica whose entry lapsed counts as gone; [`Time::NEVER`] while the entry is there.
+    pub gone_at: Time,
+    /// What this daemon saw of its failures.
+    pub health: Health,
+    /// What this daemon has under way there.
+    pub own: Load,
+    /// What other daemons said that they have under way there.
+    pub peers: Load,
+    /// What its memory probably holds.
+    pub cache: Cache,
+    /// When an order to change its role will be over; no new work until then.
+    pub changing_until: Time,
+    slowness: f64,
+    slowness_at: Time,
+}
+
+impl Replica {
+    /// A replica that was just discovered, with a memory of `memory_tokens`.
+    #[must_use]
+    pub fn new(facts: ReplicaFacts, revision: i64, memory_tokens: u64) -> Self {
+        Self {
+            facts,
+            revision,
+            gone_at: Time::NEVER,
+            health: Health::default(),
+            own: Load::default(),
+            peers: Load::default(),
+            cache: Cache::new(memory_tokens),
+            changing_until: Time(0),
+            slowness: 1.0,
+            slowness_at: Time(0),
+        }
+    }
+
+    /// Whether new work may be sent there at all.
+    #[must_use]
+    pub fn is_open(&self, now: Time) -> bool {
+        !self.facts.draining && !self.gone_at.is_past(now) && self.changing_until.is_past(now)
+    }
+
+    /// Requests under way there, as far as known.
+    #[must_use]
+    pub const fn active(&self) -> u32 {
+        self.own.active + self.peers.active
+    }
+
+    /// Milliseconds until what is known to be there has been read.
+    #[must_use]
+    pub fn reading_ms(&self, now: Time) -> f64 {
+        (self.own.reading_ms + self.peers.reading_ms) * self.slowness(now)
+    }
+
+    /// How many times as long as its service's usual it takes.
+    #[must_use]
+    pub fn slowness(&self, now: Time) -> f64 {
+        let halvings = now.since(self.slowness_at).as_seconds() / FORGET.as_seconds();
+        1.0 + (self.slowness - 1.0) * 0.5_f64.powf(halvings)
+    }
+
+    /// Learn from work that took `took` where `expected_ms` was predicted for a usual replica.
+    pub fn learn_slowness(&mut self, expected_ms: f64, took: Span, now: Time) {
+        let seen = took.as_seconds() * 1_000.0 / expected_ms.max(1.0);
+        let before = self.slowness(now);
+        let next = before + LEARN_SLOWNESS * (seen - before);
+        self.slowness = next.clamp(SLOWNESS.0, SLOWNESS.1);
+        self.slowness_at = now;
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/split.rs
@@ -0,0 +1,1 @@
+//! Which role each engine of a service should play.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,8 @@
 //! the messages that arrived and a seed; the functions change tables and return what is to be
 //! done. The daemon, the bench and the tests run exactly the same code.
 //!
+//! Requests on routes go to discovered replicas: [`route`], [`prompt`] and [`fleet`].
+//!
 //! The tables ([`endpoint`], [`request`], [`member`]) hold entities under small `Copy` keys.
 //! The systems that run over them are [`dispatch`] (who serves a request), [`member`] (who is
 //! alive), [`planner`] (which role an engine plays) and [`custody`] (who may give it orders).
@@ -15,6 +17,7 @@
 pub mod dispatch;
 pub mod eject;
 pub mod endpoint;
+pub mod fleet;
 pub mod frame;
 pub mod freshness;
 pub mod hash;
@@ -25,7 +28,9 @@
 pub mod outcome;
 pub mod planner;
 pub mod predict;
+pub mod prompt;
 pub mod queue;
 pub mod request;
+pub mod route;
 pub mod time;
 pub mod window;
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,166 @@
+//! Routes: which service answers a caller's request, and under which terms.
+//!
+//! A table is one version of the operators' configuration. It is built once and never changed;
+//! a newer version replaces it as a whole.
+
+use std::{collections::HashMap, sync::Arc};
+
+use crate::time::Span;
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// It runs once at most.
+    AtMostOnce,
+    /// It may run again.
+    Allowed,
+}
+
+/// One service's share of a route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share {
+    /// The service's name.
+    pub service: Arc<str>,
+    /// Its weight against the other shares.
+    pub weight: u32,
+}
+
+/// A route and the terms of its requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name, for logs and metrics.
+    pub name: Arc<str>,
+    /// Path prefix, with a slash at both ends.
+    pub prefix: String,
+    /// The services that answer, by weight.
+    pub shares: Vec<Share>,
+    /// Whether its requests may run more than once.
+    pub repeat: Repeat,
+    /// Whether its answers are event streams.
+    pub stream: bool,
+    /// Longest time that a request may be held.
+    pub timeout: Span,
+    /// Time in which a whole answer, or a stream's first event, is worth most.
+    pub objective: Span,
+    /// Endpoints that one request may run on.
+    pub attempts: u32,
+    /// Rank, 0 the most urgent.
+    pub priority: u8,
+}
+
+impl Route {
+    /// The service for a request whose id hashes to `hash`.
+    #[must_use]
+    pub fn service(&self, hash: u64) -> Option<&Arc<str>> {
+        let total: u64 = self.shares.iter().map(|s| u64::from(s.weight)).sum();
+        let mut left = hash.checked_rem(total)?;
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if left < weight {
+                return Some(&share.service);
+            }
+            left -= weight;
+        }
+        None
+    }
+}
+
+/// What the configuration says of the engines of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSpec {
+    /// Requests that one engine generates for at once.
+    pub slots: u32,
+    /// Tokens that its memory holds.
+    pub memory_tokens: u64,
+    /// Time for which a prompt's memory is kept for another engine.
+    pub handle_life: Span,
+    /// Time that a role change takes an engine away.
+    pub role_change: Span,
+}
+
+/// What the configuration says of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceSpec {
+    /// Name.
+    pub name: Arc<str>,
+    /// Connections that one endpoint takes from all VMs together.
+    pub connections: u32,
+    /// Its engines; absent for a plain service.
+    pub engine: Option<EngineSpec>,
+}
+
+/// Bounds on what callers send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Bytes of a head at most.
+    pub head_bytes: usize,
+    /// Bytes of a body at most.
+    pub body_bytes: usize,
+    /// Time in which a head must have come.
+    pub head_time: Span,
+    /// Time for which an idle connection is kept.
+    pub idle_time: Span,
+}
+
+/// One version of the routes and services.
+#[derive(Clone, Debug)]
+pub struct RouteTable {
+    /// Version, rising.
+    pub version: u64,
+    /// Bounds on what callers send.
+    pub limits: CallerLimits,
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+    services: HashMap<Arc<str>, Arc<ServiceSpec>>,
+}
+
+impl RouteTable {
+    /// A table of routes, each with its host.
+    #[must_use]
+    pub fn new(version: u64, limits: CallerLimits, routes: Vec<(String, Route)>, services: Vec<ServiceSpec>) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for (host, route) in routes {
+            hosts.entry(host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = services.into_iter().map(|s| (Arc::clone(&s.name), Arc::new(s))).collect();
+        Self { version, limits, hosts, services }
+    }
+
+    /// The route of a request: of its host's routes, the one with the longest matching prefix.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<Arc<Route>> {
+        let host = host_name(host).to_ascii_lowercase();
+        self.hosts.get(&host)?.iter().find(|route| path.starts_with(&route.prefix)).cloned()
+    }
+
+    /// What is said of a service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Arc<ServiceSpec>> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
+        self.services.values()
+    }
+
+    /// Number of routes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
+    /// Whether there is no route.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+}
+
+/// The host without its port.
+fn host_name(host: &str) -> &str {
+    host.rsplit_once(':')
+        .map_or(host, |(name, port)| if port.bytes().all(|b| b.is_ascii_digit()) { name } else { host })
+}
--- a/crates/daemon/src/bin/dahliaseamd/app.rs
+++ b/crates/daemon/src/bin/dahliaseamd/app.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub(crate) struct App {
+    /// Serve by the routes and replicas of the platform's store
+    pub(crate) routes: bool,
     /// Settings file, in JSON
     #[bpaf(short, long, argument("FILE"))]
     pub(crate) settings: PathBuf,
--- a/crates/daemon/src/bin/dahliaseamd/main.rs
+++ b/crates/daemon/src/bin/dahliaseamd/main.rs
@@ -1,6 +1,7 @@
 //! The daemon's process: settings, logs, signals.
 
 mod app;
+mod routes;
 
 use std::process::ExitCode;
 
@@ -14,7 +15,8 @@
 
 fn main() -> ExitCode {
     let app = app::app().run();
-    match run(&app) {
+    let done = if app.routes { routes::run(&app) } else { run(&app) };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             report(&error);
--- /dev/null
+++ b/crates/daemon/src/bin/dahliaseamd/routes.rs
@@ -0,0 +1,65 @@
+//! The process of a daemon that serves by routes.
+
+use std::sync::Arc;
+
+use dahliaseam_platform::{dialect::PlatformDialect, store::Store};
+use dahliaseam_settings::gateway::GatewaySettings;
+use dahliaseamd::{
+    clock::BootClock,
+    emit,
+    error::StartError,
+    gateway::controller::{GatewayController, Log, Outside},
+};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::app::App;
+
+/// Run the daemon until it is told to stop.
+///
+/// # Errors
+/// Why it does not start.
+pub(crate) fn run(app: &App) -> Result<(), StartError> {
+    let settings = GatewaySettings::load(&app.settings)?;
+    if app.check {
+        println!("{}: the settings are good", app.settings.display());
+        return Ok(());
+    }
+    // A VM has a part of one core, so more threads would only wake each other.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| StartError::Telemetry(e.to_string()))?;
+    runtime.block_on(serve(app, settings))
+}
+
+async fn serve(app: &App, settings: GatewaySettings) -> Result<(), StartError> {
+    let _log = Log::start(&settings.log)?;
+    let listen = |kind| signal(kind).map_err(|e| StartError::Telemetry(e.to_string()));
+    let mut term = listen(SignalKind::terminate())?;
+    let mut hangup = listen(SignalKind::hangup())?;
+    let store = Arc::new(Store::new(&settings.store_address.to_string()));
+    let outside = Outside {
+        clock: Arc::new(BootClock),
+        kv: Arc::clone(&store) as _,
+        feed: store,
+        dialect: Arc::new(PlatformDialect),
+    };
+    let daemon = GatewayController::start(settings, outside).await?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = tokio::signal::ctrl_c() => break,
+            _ = hangup.recv() => reload(app, &daemon),
+        }
+    }
+    daemon.stop().await;
+    Ok(())
+}
+
+/// Read the settings again. A file that cannot be used changes nothing.
+fn reload(app: &App, daemon: &GatewayController) {
+    match GatewaySettings::load(&app.settings) {
+        Ok(settings) => daemon.reload(settings),
+        Err(e) => emit!(error, SETTINGS_REJECTED, why = %e),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/answer.rs
@@ -0,0 +1,138 @@
+//! Answers to callers: those of replicas, and our own refusals.
+
+use bytes::Bytes;
+use dahliaseam_core::time::Span;
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+
+use crate::gateway::relay::RelayError;
+
+/// The body of any answer.
+pub(super) type AnswerBody = UnsyncBoxBody<Bytes, RelayError>;
+
+/// Why the daemon itself answers a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Refusal {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No route matches.
+    NoRoute,
+    /// The head cannot be used.
+    BadHead(String),
+    /// The body is larger than allowed.
+    BodyTooLarge,
+    /// The body did not come in time.
+    BodyLate,
+    /// No replica takes work.
+    NoReplica,
+    /// It would come too late.
+    TooLate {
+        /// When to come back.
+        come_back: Span,
+    },
+    /// Replicas rejected it, and there is no other way.
+    Rejected,
+    /// It may have run, and its answer was lost.
+    Lost,
+    /// It may have run, and no answer came in time.
+    TimedOut,
+}
+
+/// When to come back after a refusal that says nothing of its own, before it is spread.
+const COME_BACK: Span = Span::millis(150);
+/// What is added to that, at most.
+const COME_BACK_SPREAD: Span = Span::millis(250);
+
+impl Refusal {
+    /// Short name, for logs and metrics.
+    pub(super) const fn name(&self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::BadHead(_) => "bad_head",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyLate => "body_late",
+            Self::NoReplica => "no_replica",
+            Self::TooLate { .. } => "too_late",
+            Self::Rejected => "rejected",
+            Self::Lost => "lost",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    /// The status. 408, 429 and 503 promise that the request did not and will not run.
+    pub(super) const fn status(&self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BadHead(_) => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
+            Self::NoConfiguration | Self::NoReplica | Self::TooLate { .. } | Self::Rejected => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// The answer; `draw` spreads callers that come back.
+    pub(super) fn answer(&self, draw: u64) -> Response<AnswerBody> {
+        let text = match self {
+            Self::BadHead(why) => format!("{}: {why}\n", self.name()),
+            _ => format!("{}\n", self.name()),
+        };
+        let mut resp = Response::new(full(Bytes::from(text)));
+        *resp.status_mut() = self.status();
+        let headers = resp.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if let Some(value) = self.come_back(draw).and_then(seconds) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+        if self.leaves_bytes() {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        resp
+    }
+
+    fn come_back(&self, draw: u64) -> Option<Span> {
+        match self {
+            Self::TooLate { come_back } => Some(*come_back),
+            Self::NoConfiguration | Self::NoReplica | Self::Rejected => {
+                Some(Span(COME_BACK.0 + draw % COME_BACK_SPREAD.0))
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether bytes of the request may still be under way on the connection.
+    const fn leaves_bytes(&self) -> bool {
+        matches!(self, Self::BadHead(_) | Self::BodyTooLarge | Self::BodyLate)
+    }
+}
+
+/// A span in seconds with fractions, as callers read it.
+fn seconds(span: Span) -> Option<HeaderValue> {
+    HeaderValue::from_str(&format!("{:.3}", span.as_seconds())).ok()
+}
+
+/// A body that is whole.
+pub(super) fn full(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Headers that concern one connection only.
+const ONE_CONNECTION: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Take out of a replica's head what concerns its connection only.
+pub(super) fn pass_on(headers: &mut HeaderMap) {
+    for name in &ONE_CONNECTION {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -0,0 +1,302 @@
+//! One try at replicas: a call that serves a request, or one that reads its prompt and one that
+//! answers it.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use dahliaseam_border::dialect::{Forward, Handle, Run, Task};
+use dahliaseam_core::{
+    fleet::{
+        StepEnd,
+        choose::{Plan, Step},
+        replica::ReplicaFacts,
+    },
+    time::{Span, Time},
+};
+use http::{StatusCode, response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use crate::{
+    emit,
+    gateway::{
+        request::Job,
+        state::Gateway,
+        upstream::{Conn, SendError},
+        work::Work,
+    },
+};
+
+/// How many times as long as predicted a prompt's reading may take before it is tried elsewhere.
+const READ_PATIENCE: f64 = 4.0;
+/// What is added to that: the way there, and a prediction that is far off.
+const READ_SLACK: Span = Span::millis(300);
+/// Bytes of a short answer that is read to its end at once.
+const SHORT_ANSWER: usize = 64 << 10;
+/// Time for the rest of a short answer whose head came.
+const SHORT_ANSWER_TIME: Duration = Duration::from_millis(100);
+/// Time to free memory at an engine.
+const FREE: Duration = Duration::from_millis(1_000);
+/// Least time left for which it is worth to send anything.
+const LEAST_LEFT: Span = Span::millis(2);
+
+/// Why a call at one replica brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum CallFailure {
+    /// Nothing was sent.
+    NotSent(String),
+    /// The replica vouches that it did not run it.
+    Rejected(u16),
+    /// Another replica is at that address.
+    OtherReplica,
+    /// It may have run.
+    Lost(String),
+    /// It may have run; no answer came in time.
+    TimedOut,
+}
+
+impl CallFailure {
+    pub(super) const fn name(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not_sent",
+            Self::Rejected(_) => "rejected",
+            Self::OtherReplica => "other_replica",
+            Self::Lost(_) => "lost",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    /// Whether the replica got the call.
+    pub(super) const fn arrived(&self) -> bool {
+        !matches!(self, Self::NotSent(_))
+    }
+
+    /// Whether the replica may have run the request.
+    pub(super) const fn may_have_run(&self) -> bool {
+        matches!(self, Self::Lost(_) | Self::TimedOut)
+    }
+
+    /// What this says of the replica.
+    const fn step_end(&self) -> StepEnd {
+        match self {
+            Self::Rejected(_) => StepEnd::Rejected,
+            Self::NotSent(_) | Self::OtherReplica | Self::Lost(_) | Self::TimedOut => StepEnd::Failed,
+        }
+    }
+}
+
+/// An answer whose head came.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) head: response::Parts,
+    pub(super) body: Incoming,
+    /// Taken when it can be kept.
+    pub(super) conn: Option<Conn>,
+    pub(super) replica: ReplicaFacts,
+    pub(super) work: Work,
+}
+
+/// How a try failed.
+#[derive(Debug)]
+pub(super) struct Failed {
+    pub(super) why: CallFailure,
+    /// Whether only the reading of the prompt failed, which is no run.
+    pub(super) reading: bool,
+}
+
+/// Memory at an engine that is freed unless it was used.
+struct KeptPrompt {
+    gw: Arc<Gateway>,
+    replica: ReplicaFacts,
+    handle: Option<Handle>,
+}
+
+impl Drop for KeptPrompt {
+    fn drop(&mut self) {
+        if let Some(handle) = self.handle.take() {
+            tokio::spawn(free(Arc::clone(&self.gw), self.replica.clone(), handle.name));
+        }
+    }
+}
+
+async fn free(gw: Arc<Gateway>, replica: ReplicaFacts, handle: String) {
+    let req = match gw.outside.dialect.free_handle(&replica, &handle) {
+        Ok(req) => req,
+        Err(e) => {
+            emit!(warn, HANDLE_KEPT, replica = %replica.id, handle, why = %e);
+            return;
+        }
+    };
+    match tokio::time::timeout(FREE, gw.upstream.send(replica.address, req)).await {
+        Ok(Ok((resp, conn))) => {
+            if resp.into_body().collect().await.is_ok() {
+                gw.upstream.keep(replica.address, conn);
+            }
+        }
+        Ok(Err(e)) => emit!(info, HANDLE_KEPT, replica = %replica.id, handle, why = ?e),
+        Err(_) => emit!(info, HANDLE_KEPT, replica = %replica.id, handle, why = "no answer in time"),
+    }
+}
+
+impl Job {
+    /// Try a plan; the answer's head has come when this returns one.
+    pub(super) async fn attempt(&self, plan: &Plan) -> Result<Answer, Failed> {
+        match plan {
+            Plan::Whole(step) => self.serve(step, &Task::Serve).await.map_err(|why| Failed { why, reading: false }),
+            Plan::TwoSteps { read, write } => self.two_steps(read, write).await,
+        }
+    }
+
+    async fn two_steps(&self, read: &Step, write: &Step) -> Result<Answer, Failed> {
+        let kept = self.read(read).await.map_err(|why| Failed { why, reading: true })?;
+        let Some(handle) = &kept.handle else {
+            return Err(Failed { why: CallFailure::Lost("no handle".to_owned()), reading: true });
+        };
+        let task = Task::Continue { reader: kept.replica.address, handle: handle.name.clone() };
+        let answer = self.serve(write, &task).await.map_err(|why| Failed { why, reading: false })?;
+        let mut kept = kept;
+        kept.handle = None;
+        Ok(answer)
+    }
+
+    /// Have a prompt read.
+    async fn read(&self, step: &Step) -> Result<KeptPrompt, CallFailure> {
+        let predicted = Span::seconds((step.wait_ms + step.work_ms) / 1_000.0 * READ_PATIENCE);
+        let limit = self.deadline.min(self.gw.now() + predicted + READ_SLACK);
+        let (replica, mut work) = self.begin(step)?;
+        let read = self.read_at(&replica, limit).await;
+        match read {
+            Ok(handle) => {
+                self.gw.metrics.reading(work.age().as_seconds());
+                work.reading_over(StepEnd::Done);
+                work.ended(StepEnd::Done);
+                Ok(KeptPrompt { gw: Arc::clone(&self.gw), replica, handle: Some(handle) })
+            }
+            Err(why) => {
+                self.note_failure(&replica, &mut work, &why, "read");
+                Err(why)
+            }
+        }
+    }
+
+    async fn read_at(&self, replica: &ReplicaFacts, limit: Time) -> Result<Handle, CallFailure> {
+        let (head, body, conn) = self.call(replica, &Task::Read, limit).await?;
+        let text = Limited::new(body, SHORT_ANSWER).collect();
+        let text = tokio::time::timeout(SHORT_ANSWER_TIME, text).await.map_err(|_| CallFailure::TimedOut)?;
+        let text = text.map_err(|e| CallFailure::Lost(e.to_string()))?.to_bytes();
+        if head.status != StatusCode::OK {
+            return Err(CallFailure::Lost(format!("status {}", head.status)));
+        }
+        let handle = self.gw.outside.dialect.handle(&text).map_err(|e| CallFailure::Lost(e.to_string()))?;
+        self.gw.upstream.keep(replica.address, conn);
+        Ok(handle)
+    }
+
+    /// Have a request answered.
+    async fn serve(&self, step: &Step, task: &Task) -> Result<Answer, CallFailure> {
+        let limit = self.try_limit(step);
+        let (replica, mut work) = self.begin(step)?;
+        match self.call(&replica, task, limit).await {
+            Ok((head, body, conn)) => Ok(Answer { head, body, conn: Some(conn), replica, work }),
+            Err(why) => {
+                self.note_failure(&replica, &mut work, &why, "serve");
+                Err(why)
+            }
+        }
+    }
+
+    fn begin(&self, step: &Step) -> Result<(ReplicaFacts, Work), CallFailure> {
+        let gone = || CallFailure::NotSent("the replica is gone".to_owned());
+        let replica = self.gw.fleet().get(step.key).map(|replica| replica.facts.clone()).ok_or_else(gone)?;
+        let prompt = self.caller.prompt.as_ref().filter(|_| step.uncached > 0);
+        let work = Work::begin(&self.gw, step, prompt).ok_or_else(gone)?;
+        Ok((replica, work))
+    }
+
+    /// Send to one replica, and check that the answer is this request's and what it says of a run.
+    async fn call(
+        &self,
+        replica: &ReplicaFacts,
+        task: &Task,
+        limit: Time,
+    ) -> Result<(response::Parts, Incoming, Conn), CallFailure> {
+        let now = self.gw.now();
+        let time_left = self.deadline.since(now);
+        if time_left <= LEAST_LEFT {
+            return Err(CallFailure::NotSent("no time left".to_owned()));
+        }
+        let forward = Forward {
+            head: &self.head,
+            body: self.body.clone(),
+            replica,
+            time_left,
+            priority: self.route.priority,
+            task,
+            last_event: self.last_event.as_deref(),
+        };
+        let dialect = &self.gw.outside.dialect;
+        let req = dialect.forward(&forward).map_err(|e| CallFailure::NotSent(e.to_string()))?;
+        let sending = self.gw.upstream.send(replica.address, req);
+        let sent = tokio::time::timeout(duration(limit.since(now)), sending).await;
+        let (resp, conn) = match sent {
+            Err(_) => return Err(CallFailure::TimedOut),
+            Ok(Err(SendError::NotSent(why))) => return Err(CallFailure::NotSent(why)),
+            Ok(Err(SendError::Lost(why))) => return Err(CallFailure::Lost(why)),
+            Ok(Ok(answer)) => answer,
+        };
+        let (head, body) = resp.into_parts();
+        let facts = dialect.answer(&head);
+        // A refusal by another replica need not repeat the identifier.
+        let mine = facts.request_id.as_deref().map(|id| id == self.caller.id);
+        match (facts.run, mine) {
+            (_, Some(false)) => Err(CallFailure::Lost("the answer belongs to another request".to_owned())),
+            (Run::NotRun, _) => {
+                finish(&self.gw, replica, body, conn).await;
+                Err(CallFailure::Rejected(head.status.as_u16()))
+            }
+            (Run::OtherReplica, _) => Err(CallFailure::OtherReplica),
+            (Run::MayHaveRun, None) => Err(CallFailure::Lost("the answer names no request".to_owned())),
+            (Run::MayHaveRun, Some(true)) => {
+                if *task != Task::Read && head.status.is_success() && !facts.sealed {
+                    return Err(CallFailure::Lost("the answer carries no proof of its replica".to_owned()));
+                }
+                Ok((head, body, conn))
+            }
+        }
+    }
+
+    fn note_failure(&self, replica: &ReplicaFacts, work: &mut Work, why: &CallFailure, step: &'static str) {
+        work.ended(why.step_end());
+        if *why == CallFailure::OtherReplica {
+            work.replica_replaced();
+        }
+        self.gw.metrics.attempt(why.name());
+        emit!(
+            info,
+            TRY_FAILED,
+            request = self.caller.id,
+            replica = %replica.id,
+            hall = %replica.hall,
+            step,
+            end = why.name(),
+            why = ?why,
+            after_ms = work.age().as_millis()
+        );
+    }
+}
+
+/// Read a short answer to its end, so that its connection can be kept.
+async fn finish(gw: &Gateway, replica: &ReplicaFacts, body: Incoming, conn: Conn) {
+    let rest = Limited::new(body, SHORT_ANSWER).collect();
+    if matches!(tokio::time::timeout(SHORT_ANSWER_TIME, rest).await, Ok(Ok(_))) {
+        gw.upstream.keep(replica.address, conn);
+    }
+}
+
+/// A span as the runtime's timers take it.
+pub(super) const fn duration(span: Span) -> Duration {
+    Duration::from_micros(span.0)
+}
+
+/// No bytes.
+pub(super) const EMPTY: Bytes = Bytes::new();
--- /dev/null
+++ b/crates/daemon/src/gateway/controller.rs
@@ -0,0 +1,106 @@
+//! Starting and stopping a daemon that serves by routes. It only orchestrates.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use axum::Router;
+use dahliaseam_core::time::Span;
+use dahliaseam_settings::gateway::GatewaySettings;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::JoinHandle,
+};
+use tokio_util::task::TaskTracker;
+
+pub use crate::gateway::{log::Log, state::Outside};
+use crate::{
+    clock::wall_millis,
+    emit,
+    error::StartError,
+    gateway::{attempt::duration, follow, listener, metrics::GatewayMetrics, pages, peers, state::Gateway},
+    listener::{Terms, serve_with},
+};
+
+/// Time from the signal to stop during which new connections may still come: the balancer asks
+/// each second and turns away after two misses.
+const BALANCER: Duration = Duration::from_millis(3_200);
+/// Part of the time to stop that is kept for ending the process itself.
+const END: Span = Span::millis(400);
+/// Connections of operators and of the balancer at once at most.
+const PAGE_CONNECTIONS: usize = 64;
+/// Time for which a connection of theirs may be idle.
+const PAGE_IDLE: Duration = Duration::from_secs(20);
+/// Bytes of their heads at most; the library needs as much.
+const PAGE_HEAD: usize = 8 << 10;
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct GatewayController {
+    gw: Arc<Gateway>,
+    callers: JoinHandle<()>,
+    background: TaskTracker,
+}
+
+impl GatewayController {
+    /// Start a daemon.
+    ///
+    /// # Errors
+    /// Why it does not start.
+    pub async fn start(settings: GatewaySettings, outside: Outside) -> Result<Self, StartError> {
+        settings.check()?;
+        let callers = bind("caller_address", settings.caller_address).await?;
+        let ready = bind("ready_address", settings.ready_address).await?;
+        let metrics = bind("metrics_address", settings.metrics_address).await?;
+        let loads = UdpSocket::bind(settings.load_address)
+            .await
+            .map_err(|e| StartError::Bind("load_address", settings.load_address.to_string(), e))?;
+        let start = start_number(&settings, &outside);
+        let gw = Arc::new(Gateway::new(settings, outside, GatewayMetrics::new()?, start));
+        let background = TaskTracker::new();
+        background.spawn(follow::run(Arc::clone(&gw)));
+        background.spawn(peers::run(Arc::clone(&gw), loads));
+        background.spawn(serve_pages(Arc::clone(&gw), ready, pages::ready(&gw)));
+        background.spawn(serve_pages(Arc::clone(&gw), metrics, pages::metrics(&gw)));
+        let callers = tokio::spawn(listener::run(Arc::clone(&gw), callers));
+        emit!(info, STARTED, vm = gw.settings.vm, hall = gw.settings.hall, start);
+        Ok(Self { gw, callers, background })
+    }
+
+    /// Take over what of new settings can change while the daemon runs.
+    pub fn reload(&self, settings: GatewaySettings) {
+        let changed = self.gw.reload(settings);
+        emit!(info, RELOADED, changed = changed.join(","));
+    }
+
+    /// Stop as planned: not ready, then no new connections, then wait for what is under way.
+    pub async fn stop(self) {
+        let gw = &self.gw;
+        let over_at = gw.now() + Span::seconds(gw.settings.timing.stop_s);
+        emit!(info, STOPPING, under_way = gw.stop.requests.len());
+        gw.stop.begun.cancel();
+        tokio::time::sleep(BALANCER).await;
+        gw.stop.closing.cancel();
+        let left = over_at.since(gw.now()).0.saturating_sub(END.0);
+        let drained = tokio::time::timeout(duration(Span(left)), self.callers).await.is_ok();
+        emit!(info, DRAINED, drained, under_way = gw.stop.requests.len());
+        gw.stop.over.cancel();
+        self.background.close();
+        emit!(info, STOPPED, vm = gw.settings.vm);
+    }
+}
+
+/// A number for this run: later runs of a VM have higher ones, and no two VMs share one.
+fn start_number(settings: &GatewaySettings, outside: &Outside) -> u64 {
+    let text = format!("{}{}{:?}", settings.vm, wall_millis(), outside.clock.now());
+    dahliaseam_core::hash::bytes(text.as_bytes())
+}
+
+async fn serve_pages(gw: Arc<Gateway>, listener: TcpListener, router: Router) {
+    let over = gw.stop.over.clone();
+    let terms = || Terms { connections: PAGE_CONNECTIONS, head_time: PAGE_IDLE, head_bytes: PAGE_HEAD };
+    let answer = crate::listener::router_answer(router);
+    serve_with(listener, answer, terms, gw.stop.closing.clone(), over).await;
+}
+
+async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|e| StartError::Bind(what, address.to_string(), e))
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/follow.rs
@@ -0,0 +1,251 @@
+//! Following the store: the configuration in force, and the replicas that there are.
+//!
+//! The first read takes everything; after that a waiting call brings each change. While the store
+//! is away the daemon goes on with what it knows. Entries that lapsed meanwhile get a short time
+//! to come back, since their replicas could not renew them.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use dahliaseam_border::{
+    error::CallError,
+    feed::{Change, Changes, Snapshot},
+    kv::Entry,
+};
+use dahliaseam_core::time::{Span, Time};
+
+use crate::{
+    emit,
+    gateway::{attempt::duration, state::Gateway},
+};
+
+/// Time that a lapsed entry gets to come back after the store did. Replicas that live write
+/// again within about two seconds; a little more for the way.
+const COME_BACK: Span = Span::millis(2_200);
+/// Waits between calls that fail, doubling from the first to the last.
+const RETRY: (Span, Span) = (Span::millis(50), Span::millis(800));
+/// Part of the time allowed for following again that one waiting call may take. A call on a
+/// connection that silently died is noticed only at its end.
+const WAIT_SHARE: f64 = 0.6;
+/// Time between two looks for replicas that are gone and connections that are old.
+const SWEEP: Duration = Duration::from_millis(500);
+
+/// What was last read from the store, as it lay there.
+#[derive(Debug, Default)]
+pub(super) struct Copies {
+    /// The configuration.
+    pub(super) configuration: Option<Entry>,
+    /// The replicas' entries, by key.
+    pub(super) replicas: HashMap<String, Entry>,
+    /// The daemons' entries, by key.
+    pub(super) daemons: HashMap<String, Entry>,
+    /// The store's revision up to which nothing is missing.
+    pub(super) revision: i64,
+    /// When the store last answered.
+    pub(super) heard: Time,
+    /// Until when entries that are missing may come back.
+    grace_until: Time,
+    lost: bool,
+}
+
+impl Copies {
+    /// Whether everything was read once.
+    pub(super) const fn is_complete(&self) -> bool {
+        self.configuration.is_some() && self.revision > 0
+    }
+}
+
+/// Follow the store until the daemon is over.
+pub(super) async fn run(gw: Arc<Gateway>) {
+    let over = gw.stop.over.clone();
+    tokio::select! {
+        () = follow(&gw) => {}
+        () = sweep(&gw) => {}
+        () = over.cancelled() => {}
+    }
+}
+
+async fn follow(gw: &Arc<Gateway>) {
+    let mut retry = RETRY.0;
+    loop {
+        let step = if gw.copies().is_complete() { next(gw).await } else { read_all(gw).await };
+        match step {
+            Ok(()) => {
+                store_answered(gw);
+                retry = RETRY.0;
+            }
+            Err(e) => {
+                store_failed(gw, &e);
+                let spread = Span(gw.draw() % retry.0.max(1));
+                tokio::time::sleep(duration(retry) + duration(spread)).await;
+                retry = Span(retry.0 * 2).min(RETRY.1);
+            }
+        }
+    }
+}
+
+async fn read_all(gw: &Arc<Gateway>) -> Result<(), CallError> {
+    let snapshot = gw.outside.feed.snapshot("").await?;
+    store_answered(gw);
+    apply_snapshot(gw, snapshot);
+    Ok(())
+}
+
+async fn next(gw: &Arc<Gateway>) -> Result<(), CallError> {
+    let revision = gw.copies().revision;
+    let wait = Span::millis((gw.settings.timing.contact_ms as f64 * WAIT_SHARE) as u64);
+    match gw.outside.feed.changes("", revision, wait).await? {
+        Changes::HistoryGone => {
+            emit!(info, HISTORY_GONE, revision);
+            read_all(gw).await
+        }
+        Changes::Next { changes, revision } => {
+            store_answered(gw);
+            for change in changes {
+                apply(gw, change);
+            }
+            let mut copies = gw.copies();
+            copies.revision = copies.revision.max(revision);
+            Ok(())
+        }
+    }
+}
+
+fn store_answered(gw: &Gateway) {
+    gw.metrics.store_call("answered");
+    let now = gw.now();
+    let mut copies = gw.copies();
+    copies.heard = now;
+    if std::mem::take(&mut copies.lost) {
+        copies.grace_until = now + COME_BACK;
+        emit!(info, STORE_BACK, revision = copies.revision);
+    }
+}
+
+fn store_failed(gw: &Gateway, e: &CallError) {
+    gw.metrics.store_call("failed");
+    let now = gw.now();
+    let mut copies = gw.copies();
+    if !std::mem::replace(&mut copies.lost, true) {
+        let silent_ms = now.since(copies.heard).as_millis();
+        emit!(warn, STORE_LOST, revision = copies.revision, silent_ms, why = %e);
+    }
+}
+
+fn apply_snapshot(gw: &Arc<Gateway>, snapshot: Snapshot) {
+    let prefix = gw.outside.dialect.replica_prefix();
+    let revision = snapshot.revision;
+    let missing: Vec<String> = {
+        let copies = gw.copies();
+        let known = copies.replicas.keys().chain(copies.daemons.keys());
+        known.filter(|key| !snapshot.entries.iter().any(|entry| entry.key == **key)).cloned().collect()
+    };
+    let replicas = snapshot.entries.iter().filter(|entry| entry.key.starts_with(prefix)).count();
+    for entry in snapshot.entries {
+        apply(gw, Change::Put(entry));
+    }
+    for key in missing {
+        apply(gw, Change::Removed { key, revision });
+    }
+    let mut copies = gw.copies();
+    copies.revision = copies.revision.max(revision);
+    emit!(info, STORE_READ, revision, replicas);
+}
+
+/// Take in one change, from the store or from another daemon that read it there.
+pub(super) fn apply(gw: &Arc<Gateway>, change: Change) {
+    let dialect = &gw.outside.dialect;
+    match change {
+        Change::Put(entry) if entry.key == dialect.configuration_key() => put_configuration(gw, entry),
+        Change::Put(entry) if entry.key.starts_with(dialect.replica_prefix()) => put_replica(gw, entry),
+        Change::Put(entry) if entry.key.starts_with(&gw.settings.keyspace) => {
+            gw.copies().daemons.insert(entry.key.clone(), entry);
+        }
+        Change::Removed { key, revision } if key.starts_with(dialect.replica_prefix()) => {
+            remove_replica(gw, &key, revision);
+        }
+        Change::Removed { key, .. } => {
+            gw.copies().daemons.remove(&key);
+        }
+        Change::Put(_) => {}
+    }
+}
+
+fn put_configuration(gw: &Gateway, entry: Entry) {
+    let older = gw.copies().configuration.as_ref().is_some_and(|present| present.revision >= entry.revision);
+    if older {
+        return;
+    }
+    match gw.outside.dialect.configuration(&entry.value) {
+        Ok(table) => {
+            let (version, routes) = (table.version, table.len());
+            for service in table.services() {
+                if let Some(engine) = &service.engine {
+                    gw.fleet().set_memory(&service.name, engine.memory_tokens);
+                }
+            }
+            if gw.set_table(table) {
+                emit!(info, ROUTES_IN_FORCE, configuration = version, revision = entry.revision, routes);
+            }
+            gw.copies().configuration = Some(entry);
+        }
+        Err(e) => emit!(error, CONFIG_REJECTED, revision = entry.revision, why = %e),
+    }
+}
+
+fn put_replica(gw: &Gateway, entry: Entry) {
+    let id = entry.key.trim_start_matches(gw.outside.dialect.replica_prefix()).to_owned();
+    let older = gw.copies().replicas.get(&entry.key).is_some_and(|present| present.revision >= entry.revision);
+    if older {
+        return;
+    }
+    match gw.outside.dialect.replica(&id, &entry.value) {
+        Ok((facts, _)) => {
+            let (draining, role) = (facts.draining, facts.role);
+            let (service, address) = (Arc::clone(&facts.service), facts.address);
+            if gw.fleet().put(facts, entry.revision) {
+                emit!(
+                    info,
+                    REPLICA_KNOWN,
+                    replica = id,
+                    service = %service,
+                    address = %address,
+                    role = ?role,
+                    draining,
+                    revision = entry.revision
+                );
+            }
+            gw.copies().replicas.insert(entry.key.clone(), entry);
+        }
+        Err(e) => emit!(error, REPLICA_UNREADABLE, replica = id, revision = entry.revision, why = %e),
+    }
+}
+
+fn remove_replica(gw: &Gateway, key: &str, revision: i64) {
+    let id = key.trim_start_matches(gw.outside.dialect.replica_prefix());
+    let now = gw.now();
+    let gone_at = {
+        let mut copies = gw.copies();
+        let newer = copies.replicas.get(key).is_some_and(|present| present.revision > revision);
+        if newer {
+            return;
+        }
+        copies.replicas.remove(key);
+        now.max(copies.grace_until)
+    };
+    if gw.fleet().removed(id, revision, gone_at) {
+        emit!(info, REPLICA_LEFT, replica = id, revision, grace_ms = gone_at.since(now).as_millis());
+    }
+}
+
+async fn sweep(gw: &Arc<Gateway>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let now = gw.now();
+        gw.upstream.sweep();
+        let mut fleet = gw.fleet();
+        fleet.forget_silent(now);
+        for id in fleet.forget_gone(now) {
+            emit!(info, REPLICA_FORGOTTEN, replica = %id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/log.rs
@@ -0,0 +1,52 @@
+//! Log lines on standard output: never waited for, and counted where they are dropped.
+
+use std::io::stdout;
+
+use dahliaseam_settings::{
+    error::SettingsError,
+    settings::{LogFormat, LogSettings},
+};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::{EnvFilter, Layer, layer::SubscriberExt, util::SubscriberInitExt};
+
+use crate::error::StartError;
+
+/// Lines that may wait for the writer. Some seconds at the usual load; about a megabyte.
+const WAITING_LINES: usize = 4_096;
+
+/// Keeps the writer running.
+#[derive(Debug)]
+pub struct Log {
+    dropped: ErrorCounter,
+    _writer: WorkerGuard,
+}
+
+impl Log {
+    /// Set up the log as the settings say.
+    ///
+    /// # Errors
+    /// Why that cannot be done.
+    pub fn start(settings: &LogSettings) -> Result<Self, StartError> {
+        let (writer, guard) =
+            NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING_LINES).finish(stdout());
+        let dropped = writer.error_counter();
+        let filter = EnvFilter::try_new(&settings.filter)
+            .map_err(|e| SettingsError::Value("log.filter".to_owned(), e.to_string()))?;
+        let layer = tracing_subscriber::fmt::layer().with_writer(writer);
+        let lines = match settings.format {
+            LogFormat::Json => layer.json().flatten_event(true).with_target(false).boxed(),
+            LogFormat::Text => layer.with_target(false).boxed(),
+        };
+        tracing_subscriber::registry()
+            .with(lines.with_filter(filter))
+            .try_init()
+            .map_err(|e| StartError::Telemetry(e.to_string()))?;
+        Ok(Self { dropped, _writer: guard })
+    }
+
+    /// Counts the lines that were dropped because too many waited.
+    #[must_use]
+    pub fn dropped(&self) -> ErrorCounter {
+        self.dropped.clone()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -0,0 +1,88 @@
+//! What a daemon that serves by routes counts, shown as Prometheus text.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider as _},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::error::StartError;
+
+/// Bounds of the histograms of seconds.
+const SECONDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.5, 1.0, 2.5, 10.0];
+
+/// The instruments.
+#[derive(Debug)]
+pub(super) struct GatewayMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    store_calls: Counter<u64>,
+    peer_messages: Counter<u64>,
+    first_byte: Histogram<f64>,
+    reading: Histogram<f64>,
+}
+
+impl GatewayMetrics {
+    pub(super) fn new() -> Result<Self, StartError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| StartError::Telemetry(e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("dahliaseamd");
+        let counter = |name, what| meter.u64_counter(name).with_description(what).build();
+        let histogram =
+            |name, what| meter.f64_histogram(name).with_description(what).with_boundaries(SECONDS.to_vec()).build();
+        Ok(Self {
+            requests: counter("dahliaseam_route_requests", "Requests that are over, by route and outcome"),
+            attempts: counter("dahliaseam_route_attempts", "Tries at replicas that are over, by end"),
+            store_calls: counter("dahliaseam_store_calls", "Calls to the key-value service, by end"),
+            peer_messages: counter("dahliaseam_peer_messages", "Messages to and from other daemons"),
+            first_byte: histogram("dahliaseam_first_byte_seconds", "Seconds from a request to its answer's first byte"),
+            reading: histogram("dahliaseam_reading_seconds", "Seconds that an engine took to read a prompt"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// A request is over.
+    pub(super) fn request(&self, route: &str, outcome: &'static str) {
+        self.requests.add(1, &[KeyValue::new("route", route.to_owned()), KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A try is over.
+    pub(super) fn attempt(&self, end: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// A call to the store is over.
+    pub(super) fn store_call(&self, end: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// A message to or from another daemon.
+    pub(super) fn peer_message(&self, way: &'static str) {
+        self.peer_messages.add(1, &[KeyValue::new("way", way)]);
+    }
+
+    /// An answer's first byte came so long after the request.
+    pub(super) fn first_byte(&self, route: &str, seconds: f64) {
+        self.first_byte.record(seconds, &[KeyValue::new("route", route.to_owned())]);
+    }
+
+    /// An engine read a prompt.
+    pub(super) fn reading(&self, seconds: f64) {
+        self.reading.record(seconds, &[]);
+    }
+
+    /// All of it as Prometheus text.
+    pub(super) fn text(&self) -> Result<String, prometheus::Error> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(String::from_utf8_lossy(&buf).into_owned())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,23 @@
+//! Serving by routes: callers' requests go to the replicas that discovery knows.
+//!
+//! A request's way is [`listener`] (connections), [`request`] (from head to outcome), [`attempt`]
+//! (one try), [`upstream`] (connections to replicas) and [`relay`] (the answer as it arrives).
+//! Beside it run [`follow`] (configuration and replicas from the store), [`peers`] (what daemons
+//! tell each other) and [`pages`] (readiness, metrics). [`state`] is what they share, and
+//! [`controller`] starts and stops them.
+
+mod answer;
+mod attempt;
+pub mod controller;
+mod follow;
+mod listener;
+mod log;
+mod metrics;
+mod pages;
+mod peers;
+mod relay;
+mod request;
+mod sse;
+mod state;
+mod upstream;
+mod work;
--- /dev/null
+++ b/crates/daemon/src/gateway/pages.rs
@@ -0,0 +1,42 @@
+//! Pages for the balancer and for operators: readiness and metrics.
+
+use std::sync::Arc;
+
+use axum::{
+    Router,
+    extract::State,
+    response::{IntoResponse, Response},
+    routing::get,
+};
+use http::{StatusCode, header::CONTENT_TYPE};
+
+use crate::gateway::state::Gateway;
+
+/// Media type of Prometheus text.
+const PROMETHEUS: &str = "text/plain; version=0.0.4";
+
+/// What the balancer asks.
+pub(super) fn ready(gw: &Arc<Gateway>) -> Router {
+    let path = gw.outside.dialect.ready_path();
+    Router::new().route(path, get(is_ready)).with_state(Arc::clone(gw))
+}
+
+/// What operators ask.
+pub(super) fn metrics(gw: &Arc<Gateway>) -> Router {
+    Router::new().route("/metrics", get(text)).with_state(Arc::clone(gw))
+}
+
+async fn is_ready(State(gw): State<Arc<Gateway>>) -> Response {
+    if gw.is_ready() {
+        return "ready\n".into_response();
+    }
+    let why = if gw.stop.begun.is_cancelled() { "stopping\n" } else { "no configuration\n" };
+    (StatusCode::SERVICE_UNAVAILABLE, why).into_response()
+}
+
+async fn text(State(gw): State<Arc<Gateway>>) -> Response {
+    match gw.metrics.text() {
+        Ok(text) => ([(CONTENT_TYPE, PROMETHEUS)], text).into_response(),
+        Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()).into_response(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/request.rs
@@ -0,0 +1,356 @@
+//! One request, from its head to its outcome.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use dahliaseam_border::dialect::CallerRequest;
+use dahliaseam_core::{
+    fleet::{
+        StepEnd,
+        choose::{Ask, NoPlan, Plan, Step},
+        replica::ReplicaKey,
+    },
+    hash,
+    route::{Repeat, Route, RouteTable},
+    time::{Span, Time},
+};
+use http::{Request, Response, header, request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+
+use crate::{
+    emit,
+    gateway::{
+        answer::{AnswerBody, Refusal},
+        attempt::{Answer, CallFailure, EMPTY, Failed, duration},
+        relay::{self, Begun},
+        state::Gateway,
+    },
+};
+
+/// Failed tries after which a request is given up, however many replicas there are.
+const MAX_TRIES: usize = 4;
+/// How many times its prediction a plain call that may be repeated waits before another is tried.
+const PLAIN_PATIENCE: f64 = 5.0;
+/// What is added to that.
+const PLAIN_SLACK: Span = Span::millis(60);
+/// Least time left for which another try is worth it.
+const LEAST_LEFT: Span = Span::millis(15);
+
+/// A request with all that its tries need.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) gw: Arc<Gateway>,
+    pub(super) head: request::Parts,
+    pub(super) body: Bytes,
+    pub(super) caller: CallerRequest,
+    pub(super) route: Arc<Route>,
+    pub(super) service: Arc<str>,
+    pub(super) version: u64,
+    pub(super) arrived: Time,
+    /// When it must be over: the caller's patience or the route's time limit.
+    pub(super) deadline: Time,
+    /// The last event that the caller has, where an answer goes on from there.
+    pub(super) last_event: Option<String>,
+    tried: Vec<ReplicaKey>,
+    /// Calls that reached a replica and count against the budget.
+    arrivals: u32,
+    /// Replicas that may have run it.
+    runs: u32,
+    timed_out: bool,
+    draw: u64,
+}
+
+/// Writes the line that says how a request ended, also when its caller leaves.
+#[derive(Debug)]
+pub(super) struct Ending {
+    gw: Arc<Gateway>,
+    id: String,
+    route: Arc<str>,
+    version: u64,
+    arrived: Time,
+    outcome: &'static str,
+    status: u16,
+    tries: usize,
+}
+
+impl Ending {
+    fn new(job: &Job) -> Self {
+        Self {
+            gw: Arc::clone(&job.gw),
+            id: job.caller.id.clone(),
+            route: Arc::clone(&job.route.name),
+            version: job.version,
+            arrived: job.arrived,
+            outcome: "caller_left",
+            status: 0,
+            tries: 0,
+        }
+    }
+
+    pub(super) const fn set(&mut self, outcome: &'static str, status: u16) {
+        self.outcome = outcome;
+        self.status = status;
+    }
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        self.gw.metrics.request(&self.route, self.outcome);
+        emit!(
+            info,
+            ROUTED_OVER,
+            request = self.id,
+            route = %self.route,
+            configuration = self.version,
+            outcome = self.outcome,
+            status = self.status,
+            tries = self.tries,
+            took_ms = self.gw.now().since(self.arrived).as_millis()
+        );
+    }
+}
+
+/// Serve a caller's request.
+pub(super) async fn serve(gw: Arc<Gateway>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let draw = gw.draw();
+    let (head, body) = req.into_parts();
+    match admit(&gw, head, body, draw).await {
+        Ok(job) => run(job).await,
+        Err((refusal, id)) => {
+            gw.metrics.request("", refusal.name());
+            emit!(info, NOT_ADMITTED, request = id, why = ?refusal);
+            refusal.answer(draw)
+        }
+    }
+}
+
+/// Read a request and find its route.
+async fn admit(gw: &Arc<Gateway>, head: request::Parts, body: Incoming, draw: u64) -> Result<Job, (Refusal, String)> {
+    let arrived = gw.now();
+    let caller = gw.outside.dialect.caller(&head).map_err(|e| (Refusal::BadHead(e.to_string()), String::new()))?;
+    let refused = |refusal| (refusal, caller.id.clone());
+    let table = gw.table().ok_or_else(|| refused(Refusal::NoConfiguration))?;
+    let (route, service) = find(&table, &head, &caller).ok_or_else(|| refused(Refusal::NoRoute))?;
+    let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived + patience;
+    let body = read_body(gw, body, table.limits.body_bytes, deadline).await.map_err(refused)?;
+    Ok(Job {
+        gw: Arc::clone(gw),
+        head,
+        body,
+        route,
+        service,
+        version: table.version,
+        arrived,
+        deadline,
+        last_event: caller.last_event.clone(),
+        caller,
+        tried: Vec::new(),
+        arrivals: 0,
+        runs: 0,
+        timed_out: false,
+        draw,
+    })
+}
+
+fn find(table: &RouteTable, head: &request::Parts, caller: &CallerRequest) -> Option<(Arc<Route>, Arc<str>)> {
+    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).or_else(|| head.uri.host())?;
+    let route = table.find(host, head.uri.path())?;
+    let service = Arc::clone(route.service(hash::bytes(caller.id.as_bytes()))?);
+    Some((route, service))
+}
+
+async fn read_body(gw: &Gateway, body: Incoming, limit: usize, deadline: Time) -> Result<Bytes, Refusal> {
+    if body.is_end_stream() {
+        return Ok(EMPTY);
+    }
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let left = duration(deadline.since(gw.now()));
+    let read = tokio::time::timeout(left, Limited::new(body, limit).collect()).await;
+    match read {
+        Err(_) => Err(Refusal::BodyLate),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(e)) => Err(Refusal::BadHead(format!("the body broke off: {e}"))),
+    }
+}
+
+/// Try until there is an answer or a reason to give up.
+async fn run(mut job: Job) -> Response<AnswerBody> {
+    let mut ending = Ending::new(&job);
+    let now = job.gw.now();
+    job.gw.fleet().request(&job.service, &job.gw.budget(), now);
+    loop {
+        let plan = match job.next_plan() {
+            Ok(plan) => plan,
+            Err(refusal) => return give_up(&job, ending, &refusal),
+        };
+        ending.tries += 1;
+        let failed = match job.attempt(&plan).await {
+            Ok(answer) => match begin_answer(&mut job, answer).await {
+                Ok(begun) => return relay::answer(job, begun, ending),
+                Err(why) => Failed { why, reading: false },
+            },
+            Err(failed) => failed,
+        };
+        job.note_failed(&plan, &failed);
+    }
+}
+
+fn give_up(job: &Job, mut ending: Ending, refusal: &Refusal) -> Response<AnswerBody> {
+    ending.set(refusal.name(), refusal.status().as_u16());
+    refusal.answer(job.draw)
+}
+
+/// Wait until an answer is certain enough to be passed on.
+async fn begin_answer(job: &mut Job, answer: Answer) -> Result<Begun, CallFailure> {
+    let may_repeat = job.may_repeat();
+    if may_repeat && answer.head.status.is_server_error() {
+        let status = answer.head.status.as_u16();
+        let mut answer = answer;
+        answer.work.ended(StepEnd::Done);
+        return Err(CallFailure::Lost(format!("status {status}")));
+    }
+    relay::begin(job, answer).await
+}
+
+impl Job {
+    /// Time left until it must be over.
+    pub(super) fn time_left(&self) -> Span {
+        self.deadline.since(self.gw.now())
+    }
+
+    /// Whether it may be tried again after it may have run.
+    pub(super) fn may_repeat(&self) -> bool {
+        self.route.repeat == Repeat::Allowed
+            && self.runs + 1 < self.route.attempts
+            && self.tried.len() + 1 < MAX_TRIES
+            && self.time_left() > LEAST_LEFT
+    }
+
+    /// When a call is given up so that another replica can be tried.
+    pub(super) fn try_limit(&self, step: &Step) -> Time {
+        if !self.may_repeat() || self.caller.prompt.is_some() {
+            return self.deadline;
+        }
+        let patience = Span::seconds((step.wait_ms + step.work_ms) / 1_000.0 * PLAIN_PATIENCE);
+        self.deadline.min(self.gw.now() + patience + PLAIN_SLACK)
+    }
+
+    /// What to do next, or why to give up.
+    pub(super) fn next_plan(&mut self) -> Result<Plan, Refusal> {
+        let now = self.gw.now();
+        let ran_out = self.tried.len() >= MAX_TRIES || self.deadline.since(now) <= LEAST_LEFT;
+        let may_go_on = match self.route.repeat {
+            Repeat::AtMostOnce => self.runs == 0,
+            Repeat::Allowed => self.runs < self.route.attempts,
+        };
+        if !may_go_on || (ran_out && !self.tried.is_empty()) {
+            return Err(self.last_word());
+        }
+        let plan = self.choose(now)?;
+        if self.arrivals > 0 && !self.gw.fleet().take_repeat(&self.service, &self.gw.budget(), now) {
+            emit!(info, BUDGET_SPENT, request = self.caller.id, service = %self.service);
+            return Err(self.last_word());
+        }
+        Ok(plan)
+    }
+
+    fn choose(&self, now: Time) -> Result<Plan, Refusal> {
+        let ask = Ask {
+            service: &self.service,
+            prompt: self.caller.prompt.as_ref(),
+            objective_left: (self.arrived + self.route.objective).since(now),
+            time_left: self.deadline.since(now),
+            may_refuse: self.tried.is_empty() && self.last_event.is_none(),
+            tried: &self.tried,
+            draw: self.draw,
+        };
+        let fleet = self.gw.fleet();
+        match fleet.choose(&ask, now) {
+            Ok(plan) => {
+                self.log_plan(&fleet, &plan, now);
+                Ok(plan)
+            }
+            Err(NoPlan::TooLate { predicted_ms, come_back }) => {
+                emit!(
+                    info,
+                    REFUSED_EARLY,
+                    request = self.caller.id,
+                    route = %self.route.name,
+                    predicted_ms,
+                    objective_ms = self.route.objective.as_millis(),
+                    view_age_ms = fleet.peers_age_ms(now),
+                    come_back_ms = come_back.as_millis()
+                );
+                Err(Refusal::TooLate { come_back })
+            }
+            Err(NoPlan::NoReplica) if self.tried.is_empty() => Err(Refusal::NoReplica),
+            Err(NoPlan::NoReplica) => Err(self.last_word()),
+        }
+    }
+
+    fn log_plan(&self, fleet: &dahliaseam_core::fleet::Fleet, plan: &Plan, now: Time) {
+        let name = |key: ReplicaKey| fleet.get(key).map_or("", |replica| &*replica.facts.id);
+        let (read, write, first) = match plan {
+            Plan::Whole(step) => ("", name(step.key), step),
+            Plan::TwoSteps { read, write } => (name(read.key), name(write.key), read),
+        };
+        emit!(
+            info,
+            ROUTED,
+            request = self.caller.id,
+            route = %self.route.name,
+            configuration = self.version,
+            service = %self.service,
+            read,
+            replica = write,
+            wait_ms = first.wait_ms as u64,
+            work_ms = first.work_ms as u64,
+            uncached = first.uncached,
+            view_age_ms = fleet.peers_age_ms(now),
+            daemons = fleet.daemons(),
+            left_ms = self.deadline.since(now).as_millis()
+        );
+    }
+
+    pub(super) fn note_failed(&mut self, plan: &Plan, failed: &Failed) {
+        let key = match (plan, failed.reading) {
+            (Plan::Whole(step), _) | (Plan::TwoSteps { read: step, .. }, true) => step.key,
+            (Plan::TwoSteps { write, .. }, false) => write.key,
+        };
+        self.tried.push(key);
+        let read_before = matches!(plan, Plan::TwoSteps { .. }) && !failed.reading;
+        if failed.why.arrived() || read_before {
+            self.arrivals += 1;
+        }
+        if failed.why.may_have_run() && !failed.reading {
+            self.runs += 1;
+            self.timed_out = failed.why == CallFailure::TimedOut;
+        }
+    }
+
+    /// A stream that had begun broke off at a replica.
+    pub(super) fn note_broken(&mut self, key: Option<ReplicaKey>) {
+        self.tried.extend(key);
+        self.arrivals += 1;
+        self.runs += 1;
+    }
+
+    /// The true last word: whether it surely did not run.
+    fn last_word(&self) -> Refusal {
+        match (self.runs, self.timed_out) {
+            (0, _) => Refusal::Rejected,
+            (_, true) => Refusal::TimedOut,
+            (_, false) => Refusal::Lost,
+        }
+    }
+}
+
+/// Time to wait for a request's end once its answer has begun.
+pub(super) fn time_left(job: &Job) -> Duration {
+    duration(job.time_left())
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/sse.rs
@@ -0,0 +1,59 @@
+//! Cutting an event stream into whole events, without changing a byte.
+
+use bytes::{Bytes, BytesMut};
+
+/// Bytes of one event at most; a longer one is passed on in pieces.
+const MAX_EVENT: usize = 256 << 10;
+
+/// Collects bytes until they make whole events.
+#[derive(Debug, Default)]
+pub(super) struct Events {
+    buf: BytesMut,
+}
+
+impl Events {
+    /// Add bytes and take all events that are whole by now.
+    pub(super) fn push(&mut self, data: &[u8]) -> Option<Bytes> {
+        self.buf.extend_from_slice(data);
+        let end = last_end(&self.buf)?;
+        Some(self.buf.split_to(end).freeze())
+    }
+
+    /// The bytes of an event that is not whole.
+    pub(super) fn rest(&mut self) -> Bytes {
+        self.buf.split().freeze()
+    }
+
+    /// Forget an event that is not whole.
+    pub(super) fn clear(&mut self) {
+        self.buf.clear();
+    }
+}
+
+/// Where the last whole event ends: after an empty line.
+fn last_end(buf: &[u8]) -> Option<usize> {
+    if buf.len() > MAX_EVENT {
+        return Some(buf.len());
+    }
+    let mut end = None;
+    let mut line_start = 0;
+    for (at, byte) in buf.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &buf[line_start..at];
+        if line.is_empty() || line == b"\r" {
+            end = Some(at + 1);
+        }
+        line_start = at + 1;
+    }
+    end
+}
+
+/// The identifier of the last of some whole events.
+pub(super) fn last_id(events: &[u8]) -> Option<String> {
+    let lines = events.split(|byte| *byte == b'\n').rev();
+    let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    let text = std::str::from_utf8(value).ok()?;
+    Some(text.trim().to_owned())
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/state.rs
@@ -0,0 +1,157 @@
+//! What the parts of a daemon that serves by routes share.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use dahliaseam_border::{dialect::SharedDialect, feed::ChangeFeed, kv::KeyValue};
+use dahliaseam_core::{
+    fleet::{Fleet, budget::BudgetTerms},
+    route::RouteTable,
+    time::Time,
+};
+use dahliaseam_settings::gateway::{GatewaySettings, RetrySettings};
+use tokio::sync::Notify;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    clock::Clock,
+    gateway::{follow::Copies, metrics::GatewayMetrics, upstream::Upstream},
+};
+
+/// What a daemon meets outside, so that tests can put fakes there.
+#[derive(Clone, Debug)]
+pub struct Outside {
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The key-value service, for the daemons' own keys.
+    pub kv: Arc<dyn KeyValue>,
+    /// The same service, for following its changes.
+    pub feed: Arc<dyn ChangeFeed>,
+    /// The language of callers, endpoints and the stored configuration.
+    pub dialect: SharedDialect,
+}
+
+/// The shared state.
+#[derive(Debug)]
+pub(super) struct Gateway {
+    pub(super) settings: GatewaySettings,
+    pub(super) outside: Outside,
+    /// Number that tells this run of the daemon from all others.
+    pub(super) start: u64,
+    pub(super) fleet: Mutex<Fleet>,
+    pub(super) copies: Mutex<Copies>,
+    pub(super) upstream: Upstream,
+    pub(super) metrics: GatewayMetrics,
+    pub(super) stop: Stop,
+    /// Wakes the task that tells peers of changed load.
+    pub(super) load_changed: Notify,
+    seeds: Mutex<Vec<SocketAddr>>,
+    retries: Mutex<RetrySettings>,
+    table: Mutex<Option<Arc<RouteTable>>>,
+    draws: AtomicU64,
+}
+
+/// The stages of a planned stop.
+#[derive(Debug, Default)]
+pub(super) struct Stop {
+    /// It began: not ready, still taking work.
+    pub(super) begun: CancellationToken,
+    /// No more connections are taken.
+    pub(super) closing: CancellationToken,
+    /// Background tasks are to end.
+    pub(super) over: CancellationToken,
+    /// The requests under way.
+    pub(super) requests: TaskTracker,
+}
+
+impl Gateway {
+    pub(super) fn new(settings: GatewaySettings, outside: Outside, metrics: GatewayMetrics, start: u64) -> Self {
+        Self {
+            fleet: Mutex::new(Fleet::new(&settings.hall)),
+            copies: Mutex::new(Copies::default()),
+            upstream: Upstream::new(Arc::clone(&outside.clock)),
+            metrics,
+            stop: Stop::default(),
+            load_changed: Notify::new(),
+            seeds: Mutex::new(settings.seeds.clone()),
+            retries: Mutex::new(settings.retries),
+            table: Mutex::new(None),
+            draws: AtomicU64::new(start),
+            settings,
+            outside,
+            start,
+        }
+    }
+
+    /// The time now.
+    pub(super) fn now(&self) -> Time {
+        self.outside.clock.now()
+    }
+
+    /// The replicas.
+    pub(super) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What was last read from the store.
+    pub(super) fn copies(&self) -> MutexGuard<'_, Copies> {
+        self.copies.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The routes in force, once there are any.
+    pub(super) fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Put routes in force, unless newer ones are; returns whether they are in force now.
+    pub(super) fn set_table(&self, table: RouteTable) -> bool {
+        let mut present = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        let newer = present.as_ref().is_none_or(|present| table.version > present.version);
+        if newer {
+            *present = Some(Arc::new(table));
+        }
+        newer
+    }
+
+    /// Bounds on repeated sends.
+    pub(super) fn budget(&self) -> BudgetTerms {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner).terms()
+    }
+
+    /// A few daemons that may be asked for what they know.
+    pub(super) fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Use what of new settings can change while the daemon runs; returns the names of those.
+    pub(super) fn reload(&self, settings: GatewaySettings) -> Vec<&'static str> {
+        let mut changed = Vec::new();
+        let mut seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        if *seeds != settings.seeds {
+            *seeds = settings.seeds;
+            changed.push("seeds");
+        }
+        let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
+        if *retries != settings.retries {
+            *retries = settings.retries;
+            changed.push("retries");
+        }
+        changed
+    }
+
+    /// A number that is unlike the ones before.
+    pub(super) fn draw(&self) -> u64 {
+        let n = self.draws.fetch_add(1, Ordering::Relaxed);
+        dahliaseam_core::hash::bytes(&n.to_le_bytes())
+    }
+
+    /// Whether the balancer should send work here.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.stop.begun.is_cancelled() && self.table().is_some() && self.copies().is_complete()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -0,0 +1,169 @@
+//! Connections to replicas.
+//!
+//! A request is never sent twice by this module. A connection is kept only after an answer has
+//! been read to its end, and used again only while it is fresh, since a replica may close an idle
+//! one at any time.
+
+use std::{
+    collections::HashMap,
+    fmt,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dahliaseam_core::time::{Span, Time};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{Builder, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+use crate::clock::Clock;
+
+/// Time for which an idle connection may be used again. Replicas close idle ones after some
+/// seconds, some without a word; well within that, few are lost.
+const FRESH: Span = Span::millis(1_500);
+/// Idle connections kept to one replica at most.
+const KEPT: usize = 24;
+/// Time to make a connection at most. The way takes a few milliseconds; a lost opening packet is
+/// sent again only after a second.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Time after which unacknowledged bytes fail a connection.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time of silence after which a connection is probed, and between two probes.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// Bytes of an answer's head and of one read at most.
+const BUFFER: usize = 32 << 10;
+
+/// A connection that can take a request.
+pub(super) type Conn = SendRequest<Full<Bytes>>;
+
+/// Why no answer came.
+#[derive(Debug)]
+pub(super) enum SendError {
+    /// No byte of the request was sent.
+    NotSent(String),
+    /// It was sent, at least in part.
+    Lost(String),
+}
+
+#[derive(Debug)]
+struct Idle {
+    conn: Conn,
+    until: Time,
+}
+
+/// The connections.
+pub(super) struct Upstream {
+    clock: Arc<dyn Clock>,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl fmt::Debug for Upstream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Upstream").finish_non_exhaustive()
+    }
+}
+
+impl Upstream {
+    pub(super) fn new(clock: Arc<dyn Clock>) -> Self {
+        Self { clock, idle: Mutex::default() }
+    }
+
+    /// Send a request and return the head of its answer and the connection.
+    ///
+    /// Dropping either the future or the answer's body ends the connection, and so tells the
+    /// replica that the request is no longer wanted.
+    pub(super) async fn send(
+        &self,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Conn), SendError> {
+        let mut req = req;
+        // A kept connection may turn out to be closed before anything was written; then another
+        // one is taken. That is no second send.
+        while let Some(mut conn) = self.kept(address) {
+            match conn.try_send_request(req).await {
+                Ok(resp) => return Ok((resp, conn)),
+                Err(mut e) => match e.take_message() {
+                    Some(unsent) => req = unsent,
+                    None => return Err(SendError::Lost(e.into_error().to_string())),
+                },
+            }
+        }
+        let mut conn = connect(address).await.map_err(SendError::NotSent)?;
+        match conn.try_send_request(req).await {
+            Ok(resp) => Ok((resp, conn)),
+            Err(mut e) => match e.take_message() {
+                Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
+                None => Err(SendError::Lost(e.into_error().to_string())),
+            },
+        }
+    }
+
+    /// Keep a connection whose answer was read to the end.
+    pub(super) fn keep(&self, address: SocketAddr, conn: Conn) {
+        if conn.is_closed() {
+            return;
+        }
+        let until = self.clock.now() + FRESH;
+        let mut idle = self.lock();
+        let conns = idle.entry(address).or_default();
+        if conns.len() < KEPT {
+            conns.push(Idle { conn, until });
+        }
+    }
+
+    /// Close connections that have been idle for long.
+    pub(super) fn sweep(&self) {
+        let now = self.clock.now();
+        let mut idle = self.lock();
+        idle.retain(|_, conns| {
+            conns.retain(|kept| !kept.until.is_past(now) && !kept.conn.is_closed());
+            !conns.is_empty()
+        });
+    }
+
+    fn kept(&self, address: SocketAddr) -> Option<Conn> {
+        let now = self.clock.now();
+        let mut idle = self.lock();
+        let conns = idle.get_mut(&address)?;
+        while let Some(kept) = conns.pop() {
+            if !kept.until.is_past(now) && kept.conn.is_ready() {
+                return Some(kept.conn);
+            }
+        }
+        None
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Conn, String> {
+    let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address));
+    let stream = connecting.await.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
+    prepare(&stream).map_err(|e| e.to_string())?;
+    let (conn, driver) =
+        Builder::new().max_buf_size(BUFFER).handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    tokio::spawn(async move {
+        // How a connection ends is told to whoever waits for an answer on it.
+        let _ = driver.await;
+    });
+    Ok(conn)
+}
+
+/// Make a socket fail when the other side is silently gone.
+pub(super) fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEP_ALIVE).with_interval(KEEP_ALIVE))
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/work.rs
@@ -0,0 +1,73 @@
+//! Work at a replica, counted from when it is sent until it is over.
+
+use std::sync::Arc;
+
+use dahliaseam_core::{
+    fleet::{Sent, StepEnd, choose::Step},
+    prompt::Prompt,
+    time::Span,
+};
+
+use crate::{emit, gateway::state::Gateway};
+
+/// One replica's work for a request. Dropping it ends the count.
+#[derive(Debug)]
+pub(super) struct Work {
+    gw: Arc<Gateway>,
+    sent: Sent,
+    end: StepEnd,
+}
+
+impl Work {
+    /// Count work that is about to be sent; absent if the replica is no longer known.
+    pub(super) fn begin(gw: &Arc<Gateway>, step: &Step, prompt: Option<&Prompt>) -> Option<Self> {
+        let now = gw.now();
+        let sent = gw.fleet().begin(step.key, step, prompt, now)?;
+        gw.load_changed.notify_one();
+        Some(Self { gw: Arc::clone(gw), sent, end: StepEnd::Unknown })
+    }
+
+    /// Set how it will have ended.
+    pub(super) const fn ended(&mut self, end: StepEnd) {
+        self.end = end;
+    }
+
+    /// The reading is over; the rest goes on.
+    pub(super) fn reading_over(&mut self, end: StepEnd) {
+        let now = self.gw.now();
+        self.gw.fleet().reading_over(&mut self.sent, end, now);
+        self.gw.load_changed.notify_one();
+    }
+
+    /// A plain call was answered.
+    pub(super) fn plain_over(&self) {
+        let now = self.gw.now();
+        self.gw.fleet().learn_plain(&self.sent, now.since(self.sent.at), now);
+    }
+
+    /// Time since it was sent.
+    pub(super) fn age(&self) -> Span {
+        self.gw.now().since(self.sent.at)
+    }
+
+    /// The replica is no longer the one that was known.
+    pub(super) fn replica_replaced(&self) {
+        let now = self.gw.now();
+        self.gw.fleet().replaced(self.sent.key, now);
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        let now = self.gw.now();
+        let (ejected, id) = {
+            let mut fleet = self.gw.fleet();
+            let ejected = fleet.end(&self.sent, self.end, now);
+            (ejected, fleet.get(self.sent.key).map(|replica| Arc::clone(&replica.facts.id)))
+        };
+        if let (true, Some(id)) = (ejected, id) {
+            emit!(warn, REPLICA_LEFT_OUT, replica = %id, "replica failed repeatedly; it gets no work for a while");
+        }
+        self.gw.load_changed.notify_one();
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,7 +5,8 @@
 //! request from start to end) and [`attempt`] (one try at an endpoint). Beside it run [`peers`]
 //! (membership and gossip), [`configure`] (the configuration in force), [`observe`] (load of
 //! endpoints), [`duties`] (which endpoints get work), [`claims`] (at most one run) and
-//! [`control`] (orders to engines, for the shards whose lease this daemon holds).
+//! [`control`] (orders to engines, for the shards whose lease this daemon holds). [`gateway`] is
+//! the serving path for routes and discovered replicas.
 
 pub mod attempt;
 pub mod caller;
@@ -19,6 +20,7 @@
 pub mod error;
 pub mod event;
 pub mod exchange;
+pub mod gateway;
 pub mod health;
 pub mod identity;
 pub mod listener;
--- /dev/null
+++ b/crates/settings/src/gateway.rs
@@ -0,0 +1,121 @@
+//! The settings of a daemon that serves by routes: one JSON object, checked before anything starts.
+
+use std::{net::SocketAddr, path::Path};
+
+use dahliaseam_core::{fleet::budget::BudgetTerms, time::Span};
+use serde::Deserialize;
+
+use crate::{
+    error::SettingsError,
+    settings::{LogSettings, expect},
+};
+
+/// The settings of one daemon that serves by routes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Name of the VM.
+    pub vm: String,
+    /// Hall of the VM.
+    pub hall: String,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the balancer asks whether this VM is ready.
+    pub ready_address: SocketAddr,
+    /// Where other daemons ask for what this one knows.
+    pub peer_address: SocketAddr,
+    /// Where other daemons send what they have under way, over UDP.
+    pub load_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    /// Peer addresses of a few daemons, which may be old.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The key-value service.
+    pub store_address: SocketAddr,
+    /// Prefix of the daemons' own keys in the key-value service.
+    pub keyspace: String,
+    /// Open files at most.
+    pub max_files: u32,
+    /// Bounds on repeated sends, over all daemons.
+    pub retries: RetrySettings,
+    /// Spans of the daemon's own work.
+    pub timing: GatewayTiming,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Bounds on repeated sends to a service, over all daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Repeats for each new request.
+    pub ratio: f64,
+    /// Repeats in a window beside those.
+    pub slack: f64,
+    /// Seconds of a window.
+    pub window_s: f64,
+}
+
+impl RetrySettings {
+    /// The terms that the budget works by.
+    #[must_use]
+    pub fn terms(&self) -> BudgetTerms {
+        BudgetTerms { ratio: self.ratio, slack: self.slack, window: Span::seconds(self.window_s) }
+    }
+}
+
+/// Spans of the daemon's own work.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayTiming {
+    /// Milliseconds from an undisturbed store on in which this daemon must follow it again.
+    pub contact_ms: u64,
+    /// Seconds from the signal to stop until the process must be over.
+    pub stop_s: f64,
+    /// Milliseconds that separate the orders of two holders at least.
+    pub order_lease_ms: u64,
+    /// Milliseconds for which an endpoint may still get work after it announced to leave.
+    pub drain_ms: u64,
+}
+
+/// Files that are kept for other things than connections.
+const SPARE_FILES: u32 = 256;
+
+impl GatewaySettings {
+    /// Read and check a settings file.
+    ///
+    /// # Errors
+    /// Why it cannot be used; the text names the field and what is expected there.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read(path).map_err(|e| SettingsError::Open(path.to_owned(), e))?;
+        let settings: Self =
+            dahliaseam_wire::error::from_json(&text).map_err(|e| SettingsError::Read(path.to_owned(), e))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Check the values.
+    ///
+    /// # Errors
+    /// The first field that cannot be used, and what is expected there.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        expect(!self.vm.is_empty(), "vm", "the VM's name")?;
+        expect(!self.hall.is_empty(), "hall", "the hall's name")?;
+        expect(self.keyspace.ends_with('/'), "keyspace", "a prefix that ends with '/'")?;
+        expect(self.max_files > 2 * SPARE_FILES, "max_files", "512 at least")?;
+        expect(self.retries.ratio >= 0.0, "retries.ratio", "0 at least")?;
+        expect(self.retries.slack >= 0.0, "retries.slack", "0 at least")?;
+        expect(self.retries.window_s > 0.0, "retries.window_s", "a number above 0")?;
+        expect(self.timing.contact_ms >= 500, "timing.contact_ms", "500 at least")?;
+        expect(self.timing.stop_s >= 1.0, "timing.stop_s", "1 at least")?;
+        expect(self.timing.order_lease_ms >= 1_000, "timing.order_lease_ms", "1000 at least")
+    }
+
+    /// Connections of callers at once at most: half of the files, the rest goes to endpoints.
+    #[must_use]
+    pub const fn caller_connections(&self) -> usize {
+        (self.max_files.saturating_sub(SPARE_FILES) / 2) as usize
+    }
+}
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -299,7 +299,7 @@
     }
 }
 
-fn expect(holds: bool, path: &str, expected: &str) -> Result<(), SettingsError> {
+pub(crate) fn expect(holds: bool, path: &str, expected: &str) -> Result<(), SettingsError> {
     if holds {
         return Ok(());
     }
