--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -25,6 +25,21 @@
 const OVER_SLOTS_MS: f64 = 20.0;
 /// Milliseconds that a plain replica counts more when all its slots are taken, since it slows down.
 const CROWD_MS: f64 = 10.0;
+/// Tokens of an answer from which on it keeps a slot for seconds.
+const LONG_OUTPUT: u32 = 1_500;
+/// Share of an engine's slots that long answers may take before another engine gets them.
+const PACKED_SHARE: f64 = 0.8;
+/// Milliseconds that an empty engine counts more for a long answer than one with such answers.
+const PACKING_MS: f64 = 40.0;
+/// Milliseconds of a read that disturbs nobody: one piece of a prompt.
+const SHORT_READ_MS: f64 = 12.0;
+/// Milliseconds of reading at once that an engine with long answers takes. Reading comes between
+/// their tokens, and their callers allow pauses of some 150 ms between events.
+const DISTURB_MS: f64 = 45.0;
+/// Milliseconds that each long answer counts more where a prompt is read beside it.
+const DISTURBED_MS: f64 = 1.0;
+/// Milliseconds that each request at an engine counts where a prompt is handed over to it.
+const ACTIVE_MS: f64 = 0.2;
 /// Part of the remaining objective that a prediction may use up.
 const ADMIT_SHARE: f64 = 0.9;
 /// Part of its remaining time after which a caller does not come back any more.
@@ -62,6 +77,8 @@
     pub work_ms: f64,
     /// Tokens to be read.
     pub uncached: u32,
+    /// Whether its answer will keep a slot for seconds.
+    pub long: bool,
 }
 
 /// How a request is to be served.
@@ -134,19 +151,26 @@
             let over = f64::from((replica.active() + 1).saturating_sub(replica.facts.slots));
             let crowd = f64::from(replica.active()) / f64::from(replica.facts.slots.max(1));
             let wait_ms = work_ms * over / f64::from(replica.facts.slots.max(1)) + crowd * CROWD_MS;
-            let step = Step { key, wait_ms, work_ms, uncached: 0 };
+            let step = Step { key, wait_ms, work_ms, uncached: 0, long: false };
             (step.wait_ms + work_ms + self.hall_ms(replica), step)
         });
         lowest(steps).map(Plan::Whole)
     }
 
     fn choose_engines(&self, ask: &Ask<'_>, prompt: &Prompt, now: Time) -> Option<Plan> {
-        let whole = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).map(
+        let long = prompt.output >= LONG_OUTPUT;
+        let whole = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).filter_map(
             |(key, replica)| {
                 let step = self.reading_step(key, replica, ask.service, prompt, now);
                 let over = slot_wait_ms(replica);
-                let step = Step { wait_ms: step.wait_ms + over, ..step };
-                (step.wait_ms + step.work_ms + self.hall_ms(replica), step)
+                let step = Step { wait_ms: step.wait_ms + over, long, ..step };
+                let disturbs = replica.streams() > 0 && step.work_ms > SHORT_READ_MS;
+                if disturbs && step.wait_ms + step.work_ms > DISTURB_MS {
+                    return None;
+                }
+                let disturbed = if disturbs { f64::from(replica.streams()) * DISTURBED_MS } else { 0.0 };
+                let cost = step.wait_ms + step.work_ms + self.hall_ms(replica) + disturbed + packing_ms(replica, long);
+                Some((cost, step))
             },
         ));
         let read = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role == Role::Prefill).map(
@@ -155,7 +179,7 @@
                 (step.wait_ms + step.work_ms + self.hall_ms(replica), step)
             },
         ));
-        let write = self.choose_writer(ask, now);
+        let write = self.choose_writer(ask, long, now);
         let two = read.zip(write).map(|(read, write)| Plan::TwoSteps { read, write });
         match (whole.map(Plan::Whole), two) {
             (Some(whole), Some(two)) if two.predicted_ms() < whole.predicted_ms() => Some(two),
@@ -163,11 +187,12 @@
         }
     }
 
-    fn choose_writer(&self, ask: &Ask<'_>, now: Time) -> Option<Step> {
+    fn choose_writer(&self, ask: &Ask<'_>, long: bool, now: Time) -> Option<Step> {
         lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).map(|(key, replica)| {
             let wait_ms = slot_wait_ms(replica) + replica.reading_ms(now) * 0.5;
-            let step = Step { key, wait_ms, work_ms: HAND_OVER_MS, uncached: 0 };
-            (wait_ms + self.hall_ms(replica) + f64::from(replica.active()) * 0.2, step)
+            let step = Step { key, wait_ms, work_ms: HAND_OVER_MS, uncached: 0, long };
+            let cost = wait_ms + self.hall_ms(replica) + f64::from(replica.active()) * ACTIVE_MS;
+            (cost + packing_ms(replica, long), step)
         }))
     }
 
@@ -181,6 +206,7 @@
             wait_ms: replica.reading_ms(now),
             work_ms: rate.work_ms(uncached) * factor * replica.slowness(now),
             uncached,
+            long: false,
         }
     }
 
@@ -198,6 +224,20 @@
     }
 }
 
+/// What it costs to put a long answer there: they are kept together on as few engines as have
+/// room, so that the others can read undisturbed, or change their role without a wait.
+fn packing_ms(replica: &Replica, long: bool) -> f64 {
+    if !long {
+        return 0.0;
+    }
+    let room = f64::from(replica.facts.slots) * PACKED_SHARE;
+    let streams = f64::from(replica.streams());
+    if streams < room {
+        return PACKING_MS * (1.0 - streams / room);
+    }
+    PACKING_MS * (1.0 + (streams - room) / room)
+}
+
 fn slot_wait_ms(replica: &Replica) -> f64 {
     f64::from((replica.active() + 1).saturating_sub(replica.facts.slots)) * OVER_SLOTS_MS
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -76,8 +76,8 @@
 pub struct Sent {
     /// Where.
     pub key: ReplicaKey,
-    /// Milliseconds of reading that it counts as.
-    pub work_ms: f64,
+    /// What it counts as.
+    pub load: Load,
     /// Tokens to be read.
     pub uncached: u32,
     /// Milliseconds after which it should be over.
@@ -139,26 +139,27 @@
     pub fn begin(&mut self, key: ReplicaKey, step: &choose::Step, prompt: Option<&Prompt>, now: Time) -> Option<Sent> {
         let replica = self.replicas.get_mut(key)?;
         let alone = replica.own.reading_ms + replica.peers.reading_ms <= 0.0;
-        replica.own.reading_ms += step.work_ms;
-        replica.own.active += 1;
+        let load = Load { reading_ms: step.work_ms, active: 1, streams: u32::from(step.long) };
+        replica.own = replica.own.plus(load);
         replica.health.sent();
         if let Some(prompt) = prompt {
             replica.cache.read(&prompt.parts);
             self.notes.push(peers::ReadNote::new(&replica.facts.id, prompt));
         }
         let expected_ms = step.wait_ms + step.work_ms;
-        Some(Sent { key, work_ms: step.work_ms, uncached: step.uncached, expected_ms, alone, at: now })
+        Some(Sent { key, load, uncached: step.uncached, expected_ms, alone, at: now })
     }
 
     /// Note that reading is over while the request goes on; returns the work that remains counted.
     pub fn reading_over(&mut self, sent: &mut Sent, end: StepEnd, now: Time) {
+        let read = Load { reading_ms: sent.load.reading_ms, ..Load::default() };
         if let Some(replica) = self.replicas.get_mut(sent.key) {
-            replica.own.reading_ms = (replica.own.reading_ms - sent.work_ms).max(0.0);
+            replica.own = replica.own.minus(read);
         }
         if end == StepEnd::Done {
             self.learn_read(sent, now);
         }
-        sent.work_ms = 0.0;
+        sent.load = sent.load.minus(read);
     }
 
     /// Note that work at a replica is over; returns whether the replica is left out from now on.
@@ -166,8 +167,7 @@
         let Some(replica) = self.replicas.get_mut(sent.key) else {
             return false;
         };
-        replica.own.reading_ms = (replica.own.reading_ms - sent.work_ms).max(0.0);
-        replica.own.active = replica.own.active.saturating_sub(1);
+        replica.own = replica.own.minus(sent.load);
         if replica.own.active == 0 {
             // Rounding errors do not add up.
             replica.own.reading_ms = 0.0;
@@ -223,8 +223,3 @@
 fn short_id(id: &str) -> u32 {
     crate::hash::bytes(id.as_bytes()) as u32
 }
-
-/// Load as the sum of two.
-fn sum(a: Load, b: Load) -> Load {
-    Load { reading_ms: a.reading_ms + b.reading_ms, active: a.active + b.active }
-}
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -10,7 +10,7 @@
     fleet::{
         Fleet,
         replica::{Load, ReplicaKey},
-        short_id, sum,
+        short_id,
     },
     prompt::{Part, Prompt},
     time::{Span, Time},
@@ -30,6 +30,8 @@
     pub reading_ms: u32,
     /// Requests under way.
     pub active: u32,
+    /// Those of them whose answers are long.
+    pub streams: u32,
 }
 
 /// A prompt that was sent to a replica, so that its memory holds it.
@@ -65,6 +67,7 @@
             replica: short_id(&replica.facts.id),
             reading_ms: replica.own.reading_ms as u32,
             active: replica.own.active,
+            streams: replica.own.streams,
         });
         let loads = loads.collect();
         let mut notes = std::mem::take(&mut self.notes);
@@ -117,8 +120,7 @@
         let before = std::mem::take(&mut self.peers.entry(sender).or_default().loads);
         for (key, load) in before {
             if let Some(replica) = self.replicas.get_mut(key) {
-                replica.peers.reading_ms = (replica.peers.reading_ms - load.reading_ms).max(0.0);
-                replica.peers.active = replica.peers.active.saturating_sub(load.active);
+                replica.peers = replica.peers.minus(load);
             }
         }
         let mut after = HashMap::with_capacity(loads.len());
@@ -126,9 +128,9 @@
             let Some(key) = self.by_hash.get(&load.replica).copied() else {
                 continue;
             };
-            let value = Load { reading_ms: f64::from(load.reading_ms), active: load.active };
+            let value = Load { reading_ms: f64::from(load.reading_ms), active: load.active, streams: load.streams };
             if let Some(replica) = self.replicas.get_mut(key) {
-                replica.peers = sum(replica.peers, value);
+                replica.peers = replica.peers.plus(value);
             }
             after.insert(key, value);
         }
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -42,6 +42,30 @@
     pub reading_ms: f64,
     /// Requests under way, those being read included.
     pub active: u32,
+    /// Those of them whose answers are long, so that they keep their slot for seconds.
+    pub streams: u32,
+}
+
+impl Load {
+    /// This load and another one.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            reading_ms: self.reading_ms + other.reading_ms,
+            active: self.active + other.active,
+            streams: self.streams + other.streams,
+        }
+    }
+
+    /// This load without another one that was part of it.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            reading_ms: (self.reading_ms - other.reading_ms).max(0.0),
+            active: self.active.saturating_sub(other.active),
+            streams: self.streams.saturating_sub(other.streams),
+        }
+    }
 }
 
 /// Weight of a new observation in the slowness.
@@ -104,6 +128,12 @@
         self.own.active + self.peers.active
     }
 
+    /// Long answers under way there, as far as known.
+    #[must_use]
+    pub const fn streams(&self) -> u32 {
+        self.own.streams + self.peers.streams
+    }
+
     /// Milliseconds until what is known to be there has been read.
     #[must_use]
     pub fn reading_ms(&self, now: Time) -> f64 {
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -310,6 +310,8 @@
             replica = write,
             wait_ms = first.wait_ms as u64,
             work_ms = first.work_ms as u64,
+            tokens = self.caller.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
+            output = self.caller.prompt.as_ref().map_or(0, |prompt| prompt.output),
             uncached = first.uncached,
             view_age_ms = fleet.peers_age_ms(now),
             daemons = fleet.daemons(),
