Let roles of engines follow the measured demand, under a lease-held right to give orders

Daemons tell each other the demand they see; one of them, under a key that ends with its lease, gives orders fenced by that key's revision, each naming how many orders the engine must have taken.

--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -96,12 +96,14 @@
 }
 
 /// Why a request is not served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NoPlan {
     /// No replica of the service takes work.
     NoReplica,
     /// No replica would be in time.
     TooLate {
+        /// What would have been tried.
+        plan: Plan,
         /// Predicted milliseconds to the first event.
         predicted_ms: u64,
         /// When the caller may come back.
@@ -110,6 +112,22 @@
 }
 
 impl Plan {
+    /// The step that reads the prompt.
+    #[must_use]
+    pub const fn reading(&self) -> &Step {
+        match self {
+            Self::Whole(step) | Self::TwoSteps { read: step, .. } => step,
+        }
+    }
+
+    /// Whether the answer will keep a slot for seconds.
+    #[must_use]
+    pub const fn is_long(&self) -> bool {
+        match self {
+            Self::Whole(step) | Self::TwoSteps { write: step, .. } => step.long,
+        }
+    }
+
     /// Predicted milliseconds to the first event.
     #[must_use]
     pub fn predicted_ms(&self) -> f64 {
@@ -139,7 +157,7 @@
         let predicted_ms = plan.predicted_ms();
         if ask.may_refuse && predicted_ms > limit * 1_000.0 {
             let come_back = come_back(ask, predicted_ms);
-            return Err(NoPlan::TooLate { predicted_ms: predicted_ms as u64, come_back });
+            return Err(NoPlan::TooLate { plan, predicted_ms: predicted_ms as u64, come_back });
         }
         Ok(plan)
     }
--- a/crates/core/src/fleet/discovery.rs
+++ b/crates/core/src/fleet/discovery.rs
@@ -96,6 +96,9 @@
         let changed = replica.facts != facts || replica.gone_at != Time::NEVER;
         // A replica that said that it leaves does not come back under the same identifier.
         let draining = replica.facts.draining || facts.draining;
+        if replica.facts.role != facts.role {
+            replica.changing_until = Time(0);
+        }
         replica.facts = ReplicaFacts { draining, ..facts };
         replica.revision = revision;
         replica.gone_at = Time::NEVER;
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -17,6 +17,7 @@
         peers::PeerLoads,
         rates::ReadRate,
         replica::{Load, Replica, ReplicaKey},
+        split::DemandMeter,
     },
     prompt::Prompt,
     time::{Span, Time},
@@ -45,6 +46,7 @@
     plain_ms: f64,
     budget: Budget,
     memory_tokens: u64,
+    meter: DemandMeter,
 }
 
 impl Default for ServiceState {
@@ -54,6 +56,7 @@
             plain_ms: PLAIN_GUESS_MS,
             budget: Budget::default(),
             memory_tokens: MEMORY_GUESS,
+            meter: DemandMeter::default(),
         }
     }
 }
@@ -135,6 +138,13 @@
         self.service_mut(service).memory_tokens = tokens;
     }
 
+    /// Note a new request, and what it would ask of engines.
+    pub fn offered(&mut self, service: &Arc<str>, step: &choose::Step, now: Time) {
+        let state = self.service_mut(service);
+        let work_ms = state.rate.work_ms(step.uncached);
+        state.meter.offered(work_ms, step.long, now);
+    }
+
     /// Note that work begins at a replica; `prompt` is what it reads.
     pub fn begin(&mut self, key: ReplicaKey, step: &choose::Step, prompt: Option<&Prompt>, now: Time) -> Option<Sent> {
         let replica = self.replicas.get_mut(key)?;
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -7,10 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    endpoint::Role,
     fleet::{
         Fleet,
         replica::{Load, ReplicaKey},
         short_id,
+        split::Demand,
     },
     prompt::{Part, Prompt},
     time::{Span, Time},
@@ -34,6 +36,41 @@
     pub streams: u32,
 }
 
+/// What a daemon sees of the demand for one service.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceDemand {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Engines that would be reading all the time.
+    pub reading: f32,
+    /// Slots that long answers would take.
+    pub slots: f32,
+}
+
+/// An engine whose role is about to change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangingEngine {
+    /// Hash of the replica's identifier.
+    pub replica: u32,
+    /// Whether it becomes a prefill engine; a decode engine otherwise.
+    pub to_prefill: bool,
+    /// Milliseconds for which it gets no new work.
+    pub left_ms: u32,
+}
+
+/// All that a daemon says in one message.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// Its work, by replica.
+    pub loads: Vec<ReplicaLoad>,
+    /// Prompts that it sent since its last message.
+    pub reads: Vec<ReadNote>,
+    /// The demand that it sees, by service.
+    pub demands: Vec<ServiceDemand>,
+    /// Engines whose role it is changing.
+    pub changing: Vec<ChangingEngine>,
+}
+
 /// A prompt that was sent to a replica, so that its memory holds it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReadNote {
@@ -57,11 +94,15 @@
     number: u64,
     heard: Time,
     loads: HashMap<ReplicaKey, Load>,
+    /// By the hash of the service's name.
+    pub(super) demands: HashMap<u32, Demand>,
 }
 
 impl Fleet {
-    /// What this daemon has under way, and the prompts it sent since the last call.
-    pub fn own_loads(&mut self) -> (Vec<ReplicaLoad>, Vec<ReadNote>) {
+    /// What this daemon has to say now.
+    pub fn own_news(&mut self, now: Time) -> News {
+        let mut reads = std::mem::take(&mut self.notes);
+        reads.truncate(MAX_NOTES);
         let busy = self.replicas.values().filter(|replica| replica.own.active > 0);
         let loads = busy.map(|replica| ReplicaLoad {
             replica: short_id(&replica.facts.id),
@@ -69,22 +110,41 @@
             active: replica.own.active,
             streams: replica.own.streams,
         });
-        let loads = loads.collect();
-        let mut notes = std::mem::take(&mut self.notes);
-        notes.truncate(MAX_NOTES);
-        (loads, notes)
+        let demands = self.services.iter().map(|(name, state)| {
+            let demand = state.meter.demand(now);
+            ServiceDemand { service: short_id(name), reading: demand.reading as f32, slots: demand.slots as f32 }
+        });
+        let changing =
+            self.replicas.values().filter(|replica| replica.ordered_here && !replica.changing_until.is_past(now));
+        let changing = changing.map(|replica| ChangingEngine {
+            replica: short_id(&replica.facts.id),
+            to_prefill: replica.changing_to == Role::Prefill,
+            left_ms: replica.changing_until.since(now).as_millis() as u32,
+        });
+        News {
+            loads: loads.collect(),
+            reads,
+            demands: demands.filter(|demand| demand.reading > 0.0 || demand.slots > 0.0).collect(),
+            changing: changing.collect(),
+        }
     }
 
     /// Take in what the daemon `sender` said in its message `number`.
-    pub fn peer_loads(&mut self, sender: u64, number: u64, loads: &[ReplicaLoad], notes: &[ReadNote], now: Time) {
-        let known = self.peers.get(&sender).is_some_and(|peer| peer.number >= number);
-        if !known {
-            self.replace_peer(sender, loads);
+    pub fn peer_news(&mut self, sender: u64, number: u64, news: &News, now: Time) {
+        let overtaken = self.peers.get(&sender).is_some_and(|peer| peer.number >= number);
+        if !overtaken {
+            self.replace_peer(sender, &news.loads);
             let peer = self.peers.entry(sender).or_default();
             peer.number = number;
             peer.heard = now;
+            peer.demands = news
+                .demands
+                .iter()
+                .map(|d| (d.service, Demand { reading: f64::from(d.reading), slots: f64::from(d.slots) }))
+                .collect();
+            self.peer_changes(&news.changing, now);
         }
-        for note in notes {
+        for note in &news.reads {
             let replica = self.by_hash.get(&note.replica).and_then(|key| self.replicas.get_mut(*key));
             if let Some(replica) = replica {
                 let parts: Vec<Part> =
@@ -94,6 +154,20 @@
         }
     }
 
+    fn peer_changes(&mut self, changing: &[ChangingEngine], now: Time) {
+        for change in changing {
+            let to = if change.to_prefill { Role::Prefill } else { Role::Decode };
+            let until = now + Span::millis(u64::from(change.left_ms));
+            let replica = self.by_hash.get(&change.replica).and_then(|key| self.replicas.get_mut(*key));
+            if let Some(replica) = replica
+                && replica.facts.role != to
+            {
+                replica.changing_until = until;
+                replica.changing_to = to;
+            }
+        }
+    }
+
     /// Forget daemons that have been silent for long.
     pub fn forget_silent(&mut self, now: Time) {
         let silent: Vec<u64> =
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -94,6 +94,12 @@
     pub cache: Cache,
     /// When an order to change its role will be over; no new work until then.
     pub changing_until: Time,
+    /// The role that it takes by that order.
+    pub changing_to: Role,
+    /// Whether this daemon gave that order, and so tells the others.
+    pub ordered_here: bool,
+    /// From when on it may get an order; later than now while one may still take effect.
+    pub orders_from: Time,
     slowness: f64,
     slowness_at: Time,
 }
@@ -111,6 +117,9 @@
             peers: Load::default(),
             cache: Cache::new(memory_tokens),
             changing_until: Time(0),
+            changing_to: Role::Plain,
+            ordered_here: false,
+            orders_from: Time(0),
             slowness: 1.0,
             slowness_at: Time(0),
         }
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -76,6 +76,13 @@
     ROLE_PLANNED = 506, "The planner decided on a role change.";
     MARKS_REFUSED = 507, "Marks under an old fencing number were refused.";
     ENDPOINT_DUTY = 508, "An endpoint was opened to new work, or closed.";
+    ORDERS_HELD = 520, "This daemon has the right to give orders to engines, under this fencing number, after a wait.";
+    ORDERS_NOT_HELD = 521, "This daemon tried to get the right to give orders and could not.";
+    ORDERS_NOT_RENEWED = 522, "The lease of the right to give orders could not be renewed; it ends by itself.";
+    ORDERS_LOST = 523, "This daemon no longer has the right to give orders.";
+    ORDERS_KEPT = 524, "The right to give orders could not be given up; it ends with its lease.";
+    ROLE_SHIFT = 525, "An engine is to change its role; the fields are the demand that asks for it.";
+    ROLE_ORDERED = 526, "The order to change a role was answered, or its answer was lost.";
 }
 
 /// Log an event: `emit!(info, STARTED, field = value)`.
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -16,7 +16,7 @@
     clock::wall_millis,
     emit,
     error::StartError,
-    gateway::{attempt::duration, follow, listener, metrics::GatewayMetrics, pages, peers, state::Gateway},
+    gateway::{attempt::duration, follow, listener, metrics::GatewayMetrics, orders, pages, peers, state::Gateway},
     listener::{Terms, serve_with},
 };
 
@@ -58,6 +58,7 @@
         let background = TaskTracker::new();
         background.spawn(follow::run(Arc::clone(&gw)));
         background.spawn(peers::run(Arc::clone(&gw), loads));
+        background.spawn(orders::run(Arc::clone(&gw)));
         background.spawn(serve_pages(Arc::clone(&gw), ready, pages::ready(&gw)));
         background.spawn(serve_pages(Arc::clone(&gw), metrics, pages::metrics(&gw)));
         let callers = tokio::spawn(listener::run(Arc::clone(&gw), callers));
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! A request's way is [`listener`] (connections), [`request`] (from head to outcome), [`attempt`]
 //! (one try), [`upstream`] (connections to replicas) and [`relay`] (the answer as it arrives).
 //! Beside it run [`follow`] (configuration and replicas from the store), [`peers`] (what daemons
-//! tell each other) and [`pages`] (readiness, metrics). [`state`] is what they share, and
+//! tell each other), [`orders`] (roles of engines) and [`pages`] (readiness, metrics). [`state`] is what they share, and
 //! [`controller`] starts and stops them.
 
 mod answer;
@@ -13,6 +13,7 @@
 mod listener;
 mod log;
 mod metrics;
+mod orders;
 mod pages;
 mod peers;
 mod relay;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -15,7 +15,7 @@
     kv::{LeaseId, Swap, Swapped},
 };
 use dahliaseam_core::{
-    fleet::peers::{ReadNote, ReplicaLoad},
+    fleet::peers::News,
     time::{Span, Time},
 };
 use serde::{Deserialize, Serialize};
@@ -51,8 +51,7 @@
     state: SocketAddr,
     /// Revision up to which the sender has followed the store.
     revision: i64,
-    loads: Vec<ReplicaLoad>,
-    reads: Vec<ReadNote>,
+    news: News,
 }
 
 /// How a daemon is listed in the store.
@@ -116,9 +115,9 @@
     loop {
         let _ = tokio::time::timeout(LONGEST, gw.load_changed.notified()).await;
         number += 1;
-        let (loads, reads) = gw.fleet().own_loads();
+        let news = gw.fleet().own_news(gw.now());
         let revision = gw.copies().revision;
-        let message = Message { sender: gw.start, number, state: gw.settings.peer_address, revision, loads, reads };
+        let message = Message { sender: gw.start, number, state: gw.settings.peer_address, revision, news };
         match postcard::to_allocvec(&message) {
             Ok(bytes) => send(gw, socket, &peers.all(gw), &bytes).await,
             Err(e) => emit!(error, PEER_MESSAGE_LOST, why = %e),
@@ -163,7 +162,7 @@
         if peers.hear(from, now) {
             emit!(info, PEER_HEARD, peer = %from, revision = message.revision);
         }
-        gw.fleet().peer_loads(message.sender, message.number, &message.loads, &message.reads, now);
+        gw.fleet().peer_news(message.sender, message.number, &message.news, now);
     }
 }
 
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -231,6 +231,9 @@
         self.over = true;
         keep(&self.job, &mut self.answer);
         self.answer.work.ended(StepEnd::Done);
+        if self.answer.work.is_long() {
+            self.job.gw.fleet().answered(&self.job.service, self.answer.work.age());
+        }
         self.ending.set("answered", self.answer.head.status.as_u16());
         Ok((!rest.is_empty()).then_some(rest))
     }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -269,13 +269,20 @@
             tried: &self.tried,
             draw: self.draw,
         };
-        let fleet = self.gw.fleet();
-        match fleet.choose(&ask, now) {
+        let mut fleet = self.gw.fleet();
+        let chosen = fleet.choose(&ask, now);
+        if self.tried.is_empty()
+            && let Ok(plan) | Err(NoPlan::TooLate { plan, .. }) = &chosen
+        {
+            let offered = Step { long: plan.is_long(), ..*plan.reading() };
+            fleet.offered(&self.service, &offered, now);
+        }
+        match chosen {
             Ok(plan) => {
                 self.log_plan(&fleet, &plan, now);
                 Ok(plan)
             }
-            Err(NoPlan::TooLate { predicted_ms, come_back }) => {
+            Err(NoPlan::TooLate { predicted_ms, come_back, .. }) => {
                 emit!(
                     info,
                     REFUSED_EARLY,
--- a/crates/daemon/src/gateway/work.rs
+++ b/crates/daemon/src/gateway/work.rs
@@ -45,6 +45,11 @@
         self.gw.fleet().learn_plain(&self.sent, now.since(self.sent.at), now);
     }
 
+    /// Whether it is the answer that will keep a slot for seconds.
+    pub(super) const fn is_long(&self) -> bool {
+        self.sent.load.streams > 0
+    }
+
     /// Time since it was sent.
     pub(super) fn age(&self) -> Span {
         self.gw.now().since(self.sent.at)
