Copy shared parts of a prompt from the engine that holds them

Cause: 5.7 M tokens of shared parts were read again in 34 s though some engine still held them; the reading engines are what binds.

--- a/crates/border/src/dialect.rs
+++ b/crates/border/src/dialect.rs
@@ -29,9 +29,15 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Task {
     /// Serve it as a whole.
-    Serve,
+    Serve {
+        /// An endpoint that holds more of the prompt, to copy that from.
+        copy_from: Option<SocketAddr>,
+    },
     /// Only read its prompt and keep that in memory.
-    Read,
+    Read {
+        /// An endpoint that holds more of the prompt, to copy that from.
+        copy_from: Option<SocketAddr>,
+    },
     /// Answer it from a prompt that another endpoint has read.
     Continue {
         /// The endpoint that read it.
--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -25,6 +25,8 @@
 const OVER_SLOTS_MS: f64 = 20.0;
 /// Milliseconds that a plain replica counts more when all its slots are taken, since it slows down.
 const CROWD_MS: f64 = 10.0;
+/// Tokens that an engine must hold more of a prompt than another one to be copied from.
+const WORTH_COPYING: u32 = 512;
 /// Tokens of an answer from which on it keeps a slot for seconds.
 const LONG_OUTPUT: u32 = 1_500;
 /// Share of an engine's slots that long answers may take before another engine gets them.
@@ -77,6 +79,8 @@
     pub work_ms: f64,
     /// Tokens to be read.
     pub uncached: u32,
+    /// An engine that holds more of the prompt, to copy that from.
+    pub copy_from: Option<ReplicaKey>,
     /// Whether its answer will keep a slot for seconds.
     pub long: bool,
 }
@@ -169,7 +173,7 @@
             let over = f64::from((replica.active() + 1).saturating_sub(replica.facts.slots));
             let crowd = f64::from(replica.active()) / f64::from(replica.facts.slots.max(1));
             let wait_ms = work_ms * over / f64::from(replica.facts.slots.max(1)) + crowd * CROWD_MS;
-            let step = Step { key, wait_ms, work_ms, uncached: 0, long: false };
+            let step = Step { key, wait_ms, work_ms, uncached: 0, copy_from: None, long: false };
             (step.wait_ms + work_ms + self.hall_ms(replica), step)
         });
         lowest(steps).map(Plan::Whole)
@@ -177,9 +181,10 @@
 
     fn choose_engines(&self, ask: &Ask<'_>, prompt: &Prompt, now: Time) -> Option<Plan> {
         let long = prompt.output >= LONG_OUTPUT;
+        let holder = self.holder(ask, prompt, now);
         let whole = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).filter_map(
             |(key, replica)| {
-                let step = self.reading_step(key, replica, ask.service, prompt, now);
+                let step = self.reading_step((key, replica), ask, prompt, holder, now);
                 let over = slot_wait_ms(replica);
                 let step = Step { wait_ms: step.wait_ms + over, long, ..step };
                 let disturbs = replica.streams() > 0 && step.work_ms > SHORT_READ_MS;
@@ -193,7 +198,7 @@
         ));
         let read = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role == Role::Prefill).map(
             |(key, replica)| {
-                let step = self.reading_step(key, replica, ask.service, prompt, now);
+                let step = self.reading_step((key, replica), ask, prompt, holder, now);
                 (step.wait_ms + step.work_ms + self.hall_ms(replica), step)
             },
         ));
@@ -205,25 +210,43 @@
         }
     }
 
+    /// The engine whose memory holds the most of a prompt, and how many tokens.
+    fn holder(&self, ask: &Ask<'_>, prompt: &Prompt, now: Time) -> Option<(ReplicaKey, u32)> {
+        let held = self.open(ask, now).map(|(key, replica)| (key, replica.cache.held_tokens(prompt)));
+        held.max_by_key(|(_, tokens)| *tokens)
+    }
+
     fn choose_writer(&self, ask: &Ask<'_>, long: bool, now: Time) -> Option<Step> {
         lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).map(|(key, replica)| {
             let wait_ms = slot_wait_ms(replica) + replica.reading_ms(now) * 0.5;
-            let step = Step { key, wait_ms, work_ms: HAND_OVER_MS, uncached: 0, long };
+            let step = Step { key, wait_ms, work_ms: HAND_OVER_MS, uncached: 0, copy_from: None, long };
             let cost = wait_ms + self.hall_ms(replica) + f64::from(replica.active()) * ACTIVE_MS;
             (cost + packing_ms(replica, long), step)
         }))
     }
 
-    fn reading_step(&self, key: ReplicaKey, replica: &Replica, service: &str, prompt: &Prompt, now: Time) -> Step {
+    fn reading_step(
+        &self,
+        (key, replica): (ReplicaKey, &Replica),
+        ask: &Ask<'_>,
+        prompt: &Prompt,
+        holder: Option<(ReplicaKey, u32)>,
+        now: Time,
+    ) -> Step {
         let held = replica.cache.held_tokens(prompt);
+        let (copy_from, held) = match holder {
+            Some((other, more)) if other != key && more >= held + WORTH_COPYING => (Some(other), more),
+            _ => (None, held),
+        };
         let uncached = prompt.tokens.saturating_sub(held).max(1);
-        let rate = self.services.get(service).map(|state| state.rate).unwrap_or_default();
+        let rate = self.services.get(ask.service).map(|state| state.rate).unwrap_or_default();
         let factor = if replica.facts.role == Role::Decode { DECODE_READ_FACTOR } else { 1.0 };
         Step {
             key,
             wait_ms: replica.reading_ms(now),
             work_ms: rate.work_ms(uncached) * factor * replica.slowness(now),
             uncached,
+            copy_from,
             long: false,
         }
     }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -1,7 +1,7 @@
 //! One try at replicas: a call that serves a request, or one that reads its prompt and one that
 //! answers it.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dahliaseam_border::dialect::{Forward, Handle, Run, Task};
@@ -142,7 +142,10 @@
     /// Try a plan; the answer's head has come when this returns one.
     pub(super) async fn attempt(&self, plan: &Plan) -> Result<Answer, Failed> {
         match plan {
-            Plan::Whole(step) => self.serve(step, &Task::Serve).await.map_err(|why| Failed { why, reading: false }),
+            Plan::Whole(step) => self
+                .serve(step, &Task::Serve { copy_from: self.copy_from(step) })
+                .await
+                .map_err(|why| Failed { why, reading: false }),
             Plan::TwoSteps { read, write } => self.two_steps(read, write).await,
         }
     }
@@ -164,7 +167,7 @@
         let predicted = Span::seconds((step.wait_ms + step.work_ms) / 1_000.0 * READ_PATIENCE);
         let limit = self.deadline.min(self.gw.now() + predicted + READ_SLACK);
         let (replica, mut work) = self.begin(step)?;
-        let read = self.read_at(&replica, limit).await;
+        let read = self.read_at(&replica, &Task::Read { copy_from: self.copy_from(step) }, limit).await;
         match read {
             Ok(handle) => {
                 self.gw.metrics.reading(work.age().as_seconds());
@@ -179,8 +182,8 @@
         }
     }
 
-    async fn read_at(&self, replica: &ReplicaFacts, limit: Time) -> Result<Handle, CallFailure> {
-        let (head, body, conn) = self.call(replica, &Task::Read, limit).await?;
+    async fn read_at(&self, replica: &ReplicaFacts, task: &Task, limit: Time) -> Result<Handle, CallFailure> {
+        let (head, body, conn) = self.call(replica, task, limit).await?;
         let text = Limited::new(body, SHORT_ANSWER).collect();
         let text = tokio::time::timeout(SHORT_ANSWER_TIME, text).await.map_err(|_| CallFailure::TimedOut)?;
         let text = text.map_err(|e| CallFailure::Lost(e.to_string()))?.to_bytes();
@@ -205,11 +208,15 @@
         }
     }
 
+    fn copy_from(&self, step: &Step) -> Option<SocketAddr> {
+        let key = step.copy_from?;
+        self.gw.fleet().get(key).map(|replica| replica.facts.address)
+    }
+
     fn begin(&self, step: &Step) -> Result<(ReplicaFacts, Work), CallFailure> {
         let gone = || CallFailure::NotSent("the replica is gone".to_owned());
         let replica = self.gw.fleet().get(step.key).map(|replica| replica.facts.clone()).ok_or_else(gone)?;
-        let prompt = self.caller.prompt.as_ref().filter(|_| step.uncached > 0);
-        let work = Work::begin(&self.gw, step, prompt).ok_or_else(gone)?;
+        let work = Work::begin(&self.gw, step, self.caller.prompt.as_ref()).ok_or_else(gone)?;
         Ok((replica, work))
     }
 
@@ -257,7 +264,7 @@
             (Run::OtherReplica, _) => Err(CallFailure::OtherReplica),
             (Run::MayHaveRun, None) => Err(CallFailure::Lost("the answer names no request".to_owned())),
             (Run::MayHaveRun, Some(true)) => {
-                if *task != Task::Read && head.status.is_success() && !facts.sealed {
+                if !matches!(task, Task::Read { .. }) && head.status.is_success() && !facts.sealed {
                     return Err(CallFailure::Lost("the answer carries no proof of its replica".to_owned()));
                 }
                 Ok((head, body, conn))
