--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -45,6 +45,7 @@
     HANDLE_KEPT = 226, "An engine could not be told to free a prompt's memory; it does so by itself later.";
     ROUTED_OVER = 227, "A request on a route is over, with its outcome.";
     NOT_ADMITTED = 228, "A request was answered without a route, or before its body was read.";
+    PROMPT_READ = 229, "An engine has read a prompt; the fields compare that with what was predicted. At debug level.";
     CONFIG_IN_FORCE = 300, "A newer configuration is in force on this VM.";
     CONFIG_REJECTED = 301, "A stored configuration cannot be read; the present one stays in force.";
     CONFIG_ACCEPTED = 302, "An operator's change was accepted.";
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -171,6 +171,18 @@
         match read {
             Ok(handle) => {
                 self.gw.metrics.reading(work.age().as_seconds());
+                emit!(
+                    debug,
+                    PROMPT_READ,
+                    request = self.caller.id,
+                    replica = %replica.id,
+                    hall = %replica.hall,
+                    uncached = step.uncached,
+                    copied = step.copy_from.is_some(),
+                    alone = work.was_alone(),
+                    expected_ms = (step.wait_ms + step.work_ms) as u64,
+                    took_us = work.age().0
+                );
                 work.reading_over(StepEnd::Done);
                 work.ended(StepEnd::Done);
                 Ok(KeptPrompt { gw: Arc::clone(&self.gw), replica, handle: Some(handle) })
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -124,8 +124,7 @@
 
 /// The answer for the caller.
 pub(super) fn answer(job: Job, begun: Begun, mut ending: Ending) -> Response<AnswerBody> {
-    let seconds = job.gw.now().since(job.arrived).as_seconds();
-    job.gw.metrics.first_byte(&job.route.name, seconds);
+    ending.first_byte();
     match begun {
         Begun::Whole(mut head, bytes) => {
             ending.set("answered", head.status.as_u16());
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -72,6 +72,8 @@
     outcome: &'static str,
     status: u16,
     tries: usize,
+    /// When the answer's first byte was there.
+    first_at: Option<Time>,
 }
 
 impl Ending {
@@ -85,9 +87,17 @@
             outcome: "caller_left",
             status: 0,
             tries: 0,
+            first_at: None,
         }
     }
 
+    /// The answer's first byte is there.
+    pub(super) fn first_byte(&mut self) {
+        let now = self.gw.now();
+        self.first_at = Some(now);
+        self.gw.metrics.first_byte(&self.route, now.since(self.arrived).as_seconds());
+    }
+
     pub(super) const fn set(&mut self, outcome: &'static str, status: u16) {
         self.outcome = outcome;
         self.status = status;
@@ -106,6 +116,7 @@
             outcome = self.outcome,
             status = self.status,
             tries = self.tries,
+            first_ms = self.first_at.map(|at| at.since(self.arrived).as_millis()),
             took_ms = self.gw.now().since(self.arrived).as_millis()
         );
     }
@@ -315,6 +326,7 @@
             service = %self.service,
             read,
             replica = write,
+            predicted_ms = plan.predicted_ms() as u64,
             wait_ms = first.wait_ms as u64,
             work_ms = first.work_ms as u64,
             tokens = self.caller.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
--- a/crates/daemon/src/gateway/work.rs
+++ b/crates/daemon/src/gateway/work.rs
@@ -50,6 +50,11 @@
         self.sent.load.streams > 0
     }
 
+    /// Whether the replica had nothing else to read.
+    pub(super) const fn was_alone(&self) -> bool {
+        self.sent.alone
+    }
+
     /// Time since it was sent.
     pub(super) fn age(&self) -> Span {
         self.gw.now().since(self.sent.at)
