--- a/crates/core/src/fleet/cache.rs
+++ b/crates/core/src/fleet/cache.rs
@@ -7,9 +7,6 @@
 
 use crate::prompt::{Part, Prompt};
 
-/// Share of an engine's memory that the estimate counts on; the rest is taken by running work.
-const USABLE_SHARE: f64 = 0.8;
-
 /// The estimated contents of one engine's memory.
 #[derive(Clone, Debug, Default)]
 pub struct Cache {
@@ -21,10 +18,10 @@
 }
 
 impl Cache {
-    /// An empty memory of `tokens`.
+    /// An empty memory that keeps `tokens`.
     #[must_use]
     pub fn new(tokens: u64) -> Self {
-        Self { capacity: (tokens as f64 * USABLE_SHARE) as u64, ..Self::default() }
+        Self { capacity: tokens, ..Self::default() }
     }
 
     /// Tokens at the beginning of `prompt` that need not be read again.
--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -15,8 +15,6 @@
     time::{Span, Time},
 };
 
-/// Milliseconds that a step in another hall counts more: the way there, and bytes that cost.
-const OTHER_HALL_MS: f64 = 5.0;
 /// Milliseconds to hand a prompt's memory over to another engine and begin there.
 const HAND_OVER_MS: f64 = 6.0;
 /// How many times as long a decode engine takes to read.
@@ -29,21 +27,14 @@
 const WORTH_COPYING: u32 = 512;
 /// Tokens of an answer from which on it keeps a slot for seconds.
 const LONG_OUTPUT: u32 = 1_500;
-/// Share of an engine's slots that long answers may take before another engine gets them.
-const PACKED_SHARE: f64 = 0.8;
 /// Milliseconds that an empty engine counts more for a long answer than one with such answers.
 const PACKING_MS: f64 = 40.0;
 /// Milliseconds of a read that disturbs nobody: one piece of a prompt.
 const SHORT_READ_MS: f64 = 12.0;
-/// Milliseconds of reading at once that an engine with long answers takes. Reading comes between
-/// their tokens, and their callers allow pauses of some 150 ms between events.
-const DISTURB_MS: f64 = 45.0;
 /// Milliseconds that each long answer counts more where a prompt is read beside it.
 const DISTURBED_MS: f64 = 1.0;
 /// Milliseconds that each request at an engine counts where a prompt is handed over to it.
 const ACTIVE_MS: f64 = 0.2;
-/// Part of the remaining objective that a prediction may use up.
-const ADMIT_SHARE: f64 = 0.9;
 /// Part of its remaining time after which a caller does not come back any more.
 const COME_BACK_SHARE: f64 = 0.33;
 /// Shortest time after which a caller is told to come back.
@@ -60,6 +51,8 @@
     pub objective_left: Span,
     /// Time left at all.
     pub time_left: Span,
+    /// Whether its caller seems to have been refused before.
+    pub returned: bool,
     /// Whether to refuse what cannot be in time.
     pub may_refuse: bool,
     /// Replicas that were tried.
@@ -154,13 +147,13 @@
         };
         let plan = plan.ok_or(NoPlan::NoReplica)?;
         let limit = if ask.prompt.is_some() {
-            ask.objective_left.as_seconds() * ADMIT_SHARE
+            ask.objective_left.as_seconds() * self.admit_share(ask)
         } else {
             ask.time_left.as_seconds()
         };
         let predicted_ms = plan.predicted_ms();
         if ask.may_refuse && predicted_ms > limit * 1_000.0 {
-            let come_back = come_back(ask, predicted_ms);
+            let come_back = come_back(ask, predicted_ms - limit * 1_000.0);
             return Err(NoPlan::TooLate { plan, predicted_ms: predicted_ms as u64, come_back });
         }
         Ok(plan)
@@ -188,11 +181,12 @@
                 let over = slot_wait_ms(replica);
                 let step = Step { wait_ms: step.wait_ms + over, long, ..step };
                 let disturbs = replica.streams() > 0 && step.work_ms > SHORT_READ_MS;
-                if disturbs && step.wait_ms + step.work_ms > DISTURB_MS {
+                if disturbs && step.wait_ms + step.work_ms > self.policy.disturb_ms {
                     return None;
                 }
                 let disturbed = if disturbs { f64::from(replica.streams()) * DISTURBED_MS } else { 0.0 };
-                let cost = step.wait_ms + step.work_ms + self.hall_ms(replica) + disturbed + packing_ms(replica, long);
+                let cost =
+                    step.wait_ms + step.work_ms + self.hall_ms(replica) + disturbed + self.packing_ms(replica, long);
                 Some((cost, step))
             },
         ));
@@ -221,7 +215,7 @@
             let wait_ms = slot_wait_ms(replica) + replica.reading_ms(now) * 0.5;
             let step = Step { key, wait_ms, work_ms: HAND_OVER_MS, uncached: 0, copy_from: None, long };
             let cost = wait_ms + self.hall_ms(replica) + f64::from(replica.active()) * ACTIVE_MS;
-            (cost + packing_ms(replica, long), step)
+            (cost + self.packing_ms(replica, long), step)
         }))
     }
 
@@ -239,12 +233,13 @@
             _ => (None, held),
         };
         let uncached = prompt.tokens.saturating_sub(held).max(1);
+        let copied = if copy_from.is_some() { self.policy.copy_ms } else { 0.0 };
         let rate = self.services.get(ask.service).map(|state| state.rate).unwrap_or_default();
         let factor = if replica.facts.role == Role::Decode { DECODE_READ_FACTOR } else { 1.0 };
         Step {
             key,
             wait_ms: replica.reading_ms(now),
-            work_ms: rate.work_ms(uncached) * factor * replica.slowness(now),
+            work_ms: rate.work_ms(uncached) * factor * replica.slowness(now) + copied,
             uncached,
             copy_from,
             long: false,
@@ -260,23 +255,27 @@
         })
     }
 
-    fn hall_ms(&self, replica: &Replica) -> f64 {
-        if *replica.facts.hall == *self.hall { 0.0 } else { OTHER_HALL_MS }
+    /// What it costs to put a long answer there: they are kept together on as few engines as have
+    /// room, so that the others can read undisturbed, or change their role without a wait.
+    fn packing_ms(&self, replica: &Replica, long: bool) -> f64 {
+        if !long {
+            return 0.0;
+        }
+        let room = f64::from(replica.facts.slots) * self.policy.packed_share;
+        let streams = f64::from(replica.streams());
+        if streams < room {
+            return PACKING_MS * (1.0 - streams / room);
+        }
+        PACKING_MS * (1.0 + (streams - room) / room)
     }
-}
 
-/// What it costs to put a long answer there: they are kept together on as few engines as have
-/// room, so that the others can read undisturbed, or change their role without a wait.
-fn packing_ms(replica: &Replica, long: bool) -> f64 {
-    if !long {
-        return 0.0;
+    fn admit_share(&self, ask: &Ask<'_>) -> f64 {
+        if ask.returned { self.policy.admit_share_returned } else { self.policy.admit_share }
     }
-    let room = f64::from(replica.facts.slots) * PACKED_SHARE;
-    let streams = f64::from(replica.streams());
-    if streams < room {
-        return PACKING_MS * (1.0 - streams / room);
+
+    fn hall_ms(&self, replica: &Replica) -> f64 {
+        if *replica.facts.hall == *self.hall { 0.0 } else { self.policy.other_hall_ms }
     }
-    PACKING_MS * (1.0 + (streams - room) / room)
 }
 
 fn slot_wait_ms(replica: &Replica) -> f64 {
@@ -288,9 +287,8 @@
 }
 
 /// When a refused caller should come back: once the work ahead is likely to be done, spread out.
-fn come_back(ask: &Ask<'_>, predicted_ms: f64) -> Span {
+fn come_back(ask: &Ask<'_>, over_ms: f64) -> Span {
     let longest = Span::seconds(ask.time_left.as_seconds() * COME_BACK_SHARE);
-    let over_ms = predicted_ms - ask.objective_left.as_seconds() * 1_000.0 * ADMIT_SHARE;
     let earliest = Span::seconds(over_ms / 1_000.0).max(COME_BACK_MIN).min(longest);
     let spread = longest.0 - earliest.0;
     Span(earliest.0 + if spread == 0 { 0 } else { ask.draw % spread })
--- a/crates/core/src/fleet/discovery.rs
+++ b/crates/core/src/fleet/discovery.rs
@@ -24,6 +24,7 @@
             return self.update(key, facts, revision);
         }
         let memory = self.services.entry(Arc::clone(&facts.service)).or_default().memory_tokens;
+        let memory = (memory as f64 * self.policy.cache_share) as u64;
         let id = Arc::clone(&facts.id);
         let key = self.replicas.insert(Replica::new(facts, revision, memory));
         self.by_hash.insert(short_id(&id), key);
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -15,6 +15,7 @@
     fleet::{
         budget::{Budget, BudgetTerms},
         peers::PeerLoads,
+        policy::FleetPolicy,
         rates::ReadRate,
         replica::{Load, Replica, ReplicaKey},
         split::DemandMeter,
@@ -28,6 +29,7 @@
 pub mod choose;
 pub mod discovery;
 pub mod peers;
+pub mod policy;
 pub mod rates;
 pub mod replica;
 pub mod split;
@@ -95,6 +97,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     hall: String,
+    policy: FleetPolicy,
     replicas: SlotMap<ReplicaKey, Replica>,
     by_id: HashMap<Arc<str>, ReplicaKey>,
     by_hash: HashMap<u32, ReplicaKey>,
@@ -106,8 +109,8 @@
 impl Fleet {
     /// No replicas, seen from `hall`.
     #[must_use]
-    pub fn new(hall: &str) -> Self {
-        Self { hall: hall.to_owned(), ..Self::default() }
+    pub fn new(hall: &str, policy: FleetPolicy) -> Self {
+        Self { hall: hall.to_owned(), policy, ..Self::default() }
     }
 
     /// A replica's row.
--- /dev/null
+++ b/crates/core/src/fleet/policy.rs
@@ -0,0 +1,46 @@
+//! Figures of the policy that operators may set, with what they were measured to be worth.
+
+use serde::Deserialize;
+
+/// Figures of the policy.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetPolicy {
+    /// Part of the remaining objective that a prediction may use up; beyond it a request is refused.
+    pub admit_share: f64,
+    /// The same for a request whose caller seems to have come back after a refusal.
+    pub admit_share_returned: f64,
+    /// Share of an engine's memory that is taken to keep parts of earlier prompts.
+    pub cache_share: f64,
+    /// Milliseconds that copying a prompt's parts from another engine takes.
+    pub copy_ms: f64,
+    /// Milliseconds that each thousand copied tokens count more, since they push out other parts.
+    pub copy_cost_ms: f64,
+    /// Milliseconds that a step in another hall counts more: the way there, and bytes that cost.
+    pub other_hall_ms: f64,
+    /// Share of an engine's slots that long answers may take before another engine gets them.
+    pub packed_share: f64,
+    /// Milliseconds of reading at once that an engine with long answers takes.
+    pub disturb_ms: f64,
+    /// Share of its time that a prefill engine reads when it is well used.
+    pub read_share: f64,
+    /// Share of a decode engine's slots that long answers take when it is well used.
+    pub slot_share: f64,
+}
+
+impl Default for FleetPolicy {
+    fn default() -> Self {
+        Self {
+            admit_share: 0.9,
+            admit_share_returned: 0.9,
+            cache_share: 0.8,
+            copy_ms: 0.0,
+            copy_cost_ms: 0.0,
+            other_hall_ms: 5.0,
+            packed_share: 0.8,
+            disturb_ms: 45.0,
+            read_share: 0.75,
+            slot_share: 0.75,
+        }
+    }
+}
--- a/crates/core/src/fleet/split.rs
+++ b/crates/core/src/fleet/split.rs
@@ -16,10 +16,6 @@
 /// Time over which demand is averaged. Shorter than a role change pays for, longer than a burst
 /// of a few requests.
 const AVERAGE: Span = Span::millis(1_500);
-/// Share of its time that a prefill engine reads when it is well used.
-const READ_SHARE: f64 = 0.75;
-/// Share of a decode engine's slots that long answers take when it is well used.
-const SLOT_SHARE: f64 = 0.75;
 /// Seconds of a long answer before any was seen.
 const ANSWER_GUESS: f64 = 3.0;
 /// Weight of a new observation of a long answer's time.
@@ -127,18 +123,18 @@
         }
         let streams: u32 = engines.iter().map(|(_, replica)| replica.streams()).sum();
         let slots = engines.iter().map(|(_, replica)| replica.facts.slots).min()?;
-        let need_slots = demand.slots.max(f64::from(streams)) / (f64::from(slots) * SLOT_SHARE);
+        let need_slots = demand.slots.max(f64::from(streams)) / (f64::from(slots) * self.policy.slot_share);
         let need_decode = (need_slots.ceil() as usize).max(LEAST_DECODE);
-        let need_prefill = demand.reading / READ_SHARE;
+        let need_prefill = demand.reading / self.policy.read_share;
         let shift = |key, to| Shift { key, to, demand, before: (prefill, decode) };
         let short_of_prefill = need_prefill > prefill as f64;
         if short_of_prefill && decode > need_decode {
-            return self.idle_engine(&engines, Role::Decode, now).map(|key| shift(key, Role::Prefill));
+            return idle_engine(&engines, Role::Decode, now).map(|key| shift(key, Role::Prefill));
         }
         let spare_prefill = prefill > LEAST_PREFILL && need_prefill <= (prefill - 1) as f64;
         let far_short_of_decode = prefill > LEAST_PREFILL && need_slots > decode as f64 * OVERFULL;
         if need_decode > decode && (spare_prefill || far_short_of_decode) {
-            return self.idle_engine(&engines, Role::Prefill, now).map(|key| shift(key, Role::Decode));
+            return idle_engine(&engines, Role::Prefill, now).map(|key| shift(key, Role::Decode));
         }
         None
     }
@@ -149,18 +145,6 @@
         self.replicas.values().any(|replica| matches!(replica.facts.role, Role::Prefill | Role::Decode))
     }
 
-    /// The engine with this role that a change disturbs least.
-    fn idle_engine(&self, engines: &[(ReplicaKey, &Replica)], role: Role, now: Time) -> Option<ReplicaKey> {
-        engines
-            .iter()
-            .filter(|(_, replica)| {
-                replica.facts.role == role && replica.changing_until.is_past(now) && replica.orders_from.is_past(now)
-            })
-            .filter(|(_, replica)| replica.streams() == 0)
-            .min_by(|a, b| load_of(a.1).total_cmp(&load_of(b.1)))
-            .map(|(key, _)| *key)
-    }
-
     /// Keep new work from an engine until `until`, because its role is to change to `to`.
     pub fn set_changing(&mut self, key: ReplicaKey, to: Role, until: Time) {
         if let Some(replica) = self.replicas.get_mut(key) {
@@ -196,6 +180,18 @@
     }
 }
 
+/// The engine with this role that a change disturbs least.
+fn idle_engine(engines: &[(ReplicaKey, &Replica)], role: Role, now: Time) -> Option<ReplicaKey> {
+    engines
+        .iter()
+        .filter(|(_, replica)| {
+            replica.facts.role == role && replica.changing_until.is_past(now) && replica.orders_from.is_past(now)
+        })
+        .filter(|(_, replica)| replica.streams() == 0)
+        .min_by(|a, b| load_of(a.1).total_cmp(&load_of(b.1)))
+        .map(|(key, _)| *key)
+}
+
 /// How many times as many slots as there are must be lacking before engines are taken from
 /// reading that is itself short of them.
 const OVERFULL: f64 = 1.25;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -34,6 +34,8 @@
 const PLAIN_PATIENCE: f64 = 5.0;
 /// What is added to that.
 const PLAIN_SLACK: Span = Span::millis(60);
+/// Percent of a route's time limit below which a caller's patience shows that it was here before.
+const RETURNED_PERCENT: u64 = 95;
 /// Least time left for which another try is worth it.
 const LEAST_LEFT: Span = Span::millis(15);
 
@@ -276,6 +278,7 @@
             prompt: self.caller.prompt.as_ref(),
             objective_left: (self.arrived + self.route.objective).since(now),
             time_left: self.deadline.since(now),
+            returned: self.returned(),
             may_refuse: self.tried.is_empty() && self.last_event.is_none(),
             tried: &self.tried,
             draw: self.draw,
@@ -311,6 +314,13 @@
         }
     }
 
+    /// Whether its caller waits less long than the route allows, as one does that was refused and
+    /// came back.
+    fn returned(&self) -> bool {
+        let patience = self.deadline.since(self.arrived);
+        patience.0 < self.route.timeout.0 * RETURNED_PERCENT / 100
+    }
+
     fn log_plan(&self, fleet: &dahliaseam_core::fleet::Fleet, plan: &Plan, now: Time) {
         let name = |key: ReplicaKey| fleet.get(key).map_or("", |replica| &*replica.facts.id);
         let (read, write, first) = match plan {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -72,7 +72,7 @@
 impl Gateway {
     pub(super) fn new(settings: GatewaySettings, outside: Outside, metrics: GatewayMetrics, start: u64) -> Self {
         Self {
-            fleet: Mutex::new(Fleet::new(&settings.hall)),
+            fleet: Mutex::new(Fleet::new(&settings.hall, settings.policy)),
             copies: Mutex::new(Copies::default()),
             upstream: Upstream::new(Arc::clone(&outside.clock)),
             metrics,
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, path::Path};
 
-use dahliaseam_core::{fleet::budget::BudgetTerms, time::Span};
+use dahliaseam_core::{
+    fleet::{budget::BudgetTerms, policy::FleetPolicy},
+    time::Span,
+};
 use serde::Deserialize;
 
 use crate::{
@@ -41,6 +44,9 @@
     pub retries: RetrySettings,
     /// Spans of the daemon's own work.
     pub timing: GatewayTiming,
+    /// Figures of the policy.
+    #[serde(default)]
+    pub policy: FleetPolicy,
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
