--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -74,6 +74,8 @@
     pub uncached: u32,
     /// An engine that holds more of the prompt, to copy that from.
     pub copy_from: Option<ReplicaKey>,
+    /// Tokens to be copied from it.
+    pub copied: u32,
     /// Whether its answer will keep a slot for seconds.
     pub long: bool,
 }
@@ -166,7 +168,7 @@
             let over = f64::from((replica.active() + 1).saturating_sub(replica.facts.slots));
             let crowd = f64::from(replica.active()) / f64::from(replica.facts.slots.max(1));
             let wait_ms = work_ms * over / f64::from(replica.facts.slots.max(1)) + crowd * CROWD_MS;
-            let step = Step { key, wait_ms, work_ms, uncached: 0, copy_from: None, long: false };
+            let step = Step { key, wait_ms, work_ms, uncached: 0, copy_from: None, copied: 0, long: false };
             (step.wait_ms + work_ms + self.hall_ms(replica), step)
         });
         lowest(steps).map(Plan::Whole)
@@ -193,7 +195,7 @@
         let read = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role == Role::Prefill).map(
             |(key, replica)| {
                 let step = self.reading_step((key, replica), ask, prompt, holder, now);
-                (step.wait_ms + step.work_ms + self.hall_ms(replica), step)
+                (step.wait_ms + step.work_ms + self.hall_ms(replica) + self.pushed_out_ms(&step), step)
             },
         ));
         let write = self.choose_writer(ask, long, now);
@@ -213,7 +215,7 @@
     fn choose_writer(&self, ask: &Ask<'_>, long: bool, now: Time) -> Option<Step> {
         lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).map(|(key, replica)| {
             let wait_ms = slot_wait_ms(replica) + replica.reading_ms(now) * 0.5;
-            let step = Step { key, wait_ms, work_ms: HAND_OVER_MS, uncached: 0, copy_from: None, long };
+            let step = Step { key, wait_ms, work_ms: HAND_OVER_MS, uncached: 0, copy_from: None, copied: 0, long };
             let cost = wait_ms + self.hall_ms(replica) + f64::from(replica.active()) * ACTIVE_MS;
             (cost + self.packing_ms(replica, long), step)
         }))
@@ -228,24 +230,31 @@
         now: Time,
     ) -> Step {
         let held = replica.cache.held_tokens(prompt);
-        let (copy_from, held) = match holder {
-            Some((other, more)) if other != key && more >= held + WORTH_COPYING => (Some(other), more),
-            _ => (None, held),
+        let (copy_from, copied) = match holder {
+            Some((other, more)) if other != key && more >= held + WORTH_COPYING => (Some(other), more - held),
+            _ => (None, 0),
         };
+        let held = held + copied;
         let uncached = prompt.tokens.saturating_sub(held).max(1);
-        let copied = if copy_from.is_some() { self.policy.copy_ms } else { 0.0 };
+        let copy_ms = if copy_from.is_some() { self.policy.copy_ms } else { 0.0 };
         let rate = self.services.get(ask.service).map(|state| state.rate).unwrap_or_default();
         let factor = if replica.facts.role == Role::Decode { DECODE_READ_FACTOR } else { 1.0 };
         Step {
             key,
             wait_ms: replica.reading_ms(now),
-            work_ms: rate.work_ms(uncached) * factor * replica.slowness(now) + copied,
+            work_ms: rate.work_ms(uncached) * factor * replica.slowness(now) + copy_ms,
             uncached,
             copy_from,
+            copied,
             long: false,
         }
     }
 
+    /// What copied tokens cost, since they push out others.
+    fn pushed_out_ms(&self, step: &Step) -> f64 {
+        f64::from(step.copied) / 1_000.0 * self.policy.copy_cost_ms
+    }
+
     fn open<'a>(&'a self, ask: &'a Ask<'a>, now: Time) -> impl Iterator<Item = (ReplicaKey, &'a Replica)> {
         self.replicas.iter().filter(move |(key, replica)| {
             &*replica.facts.service == ask.service
--- a/crates/core/src/fleet/policy.rs
+++ b/crates/core/src/fleet/policy.rs
@@ -33,9 +33,9 @@
         Self {
             admit_share: 0.9,
             admit_share_returned: 0.9,
-            cache_share: 0.8,
-            copy_ms: 0.0,
-            copy_cost_ms: 0.0,
+            cache_share: 0.93,
+            copy_ms: 2.0,
+            copy_cost_ms: 3.0,
             other_hall_ms: 5.0,
             packed_share: 0.8,
             disturb_ms: 45.0,
