Refuse long answers late in a stop, and borrow the store's copy from another daemon

Ruled out: a hung replica (its events came to the end). Long answers are refused as not run from 1.4 s after the signal on: the caller comes back to another VM. A daemon that the store turns away asks a daemon that is ahead for its copy; listings are parsed once.

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -46,6 +46,7 @@
     ROUTED_OVER = 227, "A request on a route is over, with its outcome.";
     NOT_ADMITTED = 228, "A request was answered without a route, or before its body was read.";
     PROMPT_READ = 229, "An engine has read a prompt; the fields compare that with what was predicted. At debug level.";
+    REFUSED_STOPPING = 230, "This daemon stops and would not finish the long answer; the request was refused before it was sent.";
     CONFIG_IN_FORCE = 300, "A newer configuration is in force on this VM.";
     CONFIG_REJECTED = 301, "A stored configuration cannot be read; the present one stays in force.";
     CONFIG_ACCEPTED = 302, "An operator's change was accepted.";
@@ -56,6 +57,8 @@
     STORE_LOST = 312, "The store does not answer; the daemon goes on with what it knows.";
     STORE_BACK = 313, "The store answers again; entries that lapsed meanwhile get a short time to come back.";
     HISTORY_GONE = 314, "The store forgot the changes since the last one followed; everything is read anew.";
+    BORROWED = 315, "The store is out of reach; a newer copy of what lies there was taken from another daemon.";
+    NOT_BORROWED = 316, "Another daemon could not be asked for its copy of the store.";
     REPLICA_KNOWN = 320, "A replica was discovered, or what it says of itself changed.";
     REPLICA_UNREADABLE = 321, "A replica's entry cannot be read; what was known of it stays.";
     REPLICA_LEFT = 322, "A replica's entry is gone; it gets no new work after `grace_ms`.";
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -30,6 +30,8 @@
         /// When to come back.
         come_back: Span,
     },
+    /// This daemon stops, and the answer would take longer than it has.
+    Stopping,
     /// Replicas rejected it, and there is no other way.
     Rejected,
     /// It may have run, and its answer was lost.
@@ -54,6 +56,7 @@
             Self::BodyLate => "body_late",
             Self::NoReplica => "no_replica",
             Self::TooLate { .. } => "too_late",
+            Self::Stopping => "stopping",
             Self::Rejected => "rejected",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
@@ -67,7 +70,7 @@
             Self::BadHead(_) => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
-            Self::NoConfiguration | Self::NoReplica | Self::TooLate { .. } | Self::Rejected => {
+            Self::NoConfiguration | Self::NoReplica | Self::TooLate { .. } | Self::Stopping | Self::Rejected => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Lost => StatusCode::BAD_GATEWAY,
@@ -97,7 +100,7 @@
     fn come_back(&self, draw: u64) -> Option<Span> {
         match self {
             Self::TooLate { come_back } => Some(*come_back),
-            Self::NoConfiguration | Self::NoReplica | Self::Rejected => {
+            Self::NoConfiguration | Self::NoReplica | Self::Stopping | Self::Rejected => {
                 Some(Span(COME_BACK.0 + draw % COME_BACK_SPREAD.0))
             }
             _ => None,
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -36,7 +36,7 @@
 /// Time for the rest of a short answer whose head came.
 const SHORT_ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Time to free memory at an engine.
-const FREE: Duration = Duration::from_millis(1_000);
+const FREE: Duration = Duration::from_secs(1);
 /// Least time left for which it is worth to send anything.
 const LEAST_LEFT: Span = Span::millis(2);
 
--- /dev/null
+++ b/crates/daemon/src/gateway/borrow.rs
@@ -0,0 +1,115 @@
+//! Copies of what lies in the store, taken from another daemon while the store is out of reach.
+//!
+//! The store may turn some VMs away and serve the others. Daemons tell each other in their
+//! messages how far they have followed it; one that is cut off asks another that is ahead.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use dahliaseam_border::{
+    feed::Snapshot,
+    http::{HttpClient, Reuse},
+    kv::Entry,
+};
+use dahliaseam_core::time::Span;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    emit,
+    gateway::{follow, state::Gateway},
+};
+
+/// Path of the copy on a daemon's peer address.
+pub(super) const STATE_PATH: &str = "/state";
+/// Time between two looks whether a copy is needed.
+const LOOK: Duration = Duration::from_millis(250);
+/// Silence of the store after which another daemon is asked. The store itself answers in
+/// milliseconds, and what it says is newer.
+const PATIENCE: Span = Span::millis(600);
+/// Time for another daemon's answer.
+const ANSWER: Duration = Duration::from_millis(500);
+
+/// What a daemon has read from the store.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct StoreCopy {
+    /// Revision up to which nothing is missing.
+    pub(super) revision: i64,
+    /// All entries that matter.
+    pub(super) entries: Vec<CopiedEntry>,
+}
+
+/// One entry.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct CopiedEntry {
+    key: String,
+    value: String,
+    revision: i64,
+}
+
+impl From<&Entry> for CopiedEntry {
+    fn from(entry: &Entry) -> Self {
+        Self { key: entry.key.clone(), value: entry.value.clone(), revision: entry.revision }
+    }
+}
+
+impl From<CopiedEntry> for Entry {
+    fn from(copied: CopiedEntry) -> Self {
+        Self { key: copied.key, value: copied.value, revision: copied.revision }
+    }
+}
+
+/// Ask other daemons whenever the store does not answer.
+pub(super) async fn run(gw: Arc<Gateway>) {
+    let over = gw.stop.over.clone();
+    tokio::select! {
+        () = watch(&gw) => {}
+        () = over.cancelled() => {}
+    }
+}
+
+async fn watch(gw: &Arc<Gateway>) {
+    let client = HttpClient::new(Reuse::Fresh);
+    loop {
+        tokio::time::sleep(LOOK).await;
+        if !is_needed(gw) {
+            continue;
+        }
+        if let Some(from) = whom_to_ask(gw) {
+            ask(gw, &client, from).await;
+        }
+    }
+}
+
+fn is_needed(gw: &Gateway) -> bool {
+    let now = gw.now();
+    gw.copies().lost_for(now).is_some_and(|silent| silent > PATIENCE)
+}
+
+/// A daemon that is ahead; any seed while nothing is known at all.
+fn whom_to_ask(gw: &Gateway) -> Option<SocketAddr> {
+    let (revision, complete) = {
+        let copies = gw.copies();
+        (copies.revision, copies.is_complete())
+    };
+    if let Some(ahead) = gw.peers.ahead_of(revision) {
+        return Some(ahead);
+    }
+    if complete {
+        return None;
+    }
+    let own = gw.settings.peer_address;
+    let seeds: Vec<SocketAddr> = gw.seeds().into_iter().filter(|seed| *seed != own).collect();
+    let at = gw.draw() as usize % seeds.len().max(1);
+    seeds.get(at).copied()
+}
+
+async fn ask(gw: &Arc<Gateway>, client: &HttpClient, from: SocketAddr) {
+    match client.get::<StoreCopy>(&format!("http://{from}{STATE_PATH}"), ANSWER).await {
+        Ok(copy) if copy.revision > gw.copies().revision => {
+            emit!(info, BORROWED, peer = %from, revision = copy.revision, entries = copy.entries.len());
+            let entries = copy.entries.into_iter().map(Entry::from).collect();
+            follow::apply_snapshot(gw, Snapshot { entries, revision: copy.revision });
+        }
+        Ok(_) => {}
+        Err(e) => emit!(info, NOT_BORROWED, peer = %from, why = %e),
+    }
+}
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -16,7 +16,9 @@
     clock::wall_millis,
     emit,
     error::StartError,
-    gateway::{attempt::duration, follow, listener, metrics::GatewayMetrics, orders, pages, peers, state::Gateway},
+    gateway::{
+        attempt::duration, borrow, follow, listener, metrics::GatewayMetrics, orders, pages, peers, state::Gateway,
+    },
     listener::{Terms, serve_with},
 };
 
@@ -49,6 +51,7 @@
         settings.check()?;
         let callers = bind("caller_address", settings.caller_address).await?;
         let ready = bind("ready_address", settings.ready_address).await?;
+        let state = bind("peer_address", settings.peer_address).await?;
         let metrics = bind("metrics_address", settings.metrics_address).await?;
         let loads = UdpSocket::bind(settings.load_address)
             .await
@@ -61,6 +64,8 @@
         background.spawn(orders::run(Arc::clone(&gw)));
         background.spawn(serve_pages(Arc::clone(&gw), ready, pages::ready(&gw)));
         background.spawn(serve_pages(Arc::clone(&gw), metrics, pages::metrics(&gw)));
+        background.spawn(serve_pages(Arc::clone(&gw), state, pages::state(&gw)));
+        background.spawn(borrow::run(Arc::clone(&gw)));
         let callers = tokio::spawn(listener::run(Arc::clone(&gw), callers));
         emit!(info, STARTED, vm = gw.settings.vm, hall = gw.settings.hall, start);
         Ok(Self { gw, callers, background })
@@ -77,7 +82,7 @@
         let gw = &self.gw;
         let over_at = gw.now() + Span::seconds(gw.settings.timing.stop_s);
         emit!(info, STOPPING, under_way = gw.stop.requests.len());
-        gw.stop.begun.cancel();
+        gw.stop.begin(gw.now());
         tokio::time::sleep(BALANCER).await;
         gw.stop.closing.cancel();
         let left = over_at.since(gw.now()).0.saturating_sub(END.0);
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -15,7 +15,11 @@
 
 use crate::{
     emit,
-    gateway::{attempt::duration, state::Gateway},
+    gateway::{
+        attempt::duration,
+        borrow::{CopiedEntry, StoreCopy},
+        state::Gateway,
+    },
 };
 
 /// Time that a lapsed entry gets to come back after the store did. Replicas that live write
@@ -48,6 +52,17 @@
 }
 
 impl Copies {
+    /// Whether the store does not answer, and for how long that has been known.
+    pub(super) fn lost_for(&self, now: Time) -> Option<Span> {
+        self.lost.then(|| now.since(self.heard))
+    }
+
+    /// All of it, for another daemon.
+    pub(super) fn copy(&self) -> StoreCopy {
+        let entries = self.configuration.iter().chain(self.replicas.values()).chain(self.daemons.values());
+        StoreCopy { revision: self.revision, entries: entries.map(CopiedEntry::from).collect() }
+    }
+
     /// Whether everything was read once.
     pub(super) const fn is_complete(&self) -> bool {
         self.configuration.is_some() && self.revision > 0
@@ -131,7 +146,8 @@
     }
 }
 
-fn apply_snapshot(gw: &Arc<Gateway>, snapshot: Snapshot) {
+/// Take in all entries at a revision.
+pub(super) fn apply_snapshot(gw: &Arc<Gateway>, snapshot: Snapshot) {
     let prefix = gw.outside.dialect.replica_prefix();
     let revision = snapshot.revision;
     let missing: Vec<String> = {
@@ -151,19 +167,21 @@
     emit!(info, STORE_READ, revision, replicas);
 }
 
-/// Take in one change, from the store or from another daemon that read it there.
-pub(super) fn apply(gw: &Arc<Gateway>, change: Change) {
+/// Take in one change.
+fn apply(gw: &Arc<Gateway>, change: Change) {
     let dialect = &gw.outside.dialect;
     match change {
         Change::Put(entry) if entry.key == dialect.configuration_key() => put_configuration(gw, entry),
         Change::Put(entry) if entry.key.starts_with(dialect.replica_prefix()) => put_replica(gw, entry),
         Change::Put(entry) if entry.key.starts_with(&gw.settings.keyspace) => {
+            gw.peers.list(&entry);
             gw.copies().daemons.insert(entry.key.clone(), entry);
         }
         Change::Removed { key, revision } if key.starts_with(dialect.replica_prefix()) => {
             remove_replica(gw, &key, revision);
         }
         Change::Removed { key, .. } => {
+            gw.peers.unlist(&key);
             gw.copies().daemons.remove(&key);
         }
         Change::Put(_) => {}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! A request's way is [`listener`] (connections), [`request`] (from head to outcome), [`attempt`]
 //! (one try), [`upstream`] (connections to replicas) and [`relay`] (the answer as it arrives).
-//! Beside it run [`follow`] (configuration and replicas from the store), [`peers`] (what daemons
+//! Beside it run [`follow`] (configuration and replicas from the store), [`borrow`] (the same from
+//! another daemon while the store is out of reach), [`peers`] (what daemons
 //! tell each other), [`orders`] (roles of engines) and [`pages`] (readiness, metrics). [`state`] is what they share, and
 //! [`controller`] starts and stops them.
 
 mod answer;
 mod attempt;
+mod borrow;
 pub mod controller;
 mod follow;
 mod listener;
--- a/crates/daemon/src/gateway/pages.rs
+++ b/crates/daemon/src/gateway/pages.rs
@@ -1,16 +1,19 @@
-//! Pages for the balancer and for operators: readiness and metrics.
+//! Pages for the balancer, other daemons and operators: readiness, what was read, metrics.
 
 use std::sync::Arc;
 
 use axum::{
-    Router,
+    Json, Router,
     extract::State,
     response::{IntoResponse, Response},
     routing::get,
 };
 use http::{StatusCode, header::CONTENT_TYPE};
 
-use crate::gateway::state::Gateway;
+use crate::gateway::{
+    borrow::{STATE_PATH, StoreCopy},
+    state::Gateway,
+};
 
 /// Media type of Prometheus text.
 const PROMETHEUS: &str = "text/plain; version=0.0.4";
@@ -26,6 +29,15 @@
     Router::new().route("/metrics", get(text)).with_state(Arc::clone(gw))
 }
 
+/// What other daemons ask: what this one has read from the store.
+pub(super) fn state(gw: &Arc<Gateway>) -> Router {
+    Router::new().route(STATE_PATH, get(copy)).with_state(Arc::clone(gw))
+}
+
+async fn copy(State(gw): State<Arc<Gateway>>) -> Json<StoreCopy> {
+    Json(gw.copies().copy())
+}
+
 async fn is_ready(State(gw): State<Arc<Gateway>>) -> Response {
     if gw.is_ready() {
         return "ready\n".into_response();
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -6,13 +6,13 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use dahliaseam_border::{
     error::CallError,
-    kv::{LeaseId, Swap, Swapped},
+    kv::{Entry, LeaseId, Swap, Swapped},
 };
 use dahliaseam_core::{
     fleet::peers::News,
@@ -61,37 +61,67 @@
     load: SocketAddr,
 }
 
+/// What another daemon last said of itself.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    at: Time,
+    state: SocketAddr,
+    revision: i64,
+}
+
 /// Other daemons, by where they take messages.
 #[derive(Debug, Default)]
-struct Peers {
-    heard: Mutex<HashMap<SocketAddr, Time>>,
+pub(super) struct Peers {
+    seen: Mutex<HashMap<SocketAddr, Seen>>,
+    /// Where those take messages that are listed in the store, by key.
+    listed: Mutex<HashMap<String, SocketAddr>>,
 }
 
 impl Peers {
-    fn hear(&self, address: SocketAddr, now: Time) -> bool {
-        self.heard.lock().unwrap_or_else(PoisonError::into_inner).insert(address, now).is_none()
+    /// Where the state of a daemon can be read that has followed the store beyond `revision`.
+    pub(super) fn ahead_of(&self, revision: i64) -> Option<SocketAddr> {
+        let seen = self.lock();
+        let ahead = seen.values().filter(|peer| peer.revision > revision);
+        ahead.max_by_key(|peer| peer.revision).map(|peer| peer.state)
+    }
+
+    /// Note a message; returns whether it is the first of that daemon.
+    fn hear(&self, from: SocketAddr, message: &Message, now: Time) -> bool {
+        let seen = Seen { at: now, state: message.state, revision: message.revision };
+        self.lock().insert(from, seen).is_none()
+    }
+
+    /// Note an entry of the store; those that list no daemon are of no interest here.
+    pub(super) fn list(&self, entry: &Entry) {
+        if let Ok(listing) = serde_json::from_str::<Listing>(&entry.value) {
+            self.listed().insert(entry.key.clone(), listing.load);
+        }
+    }
+
+    /// Note that an entry of the store is gone.
+    pub(super) fn unlist(&self, key: &str) {
+        self.listed().remove(key);
     }
 
     /// All that are to be told: listed, or heard of lately.
-    fn all(&self, gw: &Gateway) -> Vec<SocketAddr> {
-        let now = gw.now();
-        let own = gw.settings.load_address;
-        let prefix = prefix(gw);
-        let listed: Vec<SocketAddr> = gw
-            .copies()
-            .daemons
-            .iter()
-            .filter(|(key, _)| key.starts_with(&prefix))
-            .filter_map(|(_, entry)| serde_json::from_str::<Listing>(&entry.value).ok())
-            .map(|listing| listing.load)
-            .collect();
-        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
-        heard.retain(|_, at| now.since(*at) < FORGET);
-        let mut all: Vec<SocketAddr> = heard.keys().copied().chain(listed).filter(|address| *address != own).collect();
+    fn all(&self, own: SocketAddr, now: Time) -> Vec<SocketAddr> {
+        let mut seen = self.lock();
+        seen.retain(|_, peer| now.since(peer.at) < FORGET);
+        let listed = self.listed();
+        let known = seen.keys().copied().chain(listed.values().copied());
+        let mut all: Vec<SocketAddr> = known.filter(|address| *address != own).collect();
         all.sort_unstable();
         all.dedup();
         all
     }
+
+    fn listed(&self) -> MutexGuard<'_, HashMap<String, SocketAddr>> {
+        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Seen>> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 fn prefix(gw: &Gateway) -> String {
@@ -100,17 +130,16 @@
 
 /// Tell and hear until the daemon is over.
 pub(super) async fn run(gw: Arc<Gateway>, socket: UdpSocket) {
-    let peers = Peers::default();
     let over = gw.stop.over.clone();
     tokio::select! {
-        () = tell(&gw, &socket, &peers) => {}
-        () = hear(&gw, &socket, &peers) => {}
+        () = tell(&gw, &socket) => {}
+        () = hear(&gw, &socket) => {}
         () = be_listed(&gw) => {}
         () = over.cancelled() => {}
     }
 }
 
-async fn tell(gw: &Gateway, socket: &UdpSocket, peers: &Peers) {
+async fn tell(gw: &Gateway, socket: &UdpSocket) {
     let mut number = 0;
     loop {
         let _ = tokio::time::timeout(LONGEST, gw.load_changed.notified()).await;
@@ -119,7 +148,7 @@
         let revision = gw.copies().revision;
         let message = Message { sender: gw.start, number, state: gw.settings.peer_address, revision, news };
         match postcard::to_allocvec(&message) {
-            Ok(bytes) => send(gw, socket, &peers.all(gw), &bytes).await,
+            Ok(bytes) => send(gw, socket, &gw.peers.all(gw.settings.load_address, gw.now()), &bytes).await,
             Err(e) => emit!(error, PEER_MESSAGE_LOST, why = %e),
         }
         tokio::time::sleep(SHORTEST).await;
@@ -135,7 +164,7 @@
     }
 }
 
-async fn hear(gw: &Gateway, socket: &UdpSocket, peers: &Peers) {
+async fn hear(gw: &Gateway, socket: &UdpSocket) {
     let mut buf = vec![0; MAX_MESSAGE];
     loop {
         let (len, from) = match socket.recv_from(&mut buf).await {
@@ -159,7 +188,7 @@
         }
         gw.metrics.peer_message("received");
         let now = gw.now();
-        if peers.hear(from, now) {
+        if gw.peers.hear(from, &message, now) {
             emit!(info, PEER_HEARD, peer = %from, revision = message.revision);
         }
         gw.fleet().peer_news(message.sender, message.number, &message.news, now);
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -48,7 +48,7 @@
     /// All of it.
     Whole(response::Parts, Bytes),
     /// Its beginning.
-    Stream(Answer, Events, Bytes),
+    Stream(Box<Answer>, Events, Bytes),
 }
 
 /// Read as much of an answer as is needed before it is passed on.
@@ -66,7 +66,7 @@
         }
         Ok(Ok(Beginning::Stream(events, bytes))) => {
             answer.work.reading_over(StepEnd::Done);
-            return Ok(Begun::Stream(answer, events, bytes));
+            return Ok(Begun::Stream(Box::new(answer), events, bytes));
         }
         Ok(Err(why)) => CallFailure::Lost(why),
         Err(_) => CallFailure::TimedOut,
@@ -165,7 +165,7 @@
 /// A stream that is being passed on.
 struct Relay {
     job: Job,
-    answer: Answer,
+    answer: Box<Answer>,
     events: Events,
     next: Option<Bytes>,
     last_id: Option<String>,
@@ -266,7 +266,7 @@
             return Err(RelayError::BrokeOff(format!("status {} on resuming", answer.head.status)));
         }
         emit!(info, STREAM_RESUMED, request = self.job.caller.id, replica = %answer.replica.id);
-        self.answer = answer;
+        *self.answer = answer;
         Ok(())
     }
 
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -292,6 +292,10 @@
             fleet.offered(&self.service, &offered, now);
         }
         match chosen {
+            Ok(plan) if plan.is_long() && self.tried.is_empty() && !self.gw.stop.takes_long(now) => {
+                emit!(info, REFUSED_STOPPING, request = self.caller.id, route = %self.route.name);
+                Err(Refusal::Stopping)
+            }
             Ok(plan) => {
                 self.log_plan(&fleet, &plan, now);
                 Ok(plan)
--- a/crates/daemon/src/gateway/sse.rs
+++ b/crates/daemon/src/gateway/sse.rs
@@ -52,8 +52,8 @@
 
 /// The identifier of the last of some whole events.
 pub(super) fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    let mut lines = events.split(|byte| *byte == b'\n').rev();
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     let text = std::str::from_utf8(value).ok()?;
     Some(text.trim().to_owned())
 }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use dahliaseam_core::{
     fleet::{Fleet, budget::BudgetTerms},
     route::RouteTable,
-    time::Time,
+    time::{Span, Time},
 };
 use dahliaseam_settings::gateway::{GatewaySettings, RetrySettings};
 use tokio::sync::Notify;
@@ -20,7 +20,7 @@
 
 use crate::{
     clock::Clock,
-    gateway::{follow::Copies, metrics::GatewayMetrics, upstream::Upstream},
+    gateway::{follow::Copies, metrics::GatewayMetrics, peers::Peers, upstream::Upstream},
 };
 
 /// What a daemon meets outside, so that tests can put fakes there.
@@ -46,6 +46,7 @@
     pub(super) fleet: Mutex<Fleet>,
     pub(super) copies: Mutex<Copies>,
     pub(super) upstream: Upstream,
+    pub(super) peers: Peers,
     pub(super) metrics: GatewayMetrics,
     pub(super) stop: Stop,
     /// Wakes the task that tells peers of changed load.
@@ -67,6 +68,26 @@
     pub(super) over: CancellationToken,
     /// The requests under way.
     pub(super) requests: TaskTracker,
+    /// Micros of the time from which on no long answers are begun; 0 before a stop.
+    no_long_from: AtomicU64,
+}
+
+/// Time after the signal to stop for which long answers are still begun. One that begins later
+/// is more likely cut by the end of the process than finished, and is better begun elsewhere.
+const LONG_TAKEN: Span = Span::millis(1_400);
+
+impl Stop {
+    /// The stop begins.
+    pub(super) fn begin(&self, now: Time) {
+        self.no_long_from.store((now + LONG_TAKEN).0, Ordering::Relaxed);
+        self.begun.cancel();
+    }
+
+    /// Whether a long answer may still be begun.
+    pub(super) fn takes_long(&self, now: Time) -> bool {
+        let from = self.no_long_from.load(Ordering::Relaxed);
+        from == 0 || now.0 < from
+    }
 }
 
 impl Gateway {
@@ -75,6 +96,7 @@
             fleet: Mutex::new(Fleet::new(&settings.hall, settings.policy)),
             copies: Mutex::new(Copies::default()),
             upstream: Upstream::new(Arc::clone(&outside.clock)),
+            peers: Peers::default(),
             metrics,
             stop: Stop::default(),
             load_changed: Notify::new(),
