--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -71,6 +71,12 @@
         Ok(Self { gw, callers, background })
     }
 
+    /// Where other daemons ask for what this one knows.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.gw.settings.peer_address
+    }
+
     /// Take over what of new settings can change while the daemon runs.
     pub fn reload(&self, settings: GatewaySettings) {
         let changed = self.gw.reload(settings);
