--- /dev/null
+++ b/crates/core/tests/fleet.rs
@@ -0,0 +1,307 @@
+//! The replicas as a daemon sees them, and who gets a request.
+
+use std::sync::Arc;
+
+use dahliaseam_core::{
+    endpoint::Role,
+    fleet::{
+        Fleet, StepEnd,
+        budget::{Budget, BudgetTerms},
+        cache::Cache,
+        choose::{Ask, NoPlan, Plan, Step},
+        peers::{News, ReplicaLoad},
+        policy::FleetPolicy,
+        replica::{ReplicaFacts, ReplicaKey},
+        split::Demand,
+    },
+    prompt::Prompt,
+    time::{Span, Time},
+};
+
+const SERVICE: &str = "pool";
+
+fn now() -> Time {
+    Time(1_000_000_000)
+}
+
+fn fleet() -> Fleet {
+    Fleet::new("hall-1", FleetPolicy::default())
+}
+
+fn facts(id: &str, role: Role) -> ReplicaFacts {
+    ReplicaFacts {
+        id: Arc::from(id),
+        service: Arc::from(SERVICE),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        hall: Arc::from("hall-1"),
+        slots: 10,
+        draining: false,
+        role,
+    }
+}
+
+fn with(replicas: &[(&str, Role)]) -> Fleet {
+    let mut fleet = fleet();
+    for (id, role) in replicas {
+        fleet.put(facts(id, *role), 1);
+    }
+    fleet
+}
+
+fn prompt(subject: u64, own: u64, output: u32) -> Prompt {
+    Prompt::new("m", [(1, 1_000), (subject, 2_000), (own, 1_000)].into_iter(), 4_000, output)
+}
+
+fn ask<'a>(prompt: Option<&'a Prompt>, tried: &'a [ReplicaKey]) -> Ask<'a> {
+    Ask {
+        service: SERVICE,
+        prompt,
+        objective_left: Span::millis(250),
+        time_left: Span::millis(2_000),
+        returned: false,
+        may_refuse: true,
+        tried,
+        draw: 7,
+    }
+}
+
+fn id(fleet: &Fleet, key: ReplicaKey) -> String {
+    fleet.get(key).expect("it is known").facts.id.to_string()
+}
+
+fn step(key: ReplicaKey, work_ms: f64, long: bool) -> Step {
+    Step { key, wait_ms: 0.0, work_ms, uncached: 1, copy_from: None, copied: 0, long }
+}
+
+#[test]
+fn a_lapsed_replica_stays_until_its_grace_ends_and_comes_back_with_its_entry() {
+    let mut fleet = with(&[("a", Role::Plain)]);
+    let later = now() + Span::millis(2_000);
+    assert!(fleet.removed("a", 2, later));
+    assert!(fleet.choose(&ask(None, &[]), now()).is_ok());
+    assert_eq!(fleet.choose(&ask(None, &[]), later), Err(NoPlan::NoReplica));
+    fleet.put(facts("a", Role::Plain), 3);
+    assert!(fleet.choose(&ask(None, &[]), later).is_ok());
+}
+
+#[test]
+fn news_older_than_what_is_known_is_ignored() {
+    let mut fleet = with(&[("a", Role::Plain)]);
+    fleet.put(facts("a", Role::Plain), 9);
+    assert!(!fleet.removed("a", 5, now()));
+    assert!(!fleet.put(ReplicaFacts { draining: true, ..facts("a", Role::Plain) }, 4));
+    assert!(fleet.choose(&ask(None, &[]), now()).is_ok());
+}
+
+#[test]
+fn a_replica_that_said_it_leaves_stays_leaving() {
+    let mut fleet = with(&[("a", Role::Plain)]);
+    fleet.put(ReplicaFacts { draining: true, ..facts("a", Role::Plain) }, 2);
+    fleet.put(facts("a", Role::Plain), 3);
+    assert_eq!(fleet.choose(&ask(None, &[]), now()), Err(NoPlan::NoReplica));
+}
+
+#[test]
+fn a_snapshot_tells_what_is_missing() {
+    let mut fleet = with(&[("a", Role::Plain), ("b", Role::Plain)]);
+    let missing = fleet.snapshot(vec![facts("b", Role::Plain)], &[1], 5, now());
+    assert_eq!(missing.iter().map(|id| &**id).collect::<Vec<_>>(), ["a"]);
+    assert_eq!(fleet.forget_gone(now()).len(), 1);
+    assert_eq!(fleet.replicas().count(), 1);
+}
+
+#[test]
+fn a_gone_replica_is_remembered_while_work_is_under_way() {
+    let mut fleet = with(&[("a", Role::Plain)]);
+    let key = fleet.key("a").expect("it is known");
+    let sent = fleet.begin(key, &step(key, 0.0, false), None, now()).expect("it is known");
+    fleet.removed("a", 2, now());
+    assert!(fleet.forget_gone(now()).is_empty());
+    fleet.end(&sent, StepEnd::Done, now());
+    assert_eq!(fleet.forget_gone(now()).len(), 1);
+}
+
+#[test]
+fn memory_gives_up_what_was_unused_longest() {
+    let mut cache = Cache::new(9_000);
+    let (a, b, c) = (prompt(10, 11, 1), prompt(20, 21, 1), prompt(30, 31, 1));
+    cache.read(&a.parts);
+    cache.read(&b.parts);
+    assert_eq!(cache.held_tokens(&a), 4_000);
+    cache.read(&c.parts);
+    assert_eq!(cache.held_tokens(&c), 4_000);
+    assert!(cache.held_tokens(&a) < 4_000, "the oldest parts gave way");
+    // The first part is shared by all and used by each, so it is never the oldest.
+    assert!(cache.held_tokens(&a) >= 1_000);
+}
+
+#[test]
+fn repeats_stay_within_the_budget_in_every_window() {
+    let terms = BudgetTerms { ratio: 0.2, slack: 10.0, window: Span::millis(10_000) };
+    let mut budget = Budget::default();
+    let mut taken: Vec<Time> = Vec::new();
+    let mut asked: Vec<Time> = Vec::new();
+    for n in 0..4_000_u64 {
+        let at = now() + Span::millis(n * 10);
+        if n % 3 == 0 {
+            budget.request(&terms, at);
+            asked.push(at);
+        }
+        if budget.take(&terms, 2, at) {
+            taken.push(at);
+        }
+    }
+    for start in (0..30_000).step_by(500) {
+        let from = now() + Span::millis(start);
+        let until = from + terms.window;
+        let within = |times: &[Time]| times.iter().filter(|at| **at >= from && **at < until).count() as f64;
+        assert!(within(&taken) <= within(&asked) * terms.ratio + terms.slack / 2.0 + 1.0);
+    }
+    assert!(taken.len() > 150, "the budget is used: {}", taken.len());
+}
+
+#[test]
+fn a_prompt_is_read_where_it_waits_least() {
+    let mut fleet = with(&[("r1", Role::Prefill), ("r2", Role::Prefill), ("w", Role::Decode)]);
+    let busy = fleet.key("r1").expect("it is known");
+    fleet.begin(busy, &step(busy, 80.0, false), None, now());
+    let prompt = prompt(10, 11, 1);
+    let Ok(Plan::TwoSteps { read, write }) = fleet.choose(&ask(Some(&prompt), &[]), now()) else {
+        panic!("it is read by one engine and answered by another");
+    };
+    assert_eq!((id(&fleet, read.key).as_str(), id(&fleet, write.key).as_str()), ("r2", "w"));
+}
+
+#[test]
+fn parts_are_copied_from_the_engine_that_holds_them() {
+    let mut fleet = with(&[("r1", Role::Prefill), ("r2", Role::Prefill), ("w", Role::Decode)]);
+    let holder = fleet.key("r1").expect("it is known");
+    let earlier = prompt(10, 11, 1);
+    fleet.begin(holder, &step(holder, 150.0, false), Some(&earlier), now());
+    let same_subject = prompt(10, 12, 1);
+    let Ok(Plan::TwoSteps { read, .. }) = fleet.choose(&ask(Some(&same_subject), &[]), now()) else {
+        panic!("it is read by one engine and answered by another");
+    };
+    assert_eq!(id(&fleet, read.key), "r2");
+    assert_eq!((read.copy_from, read.copied, read.uncached), (Some(holder), 3_000, 1_000));
+}
+
+#[test]
+fn what_would_be_late_is_refused_with_a_time_to_come_back() {
+    let mut fleet = with(&[("r", Role::Prefill), ("w", Role::Decode)]);
+    for id in ["r", "w"] {
+        let key = fleet.key(id).expect("it is known");
+        fleet.begin(key, &step(key, 500.0, false), None, now());
+    }
+    let prompt = prompt(10, 11, 1);
+    let Err(NoPlan::TooLate { predicted_ms, come_back, .. }) = fleet.choose(&ask(Some(&prompt), &[]), now()) else {
+        panic!("it is refused");
+    };
+    assert!(predicted_ms >= 500);
+    assert!(come_back >= Span::millis(60) && come_back <= Span::millis(660));
+    let patient = Ask { may_refuse: false, ..ask(Some(&prompt), &[]) };
+    assert!(fleet.choose(&patient, now()).is_ok());
+}
+
+#[test]
+fn long_answers_are_kept_together() {
+    let mut fleet = with(&[("w1", Role::Decode), ("w2", Role::Decode), ("w3", Role::Decode)]);
+    let mut used = std::collections::HashSet::new();
+    for n in 0..7 {
+        let prompt = Prompt::new("m", [(1, 50), (100 + n, 50)].into_iter(), 100, 9_000);
+        let Ok(Plan::Whole(step)) = fleet.choose(&ask(Some(&prompt), &[]), now()) else {
+            panic!("one engine does it all");
+        };
+        let mut sent = fleet.begin(step.key, &step, Some(&prompt), now()).expect("it is known");
+        fleet.reading_over(&mut sent, StepEnd::Done, now());
+        used.insert(id(&fleet, step.key));
+    }
+    assert_eq!(used.len(), 1);
+}
+
+#[test]
+fn an_engine_with_long_answers_takes_little_reading() {
+    let mut fleet = with(&[("w", Role::Decode)]);
+    let key = fleet.key("w").expect("it is known");
+    fleet.begin(key, &step(key, 0.0, true), None, now());
+    let prompt = Prompt::new("m", [(10, 20_000)].into_iter(), 20_000, 1);
+    assert_eq!(fleet.choose(&ask(Some(&prompt), &[]), now()), Err(NoPlan::NoReplica));
+}
+
+#[test]
+fn a_peers_work_counts_until_it_says_otherwise_or_falls_silent() {
+    let mut fleet = with(&[("a", Role::Plain), ("b", Role::Plain)]);
+    let mut other = with(&[("a", Role::Plain), ("b", Role::Plain)]);
+    let key = other.key("a").expect("it is known");
+    for _ in 0..9 {
+        other.begin(key, &step(key, 0.0, false), None, now());
+    }
+    let news = other.own_news(now());
+    fleet.peer_news(1, 5, &news, now());
+    let chosen = |fleet: &Fleet| match fleet.choose(&ask(None, &[]), now()) {
+        Ok(Plan::Whole(step)) => id(fleet, step.key),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(chosen(&fleet), "b");
+    let overtaken = News { loads: Vec::new(), ..news.clone() };
+    fleet.peer_news(1, 4, &overtaken, now());
+    let active = |fleet: &Fleet| fleet.replicas().map(|(_, replica)| replica.active()).sum::<u32>();
+    assert_eq!(active(&fleet), 9);
+    assert_eq!(fleet.daemons(), 2);
+    fleet.forget_silent(now() + Span::millis(5_000));
+    assert_eq!((active(&fleet), fleet.daemons()), (0, 1));
+}
+
+#[test]
+fn a_peer_cannot_name_replicas_that_are_not_there() {
+    let mut fleet = with(&[("a", Role::Plain)]);
+    let unknown = ReplicaLoad { replica: 1, reading_ms: 9, active: 9, streams: 0 };
+    fleet.peer_news(1, 1, &News { loads: vec![unknown], ..News::default() }, now());
+    fleet.peer_news(1, 2, &News::default(), now());
+    assert_eq!(fleet.replicas().map(|(_, replica)| replica.active()).sum::<u32>(), 0);
+}
+
+#[test]
+fn roles_follow_the_demand_and_never_leave_one_side_empty() {
+    let roles = [
+        ("p1", Role::Prefill),
+        ("p2", Role::Prefill),
+        ("d1", Role::Decode),
+        ("d2", Role::Decode),
+        ("d3", Role::Decode),
+        ("d4", Role::Decode),
+    ];
+    let mut fleet = with(&roles);
+    let reading = Demand { reading: 9.0, slots: 2.0 };
+    let mut changed = 0;
+    while let Some(shift) = fleet.next_shift(SERVICE, reading, now()) {
+        assert_eq!(shift.to, Role::Prefill);
+        fleet.set_changing(shift.key, shift.to, now() + Span::millis(3_000));
+        changed += 1;
+    }
+    assert_eq!(changed, 2, "two decode engines are kept");
+    let calm = Demand { reading: 0.1, slots: 2.0 };
+    assert_eq!(with(&roles).next_shift(SERVICE, calm, now()), None);
+    let answers = Demand { reading: 0.1, slots: 90.0 };
+    assert_eq!(with(&roles).next_shift(SERVICE, answers, now()), None, "two prefill engines are kept");
+}
+
+#[test]
+fn an_engine_whose_order_is_uncertain_gets_no_other() {
+    let mut fleet = with(&[("p", Role::Prefill), ("d1", Role::Decode), ("d2", Role::Decode), ("d3", Role::Decode)]);
+    let reading = Demand { reading: 9.0, slots: 2.0 };
+    let first = fleet.next_shift(SERVICE, reading, now()).expect("one is worth it");
+    fleet.no_orders_until(first.key, now() + Span::millis(13_000));
+    let second = fleet.next_shift(SERVICE, reading, now()).expect("another one can change");
+    assert_ne!(first.key, second.key);
+}
+
+#[test]
+fn an_engine_with_long_answers_keeps_its_role() {
+    let mut fleet = with(&[("p", Role::Prefill), ("d1", Role::Decode), ("d2", Role::Decode), ("d3", Role::Decode)]);
+    for id in ["d1", "d2", "d3"] {
+        let key = fleet.key(id).expect("it is known");
+        fleet.begin(key, &step(key, 0.0, true), None, now());
+    }
+    assert_eq!(fleet.next_shift(SERVICE, Demand { reading: 9.0, slots: 2.0 }, now()), None);
+}
