--- a/crates/core/src/fleet/budget.rs
+++ b/crates/core/src/fleet/budget.rs
@@ -40,20 +40,25 @@
         self.slice(terms, now).requests += 1;
     }
 
-    /// Take one repeat if the budget has it, for a daemon among `daemons`.
-    pub fn take(&mut self, terms: &BudgetTerms, daemons: usize, now: Time) -> bool {
+    /// Take so many repeats if the budget has them, for a daemon among `daemons`.
+    pub fn take(&mut self, count: u32, terms: &BudgetTerms, daemons: usize, now: Time) -> bool {
         let number = number(terms, now);
         let recent = self.slices.iter().filter(|slice| slice.number + SLICES > number);
         let (requests, repeats) =
             recent.fold((0, 0), |(requests, repeats), slice| (requests + slice.requests, repeats + slice.repeats));
         let earned = f64::from(requests) * terms.ratio + terms.slack / daemons.max(1) as f64;
-        let allowed = f64::from(repeats) + 1.0 <= earned * SAFE_SHARE;
+        let allowed = f64::from(repeats + count) <= earned * SAFE_SHARE;
         if allowed {
-            self.slice(terms, now).repeats += 1;
+            self.slice(terms, now).repeats += count;
         }
         allowed
     }
 
+    /// Count a repeat that turned out to be one only after it was sent.
+    pub fn charge(&mut self, terms: &BudgetTerms, now: Time) {
+        self.slice(terms, now).repeats += 1;
+    }
+
     fn slice(&mut self, terms: &BudgetTerms, now: Time) -> &mut Slice {
         let number = number(terms, now);
         let slice = &mut self.slices[(number % SLICES) as usize];
--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -5,12 +5,15 @@
 //! to be ahead, and the way that costs least is taken: its time, and something for crossing
 //! halls. What cannot be in time is refused before anything is sent.
 
+use slotmap::Key as _;
+
 use crate::{
     endpoint::Role,
     fleet::{
         Fleet,
         replica::{Replica, ReplicaKey},
     },
+    hash::rendezvous,
     prompt::Prompt,
     time::{Span, Time},
 };
@@ -19,6 +22,9 @@
 const HAND_OVER_MS: f64 = 6.0;
 /// How many times as long a decode engine takes to read.
 const DECODE_READ_FACTOR: f64 = 2.0;
+/// How many times the time to send it counts for a request that is sent twice: the second send
+/// itself, and what waits behind it on the link.
+const SECOND_SEND: f64 = 2.0;
 /// Milliseconds for each request beyond an engine's slots.
 const OVER_SLOTS_MS: f64 = 20.0;
 /// Milliseconds that a plain replica counts more when all its slots are taken, since it slows down.
@@ -35,6 +41,10 @@
 const DISTURBED_MS: f64 = 1.0;
 /// Milliseconds that each request at an engine counts where a prompt is handed over to it.
 const ACTIVE_MS: f64 = 0.2;
+/// Milliseconds of chance for each daemon, and at most.
+const SPREAD_MS_EACH: f64 = 0.4;
+/// See [`SPREAD_MS_EACH`].
+const SPREAD_MS_MOST: f64 = 25.0;
 /// Part of its remaining time after which a caller does not come back any more.
 const COME_BACK_SHARE: f64 = 0.33;
 /// Shortest time after which a caller is told to come back.
@@ -55,6 +65,8 @@
     pub returned: bool,
     /// Whether to refuse what cannot be in time.
     pub may_refuse: bool,
+    /// Milliseconds that this VM's link takes to send the request once.
+    pub send_ms: f64,
     /// Replicas that were tried.
     pub tried: &'a [ReplicaKey],
     /// A number drawn for this request.
@@ -169,7 +181,7 @@
             let crowd = f64::from(replica.active()) / f64::from(replica.facts.slots.max(1));
             let wait_ms = work_ms * over / f64::from(replica.facts.slots.max(1)) + crowd * CROWD_MS;
             let step = Step { key, wait_ms, work_ms, uncached: 0, copy_from: None, copied: 0, long: false };
-            (step.wait_ms + work_ms + self.hall_ms(replica), step)
+            (step.wait_ms + work_ms + self.hall_ms(replica) + self.spread_ms(key, ask), step)
         });
         lowest(steps).map(Plan::Whole)
     }
@@ -189,13 +201,20 @@
                 let disturbed = if disturbs { f64::from(replica.streams()) * DISTURBED_MS } else { 0.0 };
                 let cost =
                     step.wait_ms + step.work_ms + self.hall_ms(replica) + disturbed + self.packing_ms(replica, long);
-                Some((cost, step))
+                Some((cost + self.spread_ms(key, ask), step))
             },
         ));
         let read = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role == Role::Prefill).map(
             |(key, replica)| {
                 let step = self.reading_step((key, replica), ask, prompt, holder, now);
-                (step.wait_ms + step.work_ms + self.hall_ms(replica) + self.pushed_out_ms(&step), step)
+                (
+                    step.wait_ms
+                        + step.work_ms
+                        + self.hall_ms(replica)
+                        + self.pushed_out_ms(&step)
+                        + self.spread_ms(key, ask),
+                    step,
+                )
             },
         ));
         let write = self.choose_writer(ask, long, now);
@@ -215,9 +234,10 @@
     fn choose_writer(&self, ask: &Ask<'_>, long: bool, now: Time) -> Option<Step> {
         lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).map(|(key, replica)| {
             let wait_ms = slot_wait_ms(replica) + replica.reading_ms(now) * 0.5;
-            let step = Step { key, wait_ms, work_ms: HAND_OVER_MS, uncached: 0, copy_from: None, copied: 0, long };
+            let work_ms = HAND_OVER_MS + ask.send_ms * SECOND_SEND;
+            let step = Step { key, wait_ms, work_ms, uncached: 0, copy_from: None, copied: 0, long };
             let cost = wait_ms + self.hall_ms(replica) + f64::from(replica.active()) * ACTIVE_MS;
-            (cost + self.packing_ms(replica, long), step)
+            (cost + self.packing_ms(replica, long) + self.spread_ms(key, ask), step)
         }))
     }
 
@@ -250,6 +270,14 @@
         }
     }
 
+    /// Some chance, so that daemons whose view is equally old do not all choose the same replica.
+    /// The view gets older with the number of daemons, since each then tells less often.
+    fn spread_ms(&self, key: ReplicaKey, ask: &Ask<'_>) -> f64 {
+        let span = (self.daemons() as f64 * SPREAD_MS_EACH).min(SPREAD_MS_MOST);
+        let draw = rendezvous(ask.draw, key.data().as_ffi());
+        span * (draw as f64 / u64::MAX as f64)
+    }
+
     /// What copied tokens cost, since they push out others.
     fn pushed_out_ms(&self, step: &Step) -> f64 {
         f64::from(step.copied) / 1_000.0 * self.policy.copy_cost_ms
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -209,10 +209,15 @@
         self.service_mut(service).budget.request(terms, now);
     }
 
-    /// Take one repeated send to a service from the budget, if it is there.
-    pub fn take_repeat(&mut self, service: &Arc<str>, terms: &BudgetTerms, now: Time) -> bool {
+    /// Count a repeated send that turned out to be one only after it was sent.
+    pub fn charge_repeat(&mut self, service: &Arc<str>, terms: &BudgetTerms, now: Time) {
+        self.service_mut(service).budget.charge(terms, now);
+    }
+
+    /// Take so many repeated sends to a service from the budget, if they are there.
+    pub fn take_repeats(&mut self, count: u32, service: &Arc<str>, terms: &BudgetTerms, now: Time) -> bool {
         let daemons = self.peers.len() + 1;
-        self.service_mut(service).budget.take(terms, daemons, now)
+        self.service_mut(service).budget.take(count, terms, daemons, now)
     }
 
     fn learn_read(&mut self, sent: &Sent, now: Time) {
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -60,6 +60,7 @@
         time_left: Span::millis(2_000),
         returned: false,
         may_refuse: true,
+        send_ms: 0.1,
         tried,
         draw: 7,
     }
@@ -147,7 +148,7 @@
             budget.request(&terms, at);
             asked.push(at);
         }
-        if budget.take(&terms, 2, at) {
+        if budget.take(1, &terms, 2, at) {
             taken.push(at);
         }
     }
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -59,6 +59,7 @@
     HISTORY_GONE = 314, "The store forgot the changes since the last one followed; everything is read anew.";
     BORROWED = 315, "The store is out of reach; a newer copy of what lies there was taken from another daemon.";
     NOT_BORROWED = 316, "Another daemon could not be asked for its copy of the store.";
+    FOLLOWING = 317, "This daemon begins to follow the store itself, or leaves that to others of its hall.";
     REPLICA_KNOWN = 320, "A replica was discovered, or what it says of itself changed.";
     REPLICA_UNREADABLE = 321, "A replica's entry cannot be read; what was known of it stays.";
     REPLICA_LEFT = 322, "A replica's entry is gone; it gets no new work after `grace_ms`.";
--- a/crates/daemon/src/gateway/borrow.rs
+++ b/crates/daemon/src/gateway/borrow.rs
@@ -1,12 +1,13 @@
 //! Copies of what lies in the store, taken from another daemon while the store is out of reach.
 //!
-//! The store may turn some VMs away and serve the others. Daemons tell each other in their
-//! messages how far they have followed it; one that is cut off asks another that is ahead.
+//! The store may turn some VMs away and serve the others, and where there are many daemons only
+//! a few follow it. Daemons tell each other in their messages how far they have followed it; one
+//! that is cut off, or leaves it to others, asks another that is ahead.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use dahliaseam_border::{
-    feed::Snapshot,
+    feed::{Change, Snapshot},
     http::{HttpClient, Reuse},
     kv::Entry,
 };
@@ -33,8 +34,14 @@
 pub(super) struct StoreCopy {
     /// Revision up to which nothing is missing.
     pub(super) revision: i64,
-    /// All entries that matter.
+    /// Whether these are all entries; otherwise those that changed.
+    pub(super) whole: bool,
+    /// The entries.
     pub(super) entries: Vec<CopiedEntry>,
+    /// Keys that were removed, with the revisions at which they were.
+    pub(super) removed: Vec<(String, i64)>,
+    /// Milliseconds for which entries that are missing may still come back.
+    pub(super) grace_ms: u64,
 }
 
 /// One entry.
@@ -69,7 +76,7 @@
 async fn watch(gw: &Arc<Gateway>) {
     let client = HttpClient::new(Reuse::Fresh);
     loop {
-        tokio::time::sleep(LOOK).await;
+        let _ = tokio::time::timeout(LOOK, gw.peer_ahead.notified()).await;
         if !is_needed(gw) {
             continue;
         }
@@ -81,7 +88,9 @@
 
 fn is_needed(gw: &Gateway) -> bool {
     let now = gw.now();
-    gw.copies().lost_for(now).is_some_and(|silent| silent > PATIENCE)
+    let copies = gw.copies();
+    let follows = copies.following || !copies.is_complete();
+    !follows || copies.lost_for(now).is_some_and(|silent| silent > PATIENCE)
 }
 
 /// A daemon that is ahead; any seed while nothing is known at all.
@@ -90,7 +99,7 @@
         let copies = gw.copies();
         (copies.revision, copies.is_complete())
     };
-    if let Some(ahead) = gw.peers.ahead_of(revision) {
+    if let Some(ahead) = gw.peers.ahead_of(revision, gw.hall) {
         return Some(ahead);
     }
     if complete {
@@ -102,12 +111,29 @@
     seeds.get(at).copied()
 }
 
+fn take_over(gw: &Arc<Gateway>, copy: StoreCopy) {
+    gw.copies().set_grace(gw.now() + Span::millis(copy.grace_ms));
+    let entries = copy.entries.into_iter().map(Entry::from);
+    if copy.whole {
+        follow::apply_snapshot(gw, Snapshot { entries: entries.collect(), revision: copy.revision });
+        return;
+    }
+    for entry in entries {
+        follow::apply(gw, Change::Put(entry));
+    }
+    for (key, revision) in copy.removed {
+        follow::apply(gw, Change::Removed { key, revision });
+    }
+    gw.copies().advance(copy.revision);
+}
+
 async fn ask(gw: &Arc<Gateway>, client: &HttpClient, from: SocketAddr) {
-    match client.get::<StoreCopy>(&format!("http://{from}{STATE_PATH}"), ANSWER).await {
+    let after = gw.copies().revision;
+    match client.get::<StoreCopy>(&format!("http://{from}{STATE_PATH}?after={after}"), ANSWER).await {
         Ok(copy) if copy.revision > gw.copies().revision => {
-            emit!(info, BORROWED, peer = %from, revision = copy.revision, entries = copy.entries.len());
-            let entries = copy.entries.into_iter().map(Entry::from).collect();
-            follow::apply_snapshot(gw, Snapshot { entries, revision: copy.revision });
+            let (revision, whole) = (copy.revision, copy.whole);
+            emit!(info, BORROWED, peer = %from, after, revision, whole, entries = copy.entries.len());
+            take_over(gw, copy);
         }
         Ok(_) => {}
         Err(e) => emit!(info, NOT_BORROWED, peer = %from, why = %e),
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -4,7 +4,11 @@
 //! is away the daemon goes on with what it knows. Entries that lapsed meanwhile get a short time
 //! to come back, since their replicas could not renew them.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use dahliaseam_border::{
     error::CallError,
@@ -30,6 +34,13 @@
 /// Part of the time allowed for following again that one waiting call may take. A call on a
 /// connection that silently died is noticed only at its end.
 const WAIT_SHARE: f64 = 0.6;
+/// Time between two calls of a watch, so that changes that come together take one call. It is
+/// small against the seconds in which a change must be in force.
+const BETWEEN: Duration = Duration::from_millis(100);
+/// Time between two looks whether others still follow the store.
+const REST: Duration = Duration::from_millis(200);
+/// Removed keys that are remembered for daemons that ask for what changed.
+const MAX_REMOVED: usize = 512;
 /// Time between two looks for replicas that are gone and connections that are old.
 const SWEEP: Duration = Duration::from_millis(500);
 
@@ -46,6 +57,12 @@
     pub(super) revision: i64,
     /// When the store last answered.
     pub(super) heard: Time,
+    /// Whether this daemon follows the store itself.
+    pub(super) following: bool,
+    /// The latest keys that were removed, with the revisions at which they were.
+    removed: VecDeque<(String, i64)>,
+    /// Revision from which on all removals are among those.
+    removed_since: i64,
     /// Until when entries that are missing may come back.
     grace_until: Time,
     lost: bool,
@@ -57,10 +74,38 @@
         self.lost.then(|| now.since(self.heard))
     }
 
-    /// All of it, for another daemon.
-    pub(super) fn copy(&self) -> StoreCopy {
+    /// What changed after a revision, for another daemon; all of it if that is not known.
+    pub(super) fn copy(&self, after: i64, now: Time) -> StoreCopy {
         let entries = self.configuration.iter().chain(self.replicas.values()).chain(self.daemons.values());
-        StoreCopy { revision: self.revision, entries: entries.map(CopiedEntry::from).collect() }
+        let whole = after < self.removed_since;
+        let newer = entries.filter(|entry| whole || entry.revision > after);
+        StoreCopy {
+            revision: self.revision,
+            whole,
+            entries: newer.map(CopiedEntry::from).collect(),
+            removed: self.removed.iter().filter(|(_, revision)| *revision > after).cloned().collect(),
+            grace_ms: self.grace_until.since(now).as_millis(),
+        }
+    }
+
+    /// Note a removed key, for daemons that ask for what changed.
+    fn note_removed(&mut self, key: String, revision: i64) {
+        self.removed.push_back((key, revision));
+        while self.removed.len() > MAX_REMOVED {
+            if let Some((_, dropped)) = self.removed.pop_front() {
+                self.removed_since = dropped;
+            }
+        }
+    }
+
+    /// Give entries that are missing this long to come back.
+    pub(super) fn set_grace(&mut self, until: Time) {
+        self.grace_until = self.grace_until.max(until);
+    }
+
+    /// Go on from a revision that another daemon has followed the store to.
+    pub(super) fn advance(&mut self, revision: i64) {
+        self.revision = self.revision.max(revision);
     }
 
     /// Whether everything was read once.
@@ -82,11 +127,18 @@
 async fn follow(gw: &Arc<Gateway>) {
     let mut retry = RETRY.0;
     loop {
-        let step = if gw.copies().is_complete() { next(gw).await } else { read_all(gw).await };
+        let read = gw.copies().revision > 0;
+        if read && gw.peers.followed(gw.start, gw.hall, gw.now()) {
+            rest(gw).await;
+            continue;
+        }
+        set_following(gw, true);
+        let step = if read { next(gw).await } else { read_all(gw).await };
         match step {
             Ok(()) => {
                 store_answered(gw);
                 retry = RETRY.0;
+                tokio::time::sleep(BETWEEN).await;
             }
             Err(e) => {
                 store_failed(gw, &e);
@@ -98,6 +150,20 @@
     }
 }
 
+/// Leave it to others to follow the store, and look again later.
+async fn rest(gw: &Arc<Gateway>) {
+    set_following(gw, false);
+    tokio::time::sleep(REST).await;
+}
+
+fn set_following(gw: &Gateway, following: bool) {
+    let mut copies = gw.copies();
+    if copies.following != following {
+        copies.following = following;
+        emit!(info, FOLLOWING, following, revision = copies.revision);
+    }
+}
+
 async fn read_all(gw: &Arc<Gateway>) -> Result<(), CallError> {
     let snapshot = gw.outside.feed.snapshot("").await?;
     store_answered(gw);
@@ -118,8 +184,7 @@
             for change in changes {
                 apply(gw, change);
             }
-            let mut copies = gw.copies();
-            copies.revision = copies.revision.max(revision);
+            gw.copies().advance(revision);
             Ok(())
         }
     }
@@ -163,12 +228,18 @@
         apply(gw, Change::Removed { key, revision });
     }
     let mut copies = gw.copies();
-    copies.revision = copies.revision.max(revision);
+    copies.advance(revision);
+    // Removals between what was known before and this are not known one by one.
+    copies.removed_since = revision;
+    copies.removed.clear();
     emit!(info, STORE_READ, revision, replicas);
 }
 
 /// Take in one change.
-fn apply(gw: &Arc<Gateway>, change: Change) {
+pub(super) fn apply(gw: &Arc<Gateway>, change: Change) {
+    if let Change::Removed { key, revision } = &change {
+        gw.copies().note_removed(key.clone(), *revision);
+    }
     let dialect = &gw.outside.dialect;
     match change {
         Change::Put(entry) if entry.key == dialect.configuration_key() => put_configuration(gw, entry),
--- a/crates/daemon/src/gateway/pages.rs
+++ b/crates/daemon/src/gateway/pages.rs
@@ -4,11 +4,12 @@
 
 use axum::{
     Json, Router,
-    extract::State,
+    extract::{Query, State},
     response::{IntoResponse, Response},
     routing::get,
 };
 use http::{StatusCode, header::CONTENT_TYPE};
+use serde::Deserialize;
 
 use crate::gateway::{
     borrow::{STATE_PATH, StoreCopy},
@@ -34,8 +35,17 @@
     Router::new().route(STATE_PATH, get(copy)).with_state(Arc::clone(gw))
 }
 
-async fn copy(State(gw): State<Arc<Gateway>>) -> Json<StoreCopy> {
-    Json(gw.copies().copy())
+/// What another daemon asks for.
+#[derive(Debug, Deserialize)]
+struct CopyQuery {
+    /// Revision up to which it has everything.
+    #[serde(default)]
+    after: i64,
+}
+
+async fn copy(State(gw): State<Arc<Gateway>>, Query(query): Query<CopyQuery>) -> Json<StoreCopy> {
+    let now = gw.now();
+    Json(gw.copies().copy(query.after, now))
 }
 
 async fn is_ready(State(gw): State<Arc<Gateway>>) -> Response {
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -28,9 +28,17 @@
 
 /// Shortest time between two messages. A prompt takes an engine some tens of milliseconds, so
 /// older news would send two daemons to the same engine.
-const SHORTEST: Duration = Duration::from_millis(5);
+const SHORTEST: Duration = Duration::from_millis(10);
+/// Time between two messages for each daemon that is told. It bounds what a daemon sends to some
+/// 60 kB a second and 500 packets, however many there are.
+const EACH: Duration = Duration::from_millis(4);
 /// Longest time between two messages, so that silence means something.
 const LONGEST: Duration = Duration::from_millis(400);
+/// Daemons of a hall that follow the store; the others learn from them. Each call counts, and
+/// one or two of them may be gone at any time.
+const FOLLOWERS: usize = 3;
+/// Silence, of a daemon or of the store to it, after which it no longer counts as one that follows.
+const FOLLOWER_SILENT: Span = Span::millis(1_000);
 /// Largest message that is read.
 const MAX_MESSAGE: usize = 8 << 10;
 /// Life of the lease under which a daemon is listed, in seconds. It must bridge a few lost calls.
@@ -51,6 +59,10 @@
     state: SocketAddr,
     /// Revision up to which the sender has followed the store.
     revision: i64,
+    /// Hash of the sender's hall.
+    hall: u32,
+    /// Milliseconds since the store last answered the sender itself, if it follows the store.
+    store_age_ms: Option<u32>,
     news: News,
 }
 
@@ -65,8 +77,12 @@
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     at: Time,
+    sender: u64,
     state: SocketAddr,
     revision: i64,
+    hall: u32,
+    /// When the store last answered it, if it follows the store.
+    followed_at: Option<Time>,
 }
 
 /// Other daemons, by where they take messages.
@@ -78,16 +94,36 @@
 }
 
 impl Peers {
-    /// Where the state of a daemon can be read that has followed the store beyond `revision`.
-    pub(super) fn ahead_of(&self, revision: i64) -> Option<SocketAddr> {
+    /// Where the state of a daemon can be read that has followed the store beyond `revision`,
+    /// best one in the same hall.
+    pub(super) fn ahead_of(&self, revision: i64, hall: u32) -> Option<SocketAddr> {
         let seen = self.lock();
         let ahead = seen.values().filter(|peer| peer.revision > revision);
-        ahead.max_by_key(|peer| peer.revision).map(|peer| peer.state)
+        ahead.max_by_key(|peer| (peer.hall == hall, peer.revision)).map(|peer| peer.state)
+    }
+
+    /// Whether enough other daemons of the hall follow the store, so that this one need not.
+    pub(super) fn followed(&self, own: u64, hall: u32, now: Time) -> bool {
+        let fresh = |at: Time| now.since(at) < FOLLOWER_SILENT;
+        let seen = self.lock();
+        let followers = seen.values().filter(|peer| {
+            let following = peer.followed_at.is_some_and(fresh) && fresh(peer.at);
+            following && peer.hall == hall && peer.sender < own
+        });
+        followers.count() >= FOLLOWERS
     }
 
     /// Note a message; returns whether it is the first of that daemon.
     fn hear(&self, from: SocketAddr, message: &Message, now: Time) -> bool {
-        let seen = Seen { at: now, state: message.state, revision: message.revision };
+        let age = message.store_age_ms.map(|ms| Span::millis(u64::from(ms)));
+        let seen = Seen {
+            at: now,
+            sender: message.sender,
+            state: message.state,
+            revision: message.revision,
+            hall: message.hall,
+            followed_at: age.map(|age| now - age),
+        };
         self.lock().insert(from, seen).is_none()
     }
 
@@ -145,13 +181,28 @@
         let _ = tokio::time::timeout(LONGEST, gw.load_changed.notified()).await;
         number += 1;
         let news = gw.fleet().own_news(gw.now());
-        let revision = gw.copies().revision;
-        let message = Message { sender: gw.start, number, state: gw.settings.peer_address, revision, news };
+        let message = message(gw, number, news);
+        let told = gw.peers.all(gw.settings.load_address, gw.now());
         match postcard::to_allocvec(&message) {
-            Ok(bytes) => send(gw, socket, &gw.peers.all(gw.settings.load_address, gw.now()), &bytes).await,
+            Ok(bytes) => send(gw, socket, &told, &bytes).await,
             Err(e) => emit!(error, PEER_MESSAGE_LOST, why = %e),
         }
-        tokio::time::sleep(SHORTEST).await;
+        tokio::time::sleep(SHORTEST.max(EACH * told.len() as u32)).await;
+    }
+}
+
+fn message(gw: &Gateway, number: u64, news: News) -> Message {
+    let now = gw.now();
+    let copies = gw.copies();
+    let age = copies.following.then(|| now.since(copies.heard).as_millis() as u32);
+    Message {
+        sender: gw.start,
+        number,
+        state: gw.settings.peer_address,
+        revision: copies.revision,
+        hall: gw.hall,
+        store_age_ms: age,
+        news,
     }
 }
 
@@ -191,6 +242,9 @@
         if gw.peers.hear(from, &message, now) {
             emit!(info, PEER_HEARD, peer = %from, revision = message.revision);
         }
+        if message.revision > gw.copies().revision {
+            gw.peer_ahead.notify_one();
+        }
         gw.fleet().peer_news(message.sender, message.number, &message.news, now);
     }
 }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -36,6 +36,8 @@
 const PLAIN_SLACK: Span = Span::millis(60);
 /// Percent of a route's time limit below which a caller's patience shows that it was here before.
 const RETURNED_PERCENT: u64 = 95;
+/// Bytes that a link of one megabit a second carries in a millisecond.
+const BYTES_PER_MS_OF_MBIT: f64 = 125.0;
 /// Least time left for which another try is worth it.
 const LEAST_LEFT: Span = Span::millis(15);
 
@@ -55,8 +57,10 @@
     /// The last event that the caller has, where an answer goes on from there.
     pub(super) last_event: Option<String>,
     tried: Vec<ReplicaKey>,
-    /// Calls that reached a replica and count against the budget.
-    arrivals: u32,
+    /// Whether a replica got the request to serve it.
+    served_once: bool,
+    /// Whether a replica got the request to read its prompt.
+    read_once: bool,
     /// Replicas that may have run it.
     runs: u32,
     timed_out: bool,
@@ -160,7 +164,8 @@
         last_event: caller.last_event.clone(),
         caller,
         tried: Vec::new(),
-        arrivals: 0,
+        served_once: false,
+        read_once: false,
         runs: 0,
         timed_out: false,
         draw,
@@ -265,7 +270,8 @@
             return Err(self.last_word());
         }
         let plan = self.choose(now)?;
-        if self.arrivals > 0 && !self.gw.fleet().take_repeat(&self.service, &self.gw.budget(), now) {
+        let repeats = self.repeats(&plan);
+        if repeats > 0 && !self.gw.fleet().take_repeats(repeats, &self.service, &self.gw.budget(), now) {
             emit!(info, BUDGET_SPENT, request = self.caller.id, service = %self.service);
             return Err(self.last_word());
         }
@@ -281,6 +287,7 @@
             returned: self.returned(),
             may_refuse: self.tried.is_empty() && self.last_event.is_none(),
             tried: &self.tried,
+            send_ms: self.body.len() as f64 / (self.gw.settings.link_mbps * BYTES_PER_MS_OF_MBIT),
             draw: self.draw,
         };
         let mut fleet = self.gw.fleet();
@@ -359,8 +366,12 @@
         };
         self.tried.push(key);
         let read_before = matches!(plan, Plan::TwoSteps { .. }) && !failed.reading;
-        if failed.why.arrived() || read_before {
-            self.arrivals += 1;
+        self.read_once |= read_before || (failed.reading && failed.why.arrived());
+        self.served_once |= !failed.reading && failed.why.arrived();
+        if failed.reading && matches!(failed.why, CallFailure::Rejected(_)) {
+            // The first call that reads a prompt is free only if the replica takes it up.
+            let now = self.gw.now();
+            self.gw.fleet().charge_repeat(&self.service, &self.gw.budget(), now);
         }
         if failed.why.may_have_run() && !failed.reading {
             self.runs += 1;
@@ -371,10 +382,16 @@
     /// A stream that had begun broke off at a replica.
     pub(super) fn note_broken(&mut self, key: Option<ReplicaKey>) {
         self.tried.extend(key);
-        self.arrivals += 1;
+        self.served_once = true;
         self.runs += 1;
     }
 
+    /// Calls of a plan that repeat earlier ones.
+    fn repeats(&self, plan: &Plan) -> u32 {
+        let reads = matches!(plan, Plan::TwoSteps { .. });
+        u32::from(reads && self.read_once) + u32::from(self.served_once)
+    }
+
     /// The true last word: whether it surely did not run.
     fn last_word(&self) -> Refusal {
         match (self.runs, self.timed_out) {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -51,6 +51,10 @@
     pub(super) stop: Stop,
     /// Wakes the task that tells peers of changed load.
     pub(super) load_changed: Notify,
+    /// Wakes the task that asks peers, when one has followed the store further.
+    pub(super) peer_ahead: Notify,
+    /// Hash of this daemon's hall.
+    pub(super) hall: u32,
     seeds: Mutex<Vec<SocketAddr>>,
     retries: Mutex<RetrySettings>,
     table: Mutex<Option<Arc<RouteTable>>>,
@@ -100,6 +104,8 @@
             metrics,
             stop: Stop::default(),
             load_changed: Notify::new(),
+            peer_ahead: Notify::new(),
+            hall: dahliaseam_core::hash::bytes(settings.hall.as_bytes()) as u32,
             seeds: Mutex::new(settings.seeds.clone()),
             retries: Mutex::new(settings.retries),
             table: Mutex::new(None),
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -40,6 +40,8 @@
     pub keyspace: String,
     /// Open files at most.
     pub max_files: u32,
+    /// Megabits a second that the VM's link carries.
+    pub link_mbps: f64,
     /// Bounds on repeated sends, over all daemons.
     pub retries: RetrySettings,
     /// Spans of the daemon's own work.
@@ -111,6 +113,7 @@
         expect(!self.hall.is_empty(), "hall", "the hall's name")?;
         expect(self.keyspace.ends_with('/'), "keyspace", "a prefix that ends with '/'")?;
         expect(self.max_files > 2 * SPARE_FILES, "max_files", "512 at least")?;
+        expect(self.link_mbps > 0.0, "link_mbps", "a number above 0")?;
         expect(self.retries.ratio >= 0.0, "retries.ratio", "0 at least")?;
         expect(self.retries.slack >= 0.0, "retries.slack", "0 at least")?;
         expect(self.retries.window_s > 0.0, "retries.window_s", "a number above 0")?;
