--- a/crates/core/src/eject.rs
+++ b/crates/core/src/eject.rs
@@ -36,6 +36,11 @@
         ejects
     }
 
+    /// Note that it could not be reached, or was silent; it is ejected at once.
+    pub fn unreachable(&mut self, now: Time) {
+        self.eject(now);
+    }
+
     /// Whether new work may go there at `now`; one probe at a time after an ejection.
     #[must_use]
     pub const fn allows(&self, now: Time) -> bool {
--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -41,6 +41,8 @@
 const DISTURBED_MS: f64 = 1.0;
 /// Milliseconds that each request at an engine counts where a prompt is handed over to it.
 const ACTIVE_MS: f64 = 0.2;
+/// Milliseconds that a replica counts more whose entry lapsed, or that a peer could not reach.
+const DOUBT_MS: f64 = 80.0;
 /// Milliseconds of chance for each daemon, and at most.
 const SPREAD_MS_EACH: f64 = 0.4;
 /// See [`SPREAD_MS_EACH`].
@@ -181,7 +183,7 @@
             let crowd = f64::from(replica.active()) / f64::from(replica.facts.slots.max(1));
             let wait_ms = work_ms * over / f64::from(replica.facts.slots.max(1)) + crowd * CROWD_MS;
             let step = Step { key, wait_ms, work_ms, uncached: 0, copy_from: None, copied: 0, long: false };
-            (step.wait_ms + work_ms + self.hall_ms(replica) + self.spread_ms(key, ask), step)
+            (step.wait_ms + work_ms + self.way_ms(replica, now) + self.spread_ms(key, ask, now), step)
         });
         lowest(steps).map(Plan::Whole)
     }
@@ -199,9 +201,12 @@
                     return None;
                 }
                 let disturbed = if disturbs { f64::from(replica.streams()) * DISTURBED_MS } else { 0.0 };
-                let cost =
-                    step.wait_ms + step.work_ms + self.hall_ms(replica) + disturbed + self.packing_ms(replica, long);
-                Some((cost + self.spread_ms(key, ask), step))
+                let cost = step.wait_ms
+                    + step.work_ms
+                    + self.way_ms(replica, now)
+                    + disturbed
+                    + self.packing_ms(replica, long, now);
+                Some((cost + self.spread_ms(key, ask, now), step))
             },
         ));
         let read = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role == Role::Prefill).map(
@@ -210,9 +215,9 @@
                 (
                     step.wait_ms
                         + step.work_ms
-                        + self.hall_ms(replica)
+                        + self.way_ms(replica, now)
                         + self.pushed_out_ms(&step)
-                        + self.spread_ms(key, ask),
+                        + self.spread_ms(key, ask, now),
                     step,
                 )
             },
@@ -236,8 +241,8 @@
             let wait_ms = slot_wait_ms(replica) + replica.reading_ms(now) * 0.5;
             let work_ms = HAND_OVER_MS + ask.send_ms * SECOND_SEND;
             let step = Step { key, wait_ms, work_ms, uncached: 0, copy_from: None, copied: 0, long };
-            let cost = wait_ms + self.hall_ms(replica) + f64::from(replica.active()) * ACTIVE_MS;
-            (cost + self.packing_ms(replica, long) + self.spread_ms(key, ask), step)
+            let cost = wait_ms + self.way_ms(replica, now) + f64::from(replica.active()) * ACTIVE_MS;
+            (cost + self.packing_ms(replica, long, now) + self.spread_ms(key, ask, now), step)
         }))
     }
 
@@ -272,8 +277,9 @@
 
     /// Some chance, so that daemons whose view is equally old do not all choose the same replica.
     /// The view gets older with the number of daemons, since each then tells less often.
-    fn spread_ms(&self, key: ReplicaKey, ask: &Ask<'_>) -> f64 {
-        let span = (self.daemons() as f64 * SPREAD_MS_EACH).min(SPREAD_MS_MOST);
+    fn spread_ms(&self, key: ReplicaKey, ask: &Ask<'_>, now: Time) -> f64 {
+        let span = if self.is_blind(now) { SPREAD_MS_MOST } else { self.daemons() as f64 * SPREAD_MS_EACH };
+        let span = span.min(SPREAD_MS_MOST);
         let draw = rendezvous(ask.draw, key.data().as_ffi());
         span * (draw as f64 / u64::MAX as f64)
     }
@@ -294,8 +300,8 @@
 
     /// What it costs to put a long answer there: they are kept together on as few engines as have
     /// room, so that the others can read undisturbed, or change their role without a wait.
-    fn packing_ms(&self, replica: &Replica, long: bool) -> f64 {
-        if !long {
+    fn packing_ms(&self, replica: &Replica, long: bool, now: Time) -> f64 {
+        if !long || self.is_blind(now) {
             return 0.0;
         }
         let room = f64::from(replica.facts.slots) * self.policy.packed_share;
@@ -310,8 +316,17 @@
         if ask.returned { self.policy.admit_share_returned } else { self.policy.admit_share }
     }
 
-    fn hall_ms(&self, replica: &Replica) -> f64 {
-        if *replica.facts.hall == *self.hall { 0.0 } else { self.policy.other_hall_ms }
+    /// Whether this daemon has not heard for long enough what its peers do.
+    fn is_blind(&self, now: Time) -> bool {
+        !self.sees_from.is_past(now)
+    }
+
+    /// What the way to a replica counts: another hall, and doubt whether it is there at all.
+    fn way_ms(&self, replica: &Replica, now: Time) -> f64 {
+        let hall = if *replica.facts.hall == *self.hall { 0.0 } else { self.policy.other_hall_ms };
+        let lapsed = replica.gone_at != Time::NEVER;
+        let doubted = lapsed || !replica.doubted_until.is_past(now);
+        hall + if doubted { DOUBT_MS } else { 0.0 }
     }
 }
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -38,6 +38,8 @@
 const PLAIN_GUESS_MS: f64 = 20.0;
 /// Weight of a new observation of a plain call.
 const LEARN_PLAIN: f64 = 0.05;
+/// Time after the start in which a daemon may not have heard of all that its peers do.
+const BLIND: Span = Span::millis(1_000);
 /// Memory of an engine whose configuration is not known yet, in tokens.
 const MEMORY_GUESS: u64 = 100_000;
 
@@ -72,6 +74,8 @@
     Rejected,
     /// It failed, or its answer was lost.
     Failed,
+    /// It could not be reached, or said nothing.
+    Silent,
     /// The caller left or the daemon gave up first; nothing is learned.
     Unknown,
 }
@@ -99,6 +103,8 @@
     hall: String,
     policy: FleetPolicy,
     replicas: SlotMap<ReplicaKey, Replica>,
+    /// When this daemon began to hear its peers; before, it does not know what they do.
+    sees_from: Time,
     by_id: HashMap<Arc<str>, ReplicaKey>,
     by_hash: HashMap<u32, ReplicaKey>,
     services: HashMap<Arc<str>, ServiceState>,
@@ -109,8 +115,8 @@
 impl Fleet {
     /// No replicas, seen from `hall`.
     #[must_use]
-    pub fn new(hall: &str, policy: FleetPolicy) -> Self {
-        Self { hall: hall.to_owned(), policy, ..Self::default() }
+    pub fn new(hall: &str, policy: FleetPolicy, now: Time) -> Self {
+        Self { hall: hall.to_owned(), policy, sees_from: now + BLIND, ..Self::default() }
     }
 
     /// A replica's row.
@@ -188,6 +194,10 @@
         match end {
             StepEnd::Done => replica.health.success(),
             StepEnd::Failed => return replica.health.fault(now),
+            StepEnd::Silent => {
+                replica.health.unreachable(now);
+                return true;
+            }
             StepEnd::Rejected | StepEnd::Unknown => replica.health.probe_ended(),
         }
         false
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -10,7 +10,7 @@
     endpoint::Role,
     fleet::{
         Fleet,
-        replica::{Load, ReplicaKey},
+        replica::{Load, Replica, ReplicaKey},
         short_id,
         split::Demand,
     },
@@ -20,6 +20,8 @@
 
 /// Silence after which a daemon's work counts as over.
 pub const SILENT: Span = Span::millis(1_500);
+/// Time for which a peer's failure to reach a replica counts, unless it repeats it.
+const DOUBT: Span = Span::millis(600);
 /// Prompts in one message at most; the rest is not told.
 const MAX_NOTES: usize = 32;
 
@@ -34,6 +36,8 @@
     pub active: u32,
     /// Those of them whose answers are long.
     pub streams: u32,
+    /// Whether it could not be reached lately.
+    pub unreachable: bool,
 }
 
 /// What a daemon sees of the demand for one service.
@@ -103,12 +107,14 @@
     pub fn own_news(&mut self, now: Time) -> News {
         let mut reads = std::mem::take(&mut self.notes);
         reads.truncate(MAX_NOTES);
-        let busy = self.replicas.values().filter(|replica| replica.own.active > 0);
+        let left_out = |replica: &Replica| replica.health.ejected_until(now).is_some();
+        let busy = self.replicas.values().filter(|replica| replica.own.active > 0 || left_out(replica));
         let loads = busy.map(|replica| ReplicaLoad {
             replica: short_id(&replica.facts.id),
             reading_ms: replica.own.reading_ms as u32,
             active: replica.own.active,
             streams: replica.own.streams,
+            unreachable: left_out(replica),
         });
         let demands = self.services.iter().map(|(name, state)| {
             let demand = state.meter.demand(now);
@@ -133,7 +139,7 @@
     pub fn peer_news(&mut self, sender: u64, number: u64, news: &News, now: Time) {
         let overtaken = self.peers.get(&sender).is_some_and(|peer| peer.number >= number);
         if !overtaken {
-            self.replace_peer(sender, &news.loads);
+            self.replace_peer(sender, &news.loads, now);
             let peer = self.peers.entry(sender).or_default();
             peer.number = number;
             peer.heard = now;
@@ -173,7 +179,7 @@
         let silent: Vec<u64> =
             self.peers.iter().filter(|(_, peer)| now.since(peer.heard) > SILENT).map(|(sender, _)| *sender).collect();
         for sender in silent {
-            self.replace_peer(sender, &[]);
+            self.replace_peer(sender, &[], now);
             self.peers.remove(&sender);
         }
     }
@@ -190,7 +196,7 @@
         self.peers.values().map(|peer| now.since(peer.heard).as_millis()).max().unwrap_or(0)
     }
 
-    fn replace_peer(&mut self, sender: u64, loads: &[ReplicaLoad]) {
+    fn replace_peer(&mut self, sender: u64, loads: &[ReplicaLoad], now: Time) {
         let before = std::mem::take(&mut self.peers.entry(sender).or_default().loads);
         for (key, load) in before {
             if let Some(replica) = self.replicas.get_mut(key) {
@@ -205,6 +211,9 @@
             let value = Load { reading_ms: f64::from(load.reading_ms), active: load.active, streams: load.streams };
             if let Some(replica) = self.replicas.get_mut(key) {
                 replica.peers = replica.peers.plus(value);
+                if load.unreachable {
+                    replica.doubted_until = now + DOUBT;
+                }
             }
             after.insert(key, value);
         }
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -86,6 +86,8 @@
     pub gone_at: Time,
     /// What this daemon saw of its failures.
     pub health: Health,
+    /// Until when another daemon's failure to reach it counts.
+    pub doubted_until: Time,
     /// What this daemon has under way there.
     pub own: Load,
     /// What other daemons said that they have under way there.
@@ -113,6 +115,7 @@
             revision,
             gone_at: Time::NEVER,
             health: Health::default(),
+            doubted_until: Time(0),
             own: Load::default(),
             peers: Load::default(),
             cache: Cache::new(memory_tokens),
--- a/crates/core/src/fleet/split.rs
+++ b/crates/core/src/fleet/split.rs
@@ -168,6 +168,12 @@
         }
     }
 
+    /// How long a long answer of a service usually takes.
+    #[must_use]
+    pub fn usual_answer(&self, service: &str) -> Span {
+        self.services.get(service).map_or(Span::seconds(ANSWER_GUESS), |state| Span::seconds(state.meter.answer_s))
+    }
+
     /// The demand that this daemon and its peers see for a service.
     #[must_use]
     pub fn demand(&self, service: &str, now: Time) -> Demand {
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -25,7 +25,7 @@
 }
 
 fn fleet() -> Fleet {
-    Fleet::new("hall-1", FleetPolicy::default())
+    Fleet::new("hall-1", FleetPolicy::default(), Time(0))
 }
 
 fn facts(id: &str, role: Role) -> ReplicaFacts {
@@ -256,7 +256,7 @@
 #[test]
 fn a_peer_cannot_name_replicas_that_are_not_there() {
     let mut fleet = with(&[("a", Role::Plain)]);
-    let unknown = ReplicaLoad { replica: 1, reading_ms: 9, active: 9, streams: 0 };
+    let unknown = ReplicaLoad { replica: 1, reading_ms: 9, active: 9, streams: 0, unreachable: false };
     fleet.peer_news(1, 1, &News { loads: vec![unknown], ..News::default() }, now());
     fleet.peer_news(1, 2, &News::default(), now());
     assert_eq!(fleet.replicas().map(|(_, replica)| replica.active()).sum::<u32>(), 0);
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -28,9 +28,11 @@
 };
 
 /// How many times as long as predicted a prompt's reading may take before it is tried elsewhere.
-const READ_PATIENCE: f64 = 4.0;
+const READ_PATIENCE: f64 = 2.0;
 /// What is added to that: the way there, and a prediction that is far off.
-const READ_SLACK: Span = Span::millis(300);
+const READ_SLACK: Span = Span::millis(150);
+/// Wait for an answer after which a replica counts as silent; a caller's own deadline may be shorter.
+const SILENT: Span = Span::millis(150);
 /// Bytes of a short answer that is read to its end at once.
 const SHORT_ANSWER: usize = 64 << 10;
 /// Time for the rest of a short answer whose head came.
@@ -43,7 +45,9 @@
 /// Why a call at one replica brought no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum CallFailure {
-    /// Nothing was sent.
+    /// Nothing was sent, for a reason of this daemon's own.
+    NotTried(&'static str),
+    /// Nothing was sent: no connection could be made.
     NotSent(String),
     /// The replica vouches that it did not run it.
     Rejected(u16),
@@ -58,6 +62,7 @@
 impl CallFailure {
     pub(super) const fn name(&self) -> &'static str {
         match self {
+            Self::NotTried(_) => "not_tried",
             Self::NotSent(_) => "not_sent",
             Self::Rejected(_) => "rejected",
             Self::OtherReplica => "other_replica",
@@ -68,7 +73,7 @@
 
     /// Whether the replica got the call.
     pub(super) const fn arrived(&self) -> bool {
-        !matches!(self, Self::NotSent(_))
+        !matches!(self, Self::NotSent(_) | Self::NotTried(_))
     }
 
     /// Whether the replica may have run the request.
@@ -77,10 +82,13 @@
     }
 
     /// What this says of the replica.
-    const fn step_end(&self) -> StepEnd {
+    fn step_end(&self, waited: Span) -> StepEnd {
         match self {
+            Self::NotTried(_) => StepEnd::Unknown,
             Self::Rejected(_) => StepEnd::Rejected,
-            Self::NotSent(_) | Self::OtherReplica | Self::Lost(_) | Self::TimedOut => StepEnd::Failed,
+            Self::NotSent(_) => StepEnd::Silent,
+            Self::TimedOut if waited >= SILENT => StepEnd::Silent,
+            Self::TimedOut | Self::OtherReplica | Self::Lost(_) => StepEnd::Failed,
         }
     }
 }
@@ -226,7 +234,7 @@
     }
 
     fn begin(&self, step: &Step) -> Result<(ReplicaFacts, Work), CallFailure> {
-        let gone = || CallFailure::NotSent("the replica is gone".to_owned());
+        let gone = || CallFailure::NotTried("the replica is gone");
         let replica = self.gw.fleet().get(step.key).map(|replica| replica.facts.clone()).ok_or_else(gone)?;
         let work = Work::begin(&self.gw, step, self.caller.prompt.as_ref()).ok_or_else(gone)?;
         Ok((replica, work))
@@ -242,7 +250,7 @@
         let now = self.gw.now();
         let time_left = self.deadline.since(now);
         if time_left <= LEAST_LEFT {
-            return Err(CallFailure::NotSent("no time left".to_owned()));
+            return Err(CallFailure::NotTried("no time left"));
         }
         let forward = Forward {
             head: &self.head,
@@ -254,7 +262,10 @@
             last_event: self.last_event.as_deref(),
         };
         let dialect = &self.gw.outside.dialect;
-        let req = dialect.forward(&forward).map_err(|e| CallFailure::NotSent(e.to_string()))?;
+        let req = dialect.forward(&forward).map_err(|e| {
+            emit!(warn, NOT_SENT_ON, request = self.caller.id, why = %e);
+            CallFailure::NotTried("the head cannot be sent on")
+        })?;
         let sending = self.gw.upstream.send(replica.address, req);
         let sent = tokio::time::timeout(duration(limit.since(now)), sending).await;
         let (resp, conn) = match sent {
@@ -285,7 +296,7 @@
     }
 
     fn note_failure(&self, replica: &ReplicaFacts, work: &mut Work, why: &CallFailure, step: &'static str) {
-        work.ended(why.step_end());
+        work.ended(why.step_end(work.age()));
         if *why == CallFailure::OtherReplica {
             work.replica_replaced();
         }
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use axum::Router;
-use dahliaseam_core::time::Span;
+use dahliaseam_core::time::{Span, Time};
 use dahliaseam_settings::gateway::GatewaySettings;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -88,7 +88,7 @@
         let gw = &self.gw;
         let over_at = gw.now() + Span::seconds(gw.settings.timing.stop_s);
         emit!(info, STOPPING, under_way = gw.stop.requests.len());
-        gw.stop.begin(gw.now());
+        gw.stop.begin(Time(over_at.0.saturating_sub(END.0)));
         tokio::time::sleep(BALANCER).await;
         gw.stop.closing.cancel();
         let left = over_at.since(gw.now()).0.saturating_sub(END.0);
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -298,8 +298,9 @@
             let offered = Step { long: plan.is_long(), ..*plan.reading() };
             fleet.offered(&self.service, &offered, now);
         }
+        let usual = fleet.usual_answer(&self.service);
         match chosen {
-            Ok(plan) if plan.is_long() && self.tried.is_empty() && !self.gw.stop.takes_long(now) => {
+            Ok(plan) if plan.is_long() && self.tried.is_empty() && !self.gw.stop.takes_long(usual, now) => {
                 emit!(info, REFUSED_STOPPING, request = self.caller.id, route = %self.route.name);
                 Err(Refusal::Stopping)
             }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -72,32 +72,33 @@
     pub(super) over: CancellationToken,
     /// The requests under way.
     pub(super) requests: TaskTracker,
-    /// Micros of the time from which on no long answers are begun; 0 before a stop.
-    no_long_from: AtomicU64,
+    /// Micros of the time at which the process must be over; 0 before a stop.
+    over_at: AtomicU64,
 }
 
-/// Time after the signal to stop for which long answers are still begun. One that begins later
-/// is more likely cut by the end of the process than finished, and is better begun elsewhere.
-const LONG_TAKEN: Span = Span::millis(1_400);
+/// How many times the usual time of a long answer must be left for one to be begun. A tenth of
+/// them takes twice as long, and one that the end of the process cuts is lost; a caller that is
+/// refused finds another VM within its objective or soon after.
+const LONG_TIMES: f64 = 1.3;
 
 impl Stop {
     /// The stop begins.
-    pub(super) fn begin(&self, now: Time) {
-        self.no_long_from.store((now + LONG_TAKEN).0, Ordering::Relaxed);
+    pub(super) fn begin(&self, over_at: Time) {
+        self.over_at.store(over_at.0, Ordering::Relaxed);
         self.begun.cancel();
     }
 
-    /// Whether a long answer may still be begun.
-    pub(super) fn takes_long(&self, now: Time) -> bool {
-        let from = self.no_long_from.load(Ordering::Relaxed);
-        from == 0 || now.0 < from
+    /// Whether a long answer that usually takes so long may still be begun.
+    pub(super) fn takes_long(&self, usual: Span, now: Time) -> bool {
+        let over_at = self.over_at.load(Ordering::Relaxed);
+        over_at == 0 || Time(over_at).since(now).as_seconds() > usual.as_seconds() * LONG_TIMES
     }
 }
 
 impl Gateway {
     pub(super) fn new(settings: GatewaySettings, outside: Outside, metrics: GatewayMetrics, start: u64) -> Self {
         Self {
-            fleet: Mutex::new(Fleet::new(&settings.hall, settings.policy)),
+            fleet: Mutex::new(Fleet::new(&settings.hall, settings.policy, outside.clock.now())),
             copies: Mutex::new(Copies::default()),
             upstream: Upstream::new(Arc::clone(&outside.clock)),
             peers: Peers::default(),
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -33,7 +33,7 @@
 const KEPT: usize = 24;
 /// Time to make a connection at most. The way takes a few milliseconds; a lost opening packet is
 /// sent again only after a second.
-const CONNECT: Duration = Duration::from_millis(300);
+const CONNECT: Duration = Duration::from_millis(120);
 /// Time after which unacknowledged bytes fail a connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time of silence after which a connection is probed, and between two probes.
