Keep decode engines for bad times, and let urgent short requests pass the slots of long answers

Long answers were put on full engines instead of being refused. A new holder of the right to give orders also waited longer than its predecessor's orders can take, and nothing was changed before demand was seen.

--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -27,6 +27,10 @@
 const SECOND_SEND: f64 = 2.0;
 /// Milliseconds for each request beyond an engine's slots.
 const OVER_SLOTS_MS: f64 = 20.0;
+/// The same for long answers, which keep their slots for seconds.
+const LONG_OVER_SLOTS_MS: f64 = 60.0;
+/// Milliseconds that a short request counts more where it halts a long answer.
+const OTHERS_HALTED_MS: f64 = 10.0;
 /// Milliseconds that a plain replica counts more when all its slots are taken, since it slows down.
 const CROWD_MS: f64 = 10.0;
 /// Tokens that an engine must hold more of a prompt than another one to be copied from.
@@ -194,7 +198,7 @@
         let whole = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).filter_map(
             |(key, replica)| {
                 let step = self.reading_step((key, replica), ask, prompt, holder, now);
-                let over = slot_wait_ms(replica);
+                let over = slot_wait_ms(replica, long);
                 let step = Step { wait_ms: step.wait_ms + over, long, ..step };
                 let disturbs = replica.streams() > 0 && step.work_ms > SHORT_READ_MS;
                 if disturbs && step.wait_ms + step.work_ms > self.policy.disturb_ms {
@@ -238,7 +242,7 @@
 
     fn choose_writer(&self, ask: &Ask<'_>, long: bool, now: Time) -> Option<Step> {
         lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).map(|(key, replica)| {
-            let wait_ms = slot_wait_ms(replica) + replica.reading_ms(now) * 0.5;
+            let wait_ms = slot_wait_ms(replica, long) + replica.reading_ms(now) * 0.5;
             let work_ms = HAND_OVER_MS + ask.send_ms * SECOND_SEND;
             let step = Step { key, wait_ms, work_ms, uncached: 0, copy_from: None, copied: 0, long };
             let cost = wait_ms + self.way_ms(replica, now) + f64::from(replica.active()) * ACTIVE_MS;
@@ -330,8 +334,17 @@
     }
 }
 
-fn slot_wait_ms(replica: &Replica) -> f64 {
-    f64::from((replica.active() + 1).saturating_sub(replica.facts.slots)) * OVER_SLOTS_MS
+/// The wait for one of an engine's slots. Engines admit urgent short requests before the long
+/// answers that fill them, so only their like is ahead of those.
+fn slot_wait_ms(replica: &Replica, long: bool) -> f64 {
+    let slots = replica.facts.slots;
+    let active = replica.active();
+    if long {
+        return f64::from((active + 1).saturating_sub(slots)) * LONG_OVER_SLOTS_MS;
+    }
+    let short = active.saturating_sub(replica.streams());
+    let crowded = if active >= slots { OTHERS_HALTED_MS } else { 0.0 };
+    crowded + f64::from((short + 1).saturating_sub(slots)) * OVER_SLOTS_MS
 }
 
 fn lowest(steps: impl Iterator<Item = (f64, Step)>) -> Option<Step> {
--- a/crates/core/src/fleet/policy.rs
+++ b/crates/core/src/fleet/policy.rs
@@ -22,6 +22,9 @@
     pub packed_share: f64,
     /// Milliseconds of reading at once that an engine with long answers takes.
     pub disturb_ms: f64,
+    /// Share of a service's engines that read prompts before any demand was seen; 0 leaves roles
+    /// as they are. Even halves cost least whichever side the demand turns out to be on.
+    pub first_read_share: f64,
     /// Share of its time that a prefill engine reads when it is well used.
     pub read_share: f64,
     /// Share of a decode engine's slots that long answers take when it is well used.
@@ -39,7 +42,8 @@
             other_hall_ms: 5.0,
             packed_share: 0.8,
             disturb_ms: 45.0,
-            read_share: 0.75,
+            first_read_share: 0.5,
+            read_share: 0.6,
             slot_share: 0.75,
         }
     }
--- a/crates/core/src/fleet/split.rs
+++ b/crates/core/src/fleet/split.rs
@@ -24,6 +24,9 @@
 const FEWEST: usize = 4;
 /// Decode engines that are kept at least: one may be lost at any time.
 const LEAST_DECODE: usize = 2;
+/// Share of a service's engines that stay decode engines at least. When the store is away roles
+/// cannot change back, and without decode engines nothing is answered; an idle one still reads.
+const LEAST_DECODE_SHARE: f64 = 0.25;
 /// Prefill engines that are kept at least.
 const LEAST_PREFILL: usize = 2;
 
@@ -65,17 +68,19 @@
     reading: Fading,
     answers: Fading,
     answer_s: f64,
+    seen: bool,
 }
 
 impl Default for DemandMeter {
     fn default() -> Self {
-        Self { reading: Fading::default(), answers: Fading::default(), answer_s: ANSWER_GUESS }
+        Self { reading: Fading::default(), answers: Fading::default(), answer_s: ANSWER_GUESS, seen: false }
     }
 }
 
 impl DemandMeter {
     /// Note a request that takes `work_ms` of reading, and whether its answer is long.
     pub fn offered(&mut self, work_ms: f64, long: bool, now: Time) {
+        self.seen = true;
         self.reading.add(work_ms / 1_000.0, now);
         if long {
             self.answers.add(1.0, now);
@@ -124,9 +129,15 @@
         let streams: u32 = engines.iter().map(|(_, replica)| replica.streams()).sum();
         let slots = engines.iter().map(|(_, replica)| replica.facts.slots).min()?;
         let need_slots = demand.slots.max(f64::from(streams)) / (f64::from(slots) * self.policy.slot_share);
-        let need_decode = (need_slots.ceil() as usize).max(LEAST_DECODE);
+        let least_decode = LEAST_DECODE.max(((prefill + decode) as f64 * LEAST_DECODE_SHARE) as usize);
+        let need_decode = (need_slots.ceil() as usize).max(least_decode);
         let need_prefill = demand.reading / self.policy.read_share;
         let shift = |key, to| Shift { key, to, demand, before: (prefill, decode) };
+        if demand == Demand::default() && streams == 0 {
+            let wanted = ((prefill + decode) as f64 * self.policy.first_read_share) as usize;
+            let lacks = prefill < wanted && decode > LEAST_DECODE && !self.saw_demand(service);
+            return idle_engine(&engines, Role::Decode, now).filter(|_| lacks).map(|key| shift(key, Role::Prefill));
+        }
         let short_of_prefill = need_prefill > prefill as f64;
         if short_of_prefill && decode > need_decode {
             return idle_engine(&engines, Role::Decode, now).map(|key| shift(key, Role::Prefill));
@@ -145,6 +156,11 @@
         self.replicas.values().any(|replica| matches!(replica.facts.role, Role::Prefill | Role::Decode))
     }
 
+    /// Whether this daemon was ever asked for the service.
+    fn saw_demand(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|state| state.meter.seen)
+    }
+
     /// Keep new work from an engine until `until`, because its role is to change to `to`.
     pub fn set_changing(&mut self, key: ReplicaKey, to: Role, until: Time) {
         if let Some(replica) = self.replicas.get_mut(key) {
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -30,11 +30,13 @@
 const LOOK: Duration = Duration::from_millis(200);
 /// Renewals in the life of a lease.
 const RENEWALS: u64 = 3;
-/// Lives of a lease that a new holder waits: the former one may act for one after its key is
-/// gone, and one must lie between the orders of two holders.
-const WAIT_LEASES: u64 = 2;
-/// What is added to that for clocks and the way.
-const WAIT_MARGIN: Span = Span::millis(500);
+/// What a new holder waits beyond the time that must lie between the orders of two holders. The
+/// former one reads its key before each order and sends it within [`ANSWER`], so its last order
+/// is sent less than a second after its key was gone; the rest is for the way.
+const WAIT_MARGIN: Span = Span::millis(1_200);
+/// Life of the key's lease, in seconds. A short one lets another daemon take over soon; it must
+/// bridge a slow store, which takes some hundred milliseconds for a call.
+const LEASE_S: u64 = 2;
 /// Time for the other daemons to hear that an engine gets no more work.
 const TELL: Duration = Duration::from_millis(60);
 /// Time for an engine's answer.
@@ -48,8 +50,6 @@
 const DRAIN: Span = Span::millis(700);
 /// Bytes of an engine's answer at most.
 const ANSWER_BYTES: usize = 64 << 10;
-/// Life of the key's lease, in seconds for each millisecond of the settings.
-const MILLIS: u64 = 1_000;
 
 /// The right to give orders, as the store granted it.
 #[derive(Debug)]
@@ -97,10 +97,6 @@
     format!("{}orders", gw.settings.keyspace)
 }
 
-fn lease_seconds(gw: &Gateway) -> u64 {
-    gw.settings.timing.order_lease_ms.div_ceil(MILLIS)
-}
-
 /// Take the right to give orders if nobody has it.
 async fn acquire(gw: &Arc<Gateway>) -> Option<Holding> {
     let key = key(gw);
@@ -126,24 +122,23 @@
 }
 
 async fn try_acquire(gw: &Gateway, key: &str) -> Result<Option<Holding>, CallError> {
-    let seconds = lease_seconds(gw);
     let sent = gw.now();
-    let lease = gw.outside.kv.grant(seconds).await?;
+    let lease = gw.outside.kv.grant(LEASE_S).await?;
     let swap = Swap { key: key.to_owned(), expect: 0, value: Some(gw.settings.vm.clone()), lease: Some(lease) };
     let Some(Swapped::Done(revision)) = gw.outside.kv.swap_each(vec![swap]).await?.pop() else {
         gw.outside.kv.revoke(lease).await?;
         return Ok(None);
     };
-    let ttl = Span::millis(seconds * MILLIS);
+    let ttl = Span::seconds(LEASE_S as f64);
     let authority = Authority::granted(revision as u64, sent, ttl);
-    let orders_from = gw.now() + Span(ttl.0 * WAIT_LEASES) + WAIT_MARGIN;
+    let orders_from = gw.now() + Span::millis(gw.settings.timing.order_lease_ms) + WAIT_MARGIN;
     emit!(info, ORDERS_HELD, fence = revision, wait_ms = orders_from.since(sent).as_millis());
     Ok(Some(Holding { lease, authority, renew_at: sent + Span(ttl.0 / RENEWALS), orders_from }))
 }
 
 /// Renew the lease when it is time; returns whether the right is still held.
 async fn renew(gw: &Gateway, held: &mut Holding) -> bool {
-    let ttl = Span::millis(lease_seconds(gw) * MILLIS);
+    let ttl = Span::seconds(LEASE_S as f64);
     let now = gw.now();
     if held.renew_at.is_past(now) {
         match gw.outside.kv.keep_alive(held.lease).await {
