Copy from no engine that may be gone, eject once for calls that fail together, explain requests from logs

And calls that failed together doubled the wait of a replica each, to 32 s after one short failure. Both have a test that failed first in the decisions' tests.

--- a/crates/cli/src/bin/dahliaseam/app.rs
+++ b/crates/cli/src/bin/dahliaseam/app.rs
@@ -89,8 +89,12 @@
             .command("watch")
     };
     let explain = {
+        let log = long("log")
+            .help("read it from the logs in FILE, or from standard input for -")
+            .argument::<PathBuf>("FILE")
+            .optional();
         let request = positional::<String>("REQUEST").help("the identifier from an answer's x-dahliaseam-request");
-        construct!(Command::Explain { request })
+        construct!(Command::Explain { log, request })
             .to_options()
             .descr("Show where a request went, why, and what happened to it")
             .command("explain")
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use dahliaseam_settings::settings::Settings;
+use dahliaseam_settings::{gateway::GatewaySettings, settings::Settings};
 use dahliaseam_wire::{
     error::from_json,
     operator::{Accepted, ApplyBody, PutBody, RequestRecord, Resource, ResourceList, StatusReport, WatchEvent},
@@ -18,6 +18,7 @@
 use crate::{
     client::{Client, Target},
     error::CommandError,
+    log,
     output::Output,
     patch,
 };
@@ -67,6 +68,8 @@
     Explain {
         /// The request's identifier.
         request: String,
+        /// Logs to read it from, instead of asking a daemon.
+        log: Option<PathBuf>,
     },
     /// Take an endpoint out of service and wait until nothing runs there.
     Drain {
@@ -109,7 +112,8 @@
             accepted(client.call::<(), _>(Method::DELETE, &path, None).await?)
         }
         Command::Watch { kind } => return watch(&client, kind, output, out).await,
-        Command::Explain { request } => {
+        Command::Explain { request, log: Some(file) } => log::explain(&file, &request)?,
+        Command::Explain { request, log: None } => {
             output.text(&client.get::<RequestRecord>(&format!("/v1/requests/{request}")).await?)
         }
         Command::Drain { endpoint, undo, wait_seconds } => drain(&client, &endpoint, undo, wait_seconds).await?,
@@ -184,7 +188,11 @@
     let text = std::fs::read(file).map_err(|e| CommandError::Open(file.to_owned(), e))?;
     let value: Value = from_json(&text).map_err(|e| CommandError::Read(file.to_owned(), e))?;
     if value.get("resources").is_none() {
-        Settings::load(file)?;
+        if value.get("store_address").is_some() {
+            GatewaySettings::load(file)?;
+        } else {
+            Settings::load(file)?;
+        }
         return Ok(format!("{}: the settings are good\n", file.display()));
     }
     let body = resources(file)?;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod client;
 pub mod command;
 pub mod error;
+pub mod log;
 pub mod output;
 pub mod patch;
--- /dev/null
+++ b/crates/cli/src/log.rs
@@ -0,0 +1,53 @@
+//! What a daemon's log says of one request.
+
+use std::{
+    fs::File,
+    io::{BufRead, BufReader, Read, stdin},
+    path::Path,
+};
+
+use serde_json::{Map, Value};
+
+use crate::error::CommandError;
+
+/// Fields that stand before the others in a shown line.
+const HEAD: [&str; 5] = ["timestamp", "level", "code", "event", "request"];
+
+/// The lines of the logs in `file`, or of standard input for `-`, that name `request`, one after
+/// the other as they stand there.
+///
+/// # Errors
+/// The file cannot be read, or no line names the request.
+pub fn explain(file: &Path, request: &str) -> Result<String, CommandError> {
+    let open = |e| CommandError::Open(file.to_owned(), e);
+    let input: Box<dyn Read> =
+        if file == Path::new("-") { Box::new(stdin()) } else { Box::new(File::open(file).map_err(open)?) };
+    let mut text = String::new();
+    for line in BufReader::new(input).lines() {
+        let line = line.map_err(open)?;
+        if let Some(shown) = shown(&line, request) {
+            text.push_str(&shown);
+        }
+    }
+    if text.is_empty() {
+        return Err(CommandError::Answer(format!("no line of {} names the request {request}", file.display())));
+    }
+    Ok(text)
+}
+
+/// A line that names the request, as it is shown. Other lines, and what is no JSON, are passed over:
+/// logs of several processes often stand in one file behind a name and a time.
+fn shown(line: &str, request: &str) -> Option<String> {
+    let json = &line[line.find('{')?..];
+    let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+    if fields.get("request")?.as_str()? != request {
+        return None;
+    }
+    let word = |name: &str| fields.get(name).and_then(Value::as_str).unwrap_or("").to_owned();
+    let rest: Vec<String> = fields
+        .iter()
+        .filter(|(name, _)| !HEAD.contains(&name.as_str()))
+        .map(|(name, value)| format!("{name}={}", value.as_str().map_or_else(|| value.to_string(), str::to_owned)))
+        .collect();
+    Some(format!("{}  {:<16} {}\n", word("timestamp"), word("event"), rest.join(" ")))
+}
--- a/crates/core/src/eject.rs
+++ b/crates/core/src/eject.rs
@@ -28,6 +28,9 @@
 
     /// Note a fault; returns whether the endpoint is ejected by it.
     pub fn fault(&mut self, now: Time) -> bool {
+        if !self.out_until.is_past(now) {
+            return false;
+        }
         self.faults += 1;
         let ejects = self.probing || self.faults >= FAULTS_TO_EJECT;
         if ejects {
@@ -37,8 +40,15 @@
     }
 
     /// Note that it could not be reached, or was silent; it is ejected at once.
-    pub fn unreachable(&mut self, now: Time) {
-        self.eject(now);
+    ///
+    /// Returns whether this ejects it. Calls that were under way when it was ejected fail after
+    /// that; they say nothing new.
+    pub fn unreachable(&mut self, now: Time) -> bool {
+        let ejects = self.out_until.is_past(now);
+        if ejects {
+            self.eject(now);
+        }
+        ejects
     }
 
     /// Whether new work may go there at `now`; one probe at a time after an ejection.
--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -236,7 +236,8 @@
 
     /// The engine whose memory holds the most of a prompt, and how many tokens.
     fn holder(&self, ask: &Ask<'_>, prompt: &Prompt, now: Time) -> Option<(ReplicaKey, u32)> {
-        let held = self.open(ask, now).map(|(key, replica)| (key, replica.cache.held_tokens(prompt)));
+        let sure = self.open(ask, now).filter(|(_, replica)| !replica.is_doubted(now));
+        let held = sure.map(|(key, replica)| (key, replica.cache.held_tokens(prompt)));
         held.max_by_key(|(_, tokens)| *tokens)
     }
 
@@ -328,9 +329,7 @@
     /// What the way to a replica counts: another hall, and doubt whether it is there at all.
     fn way_ms(&self, replica: &Replica, now: Time) -> f64 {
         let hall = if *replica.facts.hall == *self.hall { 0.0 } else { self.policy.other_hall_ms };
-        let lapsed = replica.gone_at != Time::NEVER;
-        let doubted = lapsed || !replica.doubted_until.is_past(now);
-        hall + if doubted { DOUBT_MS } else { 0.0 }
+        hall + if replica.is_doubted(now) { DOUBT_MS } else { 0.0 }
     }
 }
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -194,10 +194,7 @@
         match end {
             StepEnd::Done => replica.health.success(),
             StepEnd::Failed => return replica.health.fault(now),
-            StepEnd::Silent => {
-                replica.health.unreachable(now);
-                return true;
-            }
+            StepEnd::Silent => return replica.health.unreachable(now),
             StepEnd::Rejected | StepEnd::Unknown => replica.health.probe_ended(),
         }
         false
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -134,6 +134,12 @@
         !self.facts.draining && !self.gone_at.is_past(now) && self.changing_until.is_past(now)
     }
 
+    /// Whether it may not be there: its entry lapsed, or a peer could not reach it.
+    #[must_use]
+    pub fn is_doubted(&self, now: Time) -> bool {
+        self.gone_at != Time::NEVER || !self.doubted_until.is_past(now)
+    }
+
     /// Requests under way there, as far as known.
     #[must_use]
     pub const fn active(&self) -> u32 {
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -187,6 +187,30 @@
     assert_eq!((read.copy_from, read.copied, read.uncached), (Some(holder), 3_000, 1_000));
 }
 
+#[test]
+fn calls_that_fail_together_eject_a_replica_once() {
+    let mut fleet = with(&[("a", Role::Plain)]);
+    let key = fleet.key("a").expect("it is known");
+    let sent: Vec<_> = (0..20).filter_map(|_| fleet.begin(key, &step(key, 0.0, false), None, now())).collect();
+    let ejections = sent.iter().filter(|sent| fleet.end(sent, StepEnd::Silent, now())).count();
+    assert_eq!(ejections, 1);
+    assert!(fleet.choose(&ask(None, &[]), now()).is_err());
+    // The first ejection is short, however many calls were under way.
+    assert!(fleet.choose(&ask(None, &[]), now() + Span::millis(600)).is_ok());
+}
+
+#[test]
+fn nothing_is_copied_from_an_engine_that_may_be_gone() {
+    let mut fleet = with(&[("r1", Role::Prefill), ("r2", Role::Prefill), ("w", Role::Decode)]);
+    let holder = fleet.key("r1").expect("it is known");
+    let earlier = prompt(10, 11, 1);
+    fleet.begin(holder, &step(holder, 150.0, false), Some(&earlier), now());
+    fleet.removed("r1", 2, now() + Span::millis(2_000));
+    let same_subject = prompt(10, 12, 1);
+    let plan = fleet.choose(&ask(Some(&same_subject), &[]), now()).expect("there is a way");
+    assert_eq!(plan.reading().copy_from, None);
+}
+
 #[test]
 fn what_would_be_late_is_refused_with_a_time_to_come_back() {
     let mut fleet = with(&[("r", Role::Prefill), ("w", Role::Decode)]);
--- a/crates/daemon/src/bin/dahliaseamd/routes.rs
+++ b/crates/daemon/src/bin/dahliaseamd/routes.rs
@@ -33,7 +33,7 @@
 }
 
 async fn serve(app: &App, settings: GatewaySettings) -> Result<(), StartError> {
-    let _log = Log::start(&settings.log)?;
+    let log = Log::start(&settings.log)?;
     let listen = |kind| signal(kind).map_err(|e| StartError::Telemetry(e.to_string()));
     let mut term = listen(SignalKind::terminate())?;
     let mut hangup = listen(SignalKind::hangup())?;
@@ -43,6 +43,7 @@
         kv: Arc::clone(&store) as _,
         feed: store,
         dialect: Arc::new(PlatformDialect),
+        dropped_lines: Some(log.dropped()),
     };
     let daemon = GatewayController::start(settings, outside).await?;
     loop {
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -57,7 +57,8 @@
             .await
             .map_err(|e| StartError::Bind("load_address", settings.load_address.to_string(), e))?;
         let start = start_number(&settings, &outside);
-        let gw = Arc::new(Gateway::new(settings, outside, GatewayMetrics::new()?, start));
+        let counts = GatewayMetrics::new(outside.dropped_lines.clone())?;
+        let gw = Arc::new(Gateway::new(settings, outside, counts, start));
         let background = TaskTracker::new();
         background.spawn(follow::run(Arc::clone(&gw)));
         background.spawn(peers::run(Arc::clone(&gw), loads));
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -2,10 +2,11 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider as _},
+    metrics::{AsyncInstrument, Counter, Histogram, MeterProvider as _},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::error::StartError;
 
@@ -26,7 +27,8 @@
 }
 
 impl GatewayMetrics {
-    pub(super) fn new() -> Result<Self, StartError> {
+    /// Fresh instruments; `log` counts dropped lines of the log.
+    pub(super) fn new(log: Option<ErrorCounter>) -> Result<Self, StartError> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -34,6 +36,14 @@
             .map_err(|e| StartError::Telemetry(e.to_string()))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("dahliaseamd");
+        if let Some(log) = log {
+            let dropped = move |seen: &dyn AsyncInstrument<u64>| seen.observe(log.dropped_lines() as u64, &[]);
+            let _ = meter
+                .u64_observable_counter("dahliaseam_log_lines_dropped")
+                .with_description("Lines of the log that were dropped because too many waited")
+                .with_callback(dropped)
+                .build();
+        }
         let counter = |name, what| meter.u64_counter(name).with_description(what).build();
         let histogram =
             |name, what| meter.f64_histogram(name).with_description(what).with_boundaries(SECONDS.to_vec()).build();
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -56,7 +56,9 @@
     pub(super) deadline: Time,
     /// The last event that the caller has, where an answer goes on from there.
     pub(super) last_event: Option<String>,
+    /// Replicas that are not to be tried again.
     tried: Vec<ReplicaKey>,
+    tries: usize,
     /// Whether a replica got the request to serve it.
     served_once: bool,
     /// Whether a replica got the request to read its prompt.
@@ -164,6 +166,7 @@
         last_event: caller.last_event.clone(),
         caller,
         tried: Vec::new(),
+        tries: 0,
         served_once: false,
         read_once: false,
         runs: 0,
@@ -245,7 +248,7 @@
     pub(super) fn may_repeat(&self) -> bool {
         self.route.repeat == Repeat::Allowed
             && self.runs + 1 < self.route.attempts
-            && self.tried.len() + 1 < MAX_TRIES
+            && self.tries + 1 < MAX_TRIES
             && self.time_left() > LEAST_LEFT
     }
 
@@ -261,7 +264,7 @@
     /// What to do next, or why to give up.
     pub(super) fn next_plan(&mut self) -> Result<Plan, Refusal> {
         let now = self.gw.now();
-        let ran_out = self.tried.len() >= MAX_TRIES || self.deadline.since(now) <= LEAST_LEFT;
+        let ran_out = self.tries >= MAX_TRIES || self.deadline.since(now) <= LEAST_LEFT;
         let may_go_on = match self.route.repeat {
             Repeat::AtMostOnce => self.runs == 0,
             Repeat::Allowed => self.runs < self.route.attempts,
@@ -365,7 +368,12 @@
             (Plan::Whole(step), _) | (Plan::TwoSteps { read: step, .. }, true) => step.key,
             (Plan::TwoSteps { write, .. }, false) => write.key,
         };
+        self.tries += 1;
         self.tried.push(key);
+        if failed.reading {
+            // The engine may have waited for the one that it was to copy from.
+            self.tried.extend(plan.reading().copy_from);
+        }
         let read_before = matches!(plan, Plan::TwoSteps { .. }) && !failed.reading;
         self.read_once |= read_before || (failed.reading && failed.why.arrived());
         self.served_once |= !failed.reading && failed.why.arrived();
@@ -382,6 +390,7 @@
 
     /// A stream that had begun broke off at a replica.
     pub(super) fn note_broken(&mut self, key: Option<ReplicaKey>) {
+        self.tries += 1;
         self.tried.extend(key);
         self.served_once = true;
         self.runs += 1;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use dahliaseam_settings::gateway::{GatewaySettings, RetrySettings};
 use tokio::sync::Notify;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::{
     clock::Clock,
@@ -34,6 +35,8 @@
     pub feed: Arc<dyn ChangeFeed>,
     /// The language of callers, endpoints and the stored configuration.
     pub dialect: SharedDialect,
+    /// Counts lines of the log that were dropped.
+    pub dropped_lines: Option<ErrorCounter>,
 }
 
 /// The shared state.
--- a/crates/daemon/src/gateway/work.rs
+++ b/crates/daemon/src/gateway/work.rs
@@ -76,7 +76,7 @@
             (ejected, fleet.get(self.sent.key).map(|replica| Arc::clone(&replica.facts.id)))
         };
         if let (true, Some(id)) = (ejected, id) {
-            emit!(warn, REPLICA_LEFT_OUT, replica = %id, "replica failed repeatedly; it gets no work for a while");
+            emit!(warn, REPLICA_LEFT_OUT, replica = %id, end = ?self.end);
         }
         self.gw.load_changed.notify_one();
     }
