--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -299,7 +299,8 @@
             && let Ok(plan) | Err(NoPlan::TooLate { plan, .. }) = &chosen
         {
             let offered = Step { long: plan.is_long(), ..*plan.reading() };
-            fleet.offered(&self.service, &offered, now);
+            let tokens = self.caller.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+            fleet.offered(&self.service, &offered, tokens, now);
         }
         let usual = fleet.usual_answer(&self.service);
         match chosen {
