--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -51,10 +51,6 @@
 const SPREAD_MS_EACH: f64 = 0.4;
 /// See [`SPREAD_MS_EACH`].
 const SPREAD_MS_MOST: f64 = 25.0;
-/// Worth of any request against a usual one, whatever its size.
-const WORTH_OF_ANY: f64 = 0.3;
-/// Bounds of what the worth for its cost does to the time in which a request must be served.
-const WORTH_BOUNDS: (f64, f64) = (0.7, 1.08);
 /// Part of its remaining time after which a caller does not come back any more.
 const COME_BACK_SHARE: f64 = 0.33;
 /// Shortest time after which a caller is told to come back.
@@ -171,7 +167,7 @@
         };
         let plan = plan.ok_or(NoPlan::NoReplica)?;
         let limit = if ask.prompt.is_some() {
-            ask.objective_left.as_seconds() * self.admit_share(ask) * self.worth_for_cost(ask, &plan)
+            ask.objective_left.as_seconds() * self.admit_share(ask)
         } else {
             ask.time_left.as_seconds()
         };
@@ -321,22 +317,6 @@
         PACKING_MS * (1.0 + (streams - room) / room)
     }
 
-    /// What a request is worth for the reading that it costs, around 1 for a usual one. When engines
-    /// are full, what costs much for its worth is refused first; within bounds, so that large
-    /// prompts are still served.
-    fn worth_for_cost(&self, ask: &Ask<'_>, plan: &Plan) -> f64 {
-        let usual = self.services.get(ask.service).and_then(|state| state.usual.map(|usual| (state, usual)));
-        let (Some(prompt), Some((state, (usual_tokens, usual_ms)))) = (ask.prompt, usual) else {
-            return 1.0;
-        };
-        if plan.is_long() {
-            return 1.0;
-        }
-        let worth = WORTH_OF_ANY + (1.0 - WORTH_OF_ANY) * f64::from(prompt.tokens) / usual_tokens;
-        let cost = state.rate.work_ms(plan.reading().uncached) / usual_ms;
-        (1.0 + self.policy.worth_weight * (worth / cost - 1.0)).clamp(WORTH_BOUNDS.0, WORTH_BOUNDS.1)
-    }
-
     fn admit_share(&self, ask: &Ask<'_>) -> f64 {
         if ask.returned { self.policy.admit_share_returned } else { self.policy.admit_share }
     }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -40,8 +40,6 @@
 const LEARN_PLAIN: f64 = 0.05;
 /// Time after the start in which a daemon may not have heard of all that its peers do.
 const BLIND: Span = Span::millis(1_000);
-/// Weight of a new observation of the usual prompt.
-const LEARN_USUAL: f64 = 0.02;
 /// Memory of an engine whose configuration is not known yet, in tokens.
 const MEMORY_GUESS: u64 = 100_000;
 
@@ -53,8 +51,6 @@
     budget: Budget,
     memory_tokens: u64,
     meter: DemandMeter,
-    /// Tokens of a usual prompt with a short answer, and milliseconds that reading it takes.
-    usual: Option<(f64, f64)>,
 }
 
 impl Default for ServiceState {
@@ -65,7 +61,6 @@
             budget: Budget::default(),
             memory_tokens: MEMORY_GUESS,
             meter: DemandMeter::default(),
-            usual: None,
         }
     }
 }
@@ -152,16 +147,11 @@
         self.service_mut(service).memory_tokens = tokens;
     }
 
-    /// Note a new request with a prompt of `tokens`, and what it would ask of engines.
-    pub fn offered(&mut self, service: &Arc<str>, step: &choose::Step, tokens: u32, now: Time) {
+    /// Note a new request, and what it would ask of engines.
+    pub fn offered(&mut self, service: &Arc<str>, step: &choose::Step, now: Time) {
         let state = self.service_mut(service);
         let work_ms = state.rate.work_ms(step.uncached);
         state.meter.offered(work_ms, step.long, now);
-        if !step.long && tokens > 0 {
-            let (usual_tokens, usual_ms) = state.usual.unwrap_or((f64::from(tokens), work_ms));
-            let learn = |usual: f64, seen: f64| usual + LEARN_USUAL * (seen - usual);
-            state.usual = Some((learn(usual_tokens, f64::from(tokens)), learn(usual_ms, work_ms)));
-        }
     }
 
     /// Note that work begins at a replica; `prompt` is what it reads.
--- a/crates/core/src/fleet/policy.rs
+++ b/crates/core/src/fleet/policy.rs
@@ -10,8 +10,6 @@
     pub admit_share: f64,
     /// The same for a request whose caller seems to have come back after a refusal.
     pub admit_share_returned: f64,
-    /// How much a request's worth for its cost moves that part: 0 not at all.
-    pub worth_weight: f64,
     /// Share of an engine's memory that is taken to keep parts of earlier prompts.
     pub cache_share: f64,
     /// Milliseconds that copying a prompt's parts from another engine takes.
@@ -38,7 +36,6 @@
         Self {
             admit_share: 0.9,
             admit_share_returned: 0.9,
-            worth_weight: 0.4,
             cache_share: 0.93,
             copy_ms: 2.0,
             copy_cost_ms: 3.0,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -299,8 +299,7 @@
             && let Ok(plan) | Err(NoPlan::TooLate { plan, .. }) = &chosen
         {
             let offered = Step { long: plan.is_long(), ..*plan.reading() };
-            let tokens = self.caller.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
-            fleet.offered(&self.service, &offered, tokens, now);
+            fleet.offered(&self.service, &offered, now);
         }
         let usual = fleet.usual_answer(&self.service);
         match chosen {
