Give the daemon's rooms folders, and outcomes names

dispatch/ (one request), endpoint/ (one try, load, duties), configuration/ and membership/ beside caller/, control/ and gateway/. attempt and exchange no longer import each other: failures and progress have files of their own. What follows from an attempt is an enum in place of a result of a result. Left: the parts around Node still take the whole of it.

--- a/crates/daemon/examples/quickstart.rs
+++ b/crates/daemon/examples/quickstart.rs
@@ -14,7 +14,7 @@
 use dahliaseam_settings::settings::Settings;
 use dahliaseam_wire::resource::{Change, ResourceKind};
 use dahliaseamd::{
-    configure,
+    configuration::configure,
     controller::{Controller, Outside},
 };
 use futures_util::future::join_all;
--- a/crates/daemon/src/caller/body.rs
+++ b/crates/daemon/src/caller/body.rs
@@ -7,7 +7,7 @@
 use dahliaseam_settings::settings::Limits;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 
-use crate::exchange::Failure;
+use crate::dispatch::failure::Failure;
 
 /// Read the whole body.
 ///
--- a/crates/daemon/src/caller/completion.rs
+++ b/crates/daemon/src/caller/completion.rs
@@ -18,9 +18,12 @@
 
 use super::{Caller, body, refusal, terms};
 use crate::{
-    attempt::Piece,
     clock::wall_millis,
-    exchange::{Completion, Exchange, Failure, Size, complete},
+    dispatch::{
+        exchange::{Completion, Exchange, Size, complete},
+        failure::Failure,
+    },
+    endpoint::attempt::Piece,
     telemetry,
 };
 
--- a/crates/daemon/src/caller/mod.rs
+++ b/crates/daemon/src/caller/mod.rs
@@ -16,7 +16,7 @@
 };
 use dahliaseam_core::outcome::Outcome;
 
-use crate::{attempt::Clients, exchange::Failure, node::Node};
+use crate::{dispatch::failure::Failure, endpoint::attempt::Clients, node::Node};
 
 /// What the handlers share.
 #[derive(Clone, Debug)]
--- a/crates/daemon/src/caller/plain.rs
+++ b/crates/daemon/src/caller/plain.rs
@@ -22,9 +22,12 @@
 
 use super::{Caller, body, refusal, terms};
 use crate::{
-    attempt::{Clients, Ended, end_of, is_not_run},
-    desk::Dispatch,
-    exchange::{Exchange, Failure, Size, Step},
+    dispatch::{
+        desk::Dispatch,
+        exchange::{AfterAttempt, Exchange, Size, Step},
+        failure::Failure,
+    },
+    endpoint::attempt::{Clients, Ended, end_of, is_not_run},
     telemetry,
 };
 
@@ -125,10 +128,12 @@
             () = tx.closed(), if !seen_through => return,
         };
         match (exchange.attempt_ended(&ended), answer) {
-            (Ok(()), _) => {}
-            (Err(Ok(())), Some(answer)) => break Ok(answer),
-            (Err(Err(failure)), _) => break Err(failure),
-            (Err(Ok(())), None) => break Err(Failure::new(Outcome::Unknown, "endpoint_failed", "no answer")),
+            (AfterAttempt::TryAgain, _) => {}
+            (AfterAttempt::Answered, Some(answer)) => break Ok(answer),
+            (AfterAttempt::Failed(failure), _) => break Err(failure),
+            (AfterAttempt::Answered, None) => {
+                break Err(Failure::new(Outcome::Unknown, "endpoint_failed", "no answer"));
+            }
         }
     };
     let recorded = result.as_ref().map(recorded);
--- a/crates/daemon/src/caller/refusal.rs
+++ b/crates/daemon/src/caller/refusal.rs
@@ -8,7 +8,7 @@
 use dahliaseam_wire::caller::{ErrorBody, ErrorDetail, OUTCOME, REQUEST};
 use http::{HeaderMap, HeaderValue, StatusCode, header::RETRY_AFTER};
 
-use crate::exchange::Failure;
+use crate::dispatch::failure::Failure;
 
 const MILLIS: u64 = 1_000;
 
--- a/crates/daemon/src/caller/terms.rs
+++ b/crates/daemon/src/caller/terms.rs
@@ -7,7 +7,10 @@
 use http::HeaderMap;
 
 use crate::{
-    exchange::{Failure, Terms, deadline},
+    dispatch::{
+        exchange::{Terms, deadline},
+        failure::Failure,
+    },
     node::Node,
 };
 
--- a/crates/daemon/src/configure.rs
+++ b/crates/daemon/src/configuration/configure.rs
@@ -18,7 +18,7 @@
 use dahliaseam_wire::resource::{Change, Document, Refused};
 use futures_util::StreamExt;
 
-use crate::{duties, emit, node::Node};
+use crate::{emit, endpoint::duties, node::Node};
 
 /// Watchers in each hall.
 const WATCHERS: usize = 2;
--- a/crates/daemon/src/control/changes.rs
+++ b/crates/daemon/src/control/changes.rs
@@ -25,7 +25,7 @@
     custodian::{Custodian, Reached, ask},
     shard::Shard,
 };
-use crate::{duties, emit, node::Node};
+use crate::{emit, endpoint::duties, node::Node};
 
 /// Daemons asked for their demand; the sum is scaled up to all.
 const DEMAND_SAMPLE: usize = 16;
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -24,22 +24,30 @@
 
 use crate::{
     caller,
-    claims::{self, Claims},
     clock::{BootClock, Clock, wall_millis},
-    configure, control,
+    configuration::configure,
+    control,
     control::board::Board,
-    desk::Desk,
-    duties::{self, Duties},
+    dispatch::{
+        claims::{self, Claims},
+        desk::Desk,
+        records::Records,
+    },
     emit,
+    endpoint::{
+        duties::{self, Duties},
+        observe,
+    },
     error::StartError,
-    health,
-    identity::Identity,
-    listener,
+    health, listener,
+    membership::{
+        identity::Identity,
+        peer_server,
+        peers::{self, PeerClients},
+    },
     metrics::Metrics,
     node::{Node, Stop},
-    observe, operator, peer_server,
-    peers::{self, PeerClients},
-    records::Records,
+    operator,
 };
 
 /// Time between two ticks of the dispatcher while it holds requests.
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/dispatch/exchange.rs
@@ -7,7 +7,7 @@
     dispatch::{Next, Refusal},
     frame::Assembly,
     outcome::{AttemptEnd, Outcome},
-    request::{RequestKey, RequestSpec},
+    request::RequestSpec,
     time::{Span, Time},
 };
 use dahliaseam_wire::{
@@ -18,12 +18,16 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    attempt::{Clients, EngineAsk, Piece, generate},
-    claims::{self, Held, NotHeld},
-    desk::{Command, Dispatch, Ticket},
+    dispatch::{
+        claims::{self, Held, NotHeld},
+        desk::{Command, Dispatch, Ticket},
+        failure::Failure,
+        progress::Progress,
+        records::{OpenRecord, lock},
+    },
     emit,
+    endpoint::attempt::{Clients, Ended, EngineAsk, Piece, generate},
     node::Node,
-    records::{OpenRecord, lock},
 };
 
 /// What a caller asks, apart from its content.
@@ -45,74 +49,6 @@
     pub deadline: Time,
 }
 
-/// Why a request has no whole answer.
-#[derive(Clone, Debug)]
-pub struct Failure {
-    /// What became of it.
-    pub outcome: Outcome,
-    /// A stable word.
-    pub reason: &'static str,
-    /// A sentence.
-    pub message: String,
-    /// Milliseconds after which to come back.
-    pub retry_after_ms: Option<u64>,
-    /// The status of a rejection, in place of the outcome's own.
-    pub status: Option<u16>,
-}
-
-/// Milliseconds after which a caller may ask again when nothing better is known.
-const DEFAULT_RETRY_MS: u64 = 1_000;
-
-impl Failure {
-    /// A failure with the usual time to come back.
-    #[must_use]
-    pub fn new(outcome: Outcome, reason: &'static str, message: impl Into<String>) -> Self {
-        Self { outcome, reason, message: message.into(), retry_after_ms: Some(DEFAULT_RETRY_MS), status: None }
-    }
-
-    /// The request itself is wrong; asking again does not help.
-    #[must_use]
-    pub fn bad_request(status: u16, reason: &'static str, message: impl Into<String>) -> Self {
-        Self { retry_after_ms: None, status: Some(status), ..Self::new(Outcome::NotRun, reason, message) }
-    }
-
-    fn refused(outcome: Outcome, reason: Refusal, retry_after_ms: u64) -> Self {
-        let (word, message) = match reason {
-            Refusal::TeamLimit => ("team_limit", "the team has used its rate"),
-            Refusal::QueueFull => ("queue_full", "too many requests wait for this pool"),
-            Refusal::TooLate => ("too_late", "it could not be answered in time"),
-            Refusal::NoEndpoint => ("no_endpoint", "the pool has no endpoint"),
-        };
-        Self { retry_after_ms: Some(retry_after_ms), ..Self::new(outcome, word, message) }
-    }
-
-    fn ended(outcome: Outcome, words: &str) -> Self {
-        let message = match outcome {
-            Outcome::Whole => "the answer was whole",
-            Outcome::NotRun => "no endpoint ran it",
-            Outcome::Ran => "an endpoint ran it, and the answer is not whole",
-            Outcome::Unknown => "whether an endpoint ran it cannot be known",
-        };
-        Self::new(outcome, "endpoint_failed", format!("{message}{}{words}", if words.is_empty() { "" } else { ": " }))
-    }
-
-    /// What a second request with the same key is told, when nothing is recorded.
-    fn second(second: &Second) -> Self {
-        match second {
-            Second::InProgress => Self {
-                status: Some(409),
-                ..Self::new(Outcome::Unknown, "in_progress", "the request with this key is still running")
-            },
-            Second::Mismatch => Self::bad_request(422, "key_reused", "this key belongs to another request"),
-            Second::Unknown | Second::Recorded(_) => Self {
-                status: Some(409),
-                retry_after_ms: None,
-                ..Self::new(Outcome::Unknown, "key_used", "the request with this key ended without a known outcome")
-            },
-        }
-    }
-}
-
 /// A request on its way.
 #[derive(Debug)]
 pub struct Exchange {
@@ -229,11 +165,8 @@
         }
     }
 
-    /// Report how an attempt ended.
-    ///
-    /// # Errors
-    /// The request is over.
-    pub fn attempt_ended(&mut self, ended: &crate::attempt::Ended) -> Result<(), Result<(), Failure>> {
+    /// Report how an attempt ended; returns what follows from it.
+    pub fn attempt_ended(&mut self, ended: &Ended) -> AfterAttempt {
         let now = self.node.now();
         let word = word_of(&ended.end);
         self.node.metrics.attempt(&word);
@@ -244,8 +177,8 @@
             }
         }
         match self.node.desk.attempt_ended(self.ticket.key, ended.end, ended.at, now) {
-            Next::Again => Ok(()),
-            Next::Over(Outcome::Whole) => Err(Ok(())),
+            Next::Again => AfterAttempt::TryAgain,
+            Next::Over(Outcome::Whole) => AfterAttempt::Answered,
             Next::Over(outcome) => {
                 let mut failure = Failure::ended(outcome, &ended.words);
                 if ended.end == AttemptEnd::Rejected {
@@ -253,7 +186,7 @@
                     failure.reason = "endpoint_rejected";
                     failure.retry_after_ms = None;
                 }
-                Err(Err(failure))
+                AfterAttempt::Failed(failure)
             }
         }
     }
@@ -261,13 +194,7 @@
     /// Where arriving tokens are noted.
     #[must_use]
     pub fn progress(&self) -> Progress {
-        Progress {
-            node: Arc::clone(&self.node),
-            record: Arc::clone(&self.record),
-            key: self.ticket.key,
-            arrived: self.terms.arrived,
-            kind_name: self.terms.kind_name.clone(),
-        }
+        Progress::new(&self.node, &self.record, self.ticket.key, self.terms.arrived, &self.terms.kind_name)
     }
 
     /// The request is over: settle its claim, its record and its metrics.
@@ -319,32 +246,15 @@
     }
 }
 
-/// Notes the tokens of one request as they arrive.
+/// What follows from the end of an attempt.
 #[derive(Debug)]
-pub struct Progress {
-    node: Arc<Node>,
-    record: OpenRecord,
-    key: RequestKey,
-    arrived: Time,
-    kind_name: String,
-}
-
-impl Progress {
-    /// Note tokens that arrived just now.
-    pub fn note(&self, tokens: u32) {
-        let now = self.node.now();
-        self.node.desk.progress(self.key, tokens, now);
-        let mut record = lock(&self.record);
-        let Some(attempt) = record.attempts.last_mut() else { return };
-        attempt.tokens += tokens;
-        if attempt.first_ms.is_none() {
-            let since = now.since(self.arrived).as_seconds();
-            attempt.first_ms = Some(since.mul_add(1_000.0, -(attempt.sent_ms as f64)));
-            if attempt.attempt == 0 {
-                self.node.metrics.first_token(&self.kind_name, since);
-            }
-        }
-    }
+pub enum AfterAttempt {
+    /// The request is tried again.
+    TryAgain,
+    /// It has its whole answer.
+    Answered,
+    /// It is over without one.
+    Failed(Failure),
 }
 
 /// Why a request does not go on to an attempt.
@@ -423,8 +333,9 @@
             return;
         }
         match exchange.attempt_ended(&ended) {
-            Ok(()) => {}
-            Err(result) => break result,
+            AfterAttempt::TryAgain => {}
+            AfterAttempt::Answered => break Ok(()),
+            AfterAttempt::Failed(failure) => break Err(failure),
         }
     };
     let recorded =
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/endpoint/attempt.rs
@@ -22,9 +22,11 @@
 use tracing::{Instrument, info_span};
 
 use crate::{
-    desk::{Dispatch, Target, Ticket},
+    dispatch::{
+        desk::{Dispatch, Target, Ticket},
+        progress::Progress,
+    },
     emit,
-    exchange::Progress,
     node::Node,
     telemetry,
 };
@@ -63,7 +65,7 @@
     /// The whole answer is there; why the engine ended it.
     End(String),
     /// The request is over without a whole answer.
-    Failed(crate::exchange::Failure),
+    Failed(crate::dispatch::failure::Failure),
 }
 
 /// How an attempt ended, and at which of its engines.
--- a/crates/daemon/src/observe.rs
+++ b/crates/daemon/src/endpoint/observe.rs
@@ -16,7 +16,7 @@
 };
 use futures_util::future::join_all;
 
-use crate::{duties, node::Node};
+use crate::{endpoint::duties, node::Node};
 
 /// Daemons that ask one engine.
 const OBSERVERS: usize = 2;
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/membership/peer_server.rs
@@ -19,7 +19,7 @@
 };
 use tower::{Layer, Service};
 
-use crate::{duties, emit, error::StartError, node::Node, operator, peers};
+use crate::{emit, endpoint::duties, error::StartError, membership::peers, node::Node, operator};
 
 /// Connections of other daemons at once.
 const MAX_CONNECTIONS: u32 = 4_096;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/membership/peers.rs
@@ -16,7 +16,7 @@
 use http::{HeaderMap, HeaderValue, header::AUTHORIZATION};
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 
-use crate::{configure, duties, emit, node::Node};
+use crate::{configuration::configure, emit, endpoint::duties, node::Node};
 
 /// Load news in one message at most.
 const MAX_LOADS: usize = 64;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,8 +14,12 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    claims::Claims, clock::Clock, control::board::Board, desk::Desk, duties::Duties, identity::Identity,
-    metrics::Metrics, peers::PeerClients, records::Records,
+    clock::Clock,
+    control::board::Board,
+    dispatch::{claims::Claims, desk::Desk, records::Records},
+    endpoint::duties::Duties,
+    membership::{identity::Identity, peers::PeerClients},
+    metrics::Metrics,
 };
 
 /// The shared state of one daemon.
--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -19,7 +19,7 @@
 use futures_util::future::join_all;
 use http::{StatusCode, header::AUTHORIZATION};
 
-use crate::{identity::vm_of, node::Node};
+use crate::{membership::identity::vm_of, node::Node};
 
 /// The operators' routes.
 pub fn router(node: Arc<Node>) -> Router {
--- a/crates/daemon/src/operator/resources.rs
+++ b/crates/daemon/src/operator/resources.rs
@@ -20,7 +20,7 @@
 
 use super::{error, status};
 use crate::{
-    configure::{self, NotAccepted},
+    configuration::configure::{self, NotAccepted},
     node::Node,
 };
 
--- a/crates/daemon/tests/catch_up.rs
+++ b/crates/daemon/tests/catch_up.rs
@@ -19,7 +19,7 @@
     resource::{Change, Document, ResourceKind},
 };
 use dahliaseamd::{
-    configure,
+    configuration::configure,
     controller::{Controller, Outside},
 };
 use jsonrpsee::{
