--- a/crates/core/src/fleet/discovery.rs
+++ b/crates/core/src/fleet/discovery.rs
@@ -4,7 +4,7 @@
 //! not certain: entries lapsed that their replicas could not renew. Such a replica stays for a
 //! short while, and counts as gone if its entry does not come back by then.
 
-use std::{collections::HashSet, sync::Arc};
+use std::sync::Arc;
 
 use crate::{
     fleet::{
@@ -47,21 +47,6 @@
         true
     }
 
-    /// Note all entries at a revision; what is missing counts as gone at `gone_at`.
-    ///
-    /// Returns the replicas that are missing.
-    pub fn snapshot(&mut self, all: Vec<ReplicaFacts>, revisions: &[i64], at: i64, gone_at: Time) -> Vec<Arc<str>> {
-        let present: HashSet<Arc<str>> = all.iter().map(|facts| Arc::clone(&facts.id)).collect();
-        for (facts, revision) in all.into_iter().zip(revisions) {
-            self.put(facts, *revision);
-        }
-        let missing: Vec<Arc<str>> = self.by_id.keys().filter(|id| !present.contains(*id)).cloned().collect();
-        for id in &missing {
-            self.removed(id, at, gone_at);
-        }
-        missing
-    }
-
     /// Note that the process at a replica's address is another one.
     pub fn replaced(&mut self, key: ReplicaKey, now: Time) {
         if let Some(replica) = self.replicas.get_mut(key) {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -72,8 +72,6 @@
     pub slots: u32,
     /// Tokens that its memory holds.
     pub memory_tokens: u64,
-    /// Time for which a prompt's memory is kept for another engine.
-    pub handle_life: Span,
     /// Time that a role change takes an engine away.
     pub role_change: Span,
 }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -104,11 +104,11 @@
 }
 
 #[test]
-fn a_snapshot_tells_what_is_missing() {
+fn a_gone_replica_is_forgotten() {
     let mut fleet = with(&[("a", Role::Plain), ("b", Role::Plain)]);
-    let missing = fleet.snapshot(vec![facts("b", Role::Plain)], &[1], 5, now());
-    assert_eq!(missing.iter().map(|id| &**id).collect::<Vec<_>>(), ["a"]);
-    assert_eq!(fleet.forget_gone(now()).len(), 1);
+    assert!(fleet.removed("a", 5, now()));
+    assert!(!fleet.removed("unknown", 5, now()));
+    assert_eq!(fleet.forget_gone(now()).iter().map(|id| &**id).collect::<Vec<_>>(), ["a"]);
     assert_eq!(fleet.replicas().count(), 1);
 }
 
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -84,8 +84,6 @@
     pub stop_s: f64,
     /// Milliseconds that separate the orders of two holders at least.
     pub order_lease_ms: u64,
-    /// Milliseconds for which an endpoint may still get work after it announced to leave.
-    pub drain_ms: u64,
 }
 
 /// Files that are kept for other things than connections.
