--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -174,14 +174,15 @@
         }
     }
 
-    /// Forget daemons that have been silent for long.
-    pub fn forget_silent(&mut self, now: Time) {
+    /// Forget daemons that have been silent for long; returns the numbers of their runs.
+    pub fn forget_silent(&mut self, now: Time) -> Vec<u64> {
         let silent: Vec<u64> =
             self.peers.iter().filter(|(_, peer)| now.since(peer.heard) > SILENT).map(|(sender, _)| *sender).collect();
-        for sender in silent {
-            self.replace_peer(sender, &[], now);
-            self.peers.remove(&sender);
+        for sender in &silent {
+            self.replace_peer(*sender, &[], now);
+            self.peers.remove(sender);
         }
+        silent
     }
 
     /// Daemons heard of lately, this one included.
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -274,7 +274,7 @@
     let active = |fleet: &Fleet| fleet.replicas().map(|(_, replica)| replica.active()).sum::<u32>();
     assert_eq!(active(&fleet), 9);
     assert_eq!(fleet.daemons(), 2);
-    fleet.forget_silent(now() + Span::millis(5_000));
+    assert_eq!(fleet.forget_silent(now() + Span::millis(5_000)), [1]);
     assert_eq!((active(&fleet), fleet.daemons()), (0, 1));
 }
 
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -73,6 +73,7 @@
     PEER_HEARD = 410, "Another daemon was heard for the first time.";
     PEER_MESSAGE_LOST = 411, "A message to or from another daemon was lost or cannot be read.";
     NOT_LISTED = 412, "This daemon could not renew its entry in the store; peers that hear it keep telling it.";
+    PEER_SILENT = 413, "Another daemon has said nothing for a while; what it had under way no longer counts.";
     SHARD_WON = 500, "This daemon holds a shard's lease under a new fencing number.";
     SHARD_LOST = 501, "This daemon no longer holds a shard's lease.";
     ORDER_SENT = 502, "An order was sent to an engine.";
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -332,7 +332,9 @@
         let now = gw.now();
         gw.upstream.sweep();
         let mut fleet = gw.fleet();
-        fleet.forget_silent(now);
+        for sender in fleet.forget_silent(now) {
+            emit!(info, PEER_SILENT, sender);
+        }
         for id in fleet.forget_gone(now) {
             emit!(info, REPLICA_FORGOTTEN, replica = %id);
         }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,16 +1,17 @@
 //! Serving by routes: callers' requests go to the replicas that discovery knows.
 //!
-//! A request's way is [`listener`] (connections), [`request`] (from head to outcome), [`attempt`]
-//! (one try), [`upstream`] (connections to replicas) and [`relay`] (the answer as it arrives).
-//! Beside it run [`follow`] (configuration and replicas from the store), [`borrow`] (the same from
-//! another daemon while the store is out of reach), [`peers`] (what daemons
-//! tell each other), [`orders`] (roles of engines) and [`pages`] (readiness, metrics). [`state`] is what they share, and
-//! [`controller`] starts and stops them.
+//! A request's way is [`listener`] (connections), [`request`] (from head to outcome, told by
+//! [`ending`]), [`attempt`] (one try), [`upstream`] (connections to replicas) and [`relay`] (the
+//! answer as it arrives). Beside it run [`follow`] (configuration and replicas from the store),
+//! [`borrow`] (the same from another daemon while the store is out of reach), [`peers`] (what
+//! daemons tell each other), [`orders`] (roles of engines) and [`pages`] (readiness, metrics).
+//! [`state`] is what they share, and [`controller`] starts and stops them.
 
 mod answer;
 mod attempt;
 mod borrow;
 pub mod controller;
+mod ending;
 mod follow;
 mod link;
 mod listener;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -240,7 +240,7 @@
         gw.metrics.peer_message("received");
         let now = gw.now();
         if gw.peers.hear(from, &message, now) {
-            emit!(info, PEER_HEARD, peer = %from, revision = message.revision);
+            emit!(info, PEER_HEARD, peer = %from, sender = message.sender, revision = message.revision);
         }
         if message.revision > gw.copies().revision {
             gw.peer_ahead.notify_one();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -19,7 +19,8 @@
     gateway::{
         answer::{AnswerBody, full, pass_on},
         attempt::{Answer, CallFailure},
-        request::{Ending, Job, time_left},
+        ending::Ending,
+        request::{Job, time_left},
         sse::{self, Events},
     },
 };
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -6,7 +6,7 @@
 use dahliaseam_border::dialect::CallerRequest;
 use dahliaseam_core::{
     fleet::{
-        StepEnd,
+        Fleet, StepEnd,
         choose::{Ask, NoPlan, Plan, Step},
         replica::ReplicaKey,
     },
@@ -23,6 +23,7 @@
     gateway::{
         answer::{AnswerBody, Refusal},
         attempt::{Answer, CallFailure, EMPTY, Failed, duration},
+        ending::Ending,
         relay::{self, Begun},
         state::Gateway,
     },
@@ -67,67 +68,6 @@
     draw: u64,
 }
 
-/// Writes the line that says how a request ended, also when its caller leaves.
-#[derive(Debug)]
-pub(super) struct Ending {
-    gw: Arc<Gateway>,
-    id: String,
-    route: Arc<str>,
-    version: u64,
-    arrived: Time,
-    outcome: &'static str,
-    status: u16,
-    tries: usize,
-    /// When the answer's first byte was there.
-    first_at: Option<Time>,
-}
-
-impl Ending {
-    fn new(job: &Job) -> Self {
-        Self {
-            gw: Arc::clone(&job.gw),
-            id: job.caller.id.clone(),
-            route: Arc::clone(&job.route.name),
-            version: job.version,
-            arrived: job.arrived,
-            outcome: "caller_left",
-            status: 0,
-            tries: 0,
-            first_at: None,
-        }
-    }
-
-    /// The answer's first byte is there.
-    pub(super) fn first_byte(&mut self) {
-        let now = self.gw.now();
-        self.first_at = Some(now);
-        self.gw.metrics.first_byte(&self.route, now.since(self.arrived).as_seconds());
-    }
-
-    pub(super) const fn set(&mut self, outcome: &'static str, status: u16) {
-        self.outcome = outcome;
-        self.status = status;
-    }
-}
-
-impl Drop for Ending {
-    fn drop(&mut self) {
-        self.gw.metrics.request(&self.route, self.outcome);
-        emit!(
-            info,
-            ROUTED_OVER,
-            request = self.id,
-            route = %self.route,
-            configuration = self.version,
-            outcome = self.outcome,
-            status = self.status,
-            tries = self.tries,
-            first_ms = self.first_at.map(|at| at.since(self.arrived).as_millis()),
-            took_ms = self.gw.now().since(self.arrived).as_millis()
-        );
-    }
-}
-
 /// Serve a caller's request.
 pub(super) async fn serve(gw: Arc<Gateway>, req: Request<Incoming>) -> Response<AnswerBody> {
     let draw = gw.draw();
@@ -209,7 +149,7 @@
         };
         ending.tries += 1;
         let failed = match job.attempt(&plan).await {
-            Ok(answer) => match begin_answer(&mut job, answer).await {
+            Ok(answer) => match begin_answer(&job, answer).await {
                 Ok(begun) => return relay::answer(job, begun, ending),
                 Err(why) => Failed { why, reading: false },
             },
@@ -225,11 +165,9 @@
 }
 
 /// Wait until an answer is certain enough to be passed on.
-async fn begin_answer(job: &mut Job, answer: Answer) -> Result<Begun, CallFailure> {
-    let may_repeat = job.may_repeat();
-    if may_repeat && answer.head.status.is_server_error() {
+async fn begin_answer(job: &Job, mut answer: Answer) -> Result<Begun, CallFailure> {
+    if job.may_repeat() && answer.head.status.is_server_error() {
         let status = answer.head.status.as_u16();
-        let mut answer = answer;
         answer.work.ended(StepEnd::Done);
         return Err(CallFailure::Lost(format!("status {status}")));
     }
@@ -280,29 +218,16 @@
     }
 
     fn choose(&self, now: Time) -> Result<Plan, Refusal> {
-        let ask = Ask {
-            service: &self.service,
-            prompt: self.caller.prompt.as_ref(),
-            objective_left: (self.arrived + self.route.objective).since(now),
-            time_left: self.deadline.since(now),
-            returned: self.returned(),
-            may_refuse: self.tried.is_empty() && self.last_event.is_none(),
-            tried: &self.tried,
-            send_ms: self.gw.link.send_ms(self.body.len()),
-            link_ms: self.gw.link.wait_ms(now),
-            draw: self.draw,
-        };
         let mut fleet = self.gw.fleet();
-        let chosen = fleet.choose(&ask, now);
-        if self.tried.is_empty()
-            && let Some(plan) = offered(&chosen)
-        {
+        let chosen = fleet.choose(&self.ask(now), now);
+        let is_new = self.tried.is_empty();
+        if is_new && let Some(plan) = offered(&chosen) {
             let offered = Step { long: plan.is_long(), ..*plan.reading() };
             fleet.offered(&self.service, &offered, now);
         }
         let usual = fleet.usual_answer(&self.service);
         match chosen {
-            Ok(plan) if plan.is_long() && self.tried.is_empty() && !self.gw.stop.takes_long(usual, now) => {
+            Ok(plan) if is_new && plan.is_long() && !self.gw.stop.takes_long(usual, now) => {
                 emit!(info, REFUSED_STOPPING, request = self.caller.id, route = %self.route.name);
                 Err(Refusal::Stopping)
             }
@@ -311,23 +236,42 @@
                 Ok(plan)
             }
             Err(NoPlan::TooLate { predicted_ms, come_back, .. }) => {
-                emit!(
-                    info,
-                    REFUSED_EARLY,
-                    request = self.caller.id,
-                    route = %self.route.name,
-                    predicted_ms,
-                    objective_ms = self.route.objective.as_millis(),
-                    view_age_ms = fleet.peers_age_ms(now),
-                    come_back_ms = come_back.as_millis()
-                );
+                self.log_too_late(&fleet, predicted_ms, come_back, now);
                 Err(Refusal::TooLate { come_back })
             }
-            Err(NoPlan::NoReplica) if self.tried.is_empty() => Err(Refusal::NoReplica),
+            Err(NoPlan::NoReplica) if is_new => Err(Refusal::NoReplica),
             Err(NoPlan::NoReplica) => Err(self.last_word()),
         }
     }
 
+    fn ask(&self, now: Time) -> Ask<'_> {
+        Ask {
+            service: &self.service,
+            prompt: self.caller.prompt.as_ref(),
+            objective_left: (self.arrived + self.route.objective).since(now),
+            time_left: self.deadline.since(now),
+            returned: self.returned(),
+            may_refuse: self.tried.is_empty() && self.last_event.is_none(),
+            tried: &self.tried,
+            send_ms: self.gw.link.send_ms(self.body.len()),
+            link_ms: self.gw.link.wait_ms(now),
+            draw: self.draw,
+        }
+    }
+
+    fn log_too_late(&self, fleet: &Fleet, predicted_ms: u64, come_back: Span, now: Time) {
+        emit!(
+            info,
+            REFUSED_EARLY,
+            request = self.caller.id,
+            route = %self.route.name,
+            predicted_ms,
+            objective_ms = self.route.objective.as_millis(),
+            view_age_ms = fleet.peers_age_ms(now),
+            come_back_ms = come_back.as_millis()
+        );
+    }
+
     /// Whether its caller waits less long than the route allows, as one does that was refused and
     /// came back.
     fn returned(&self) -> bool {
@@ -335,7 +279,7 @@
         patience.0 < self.route.timeout.0 * RETURNED_PERCENT / 100
     }
 
-    fn log_plan(&self, fleet: &dahliaseam_core::fleet::Fleet, plan: &Plan, now: Time) {
+    fn log_plan(&self, fleet: &Fleet, plan: &Plan, now: Time) {
         let name = |key: ReplicaKey| fleet.get(key).map_or("", |replica| &*replica.facts.id);
         let (read, write, first) = match plan {
             Plan::Whole(step) => ("", name(step.key), step),
