--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -89,7 +89,7 @@
         let gw = &self.gw;
         let over_at = gw.now() + Span::seconds(gw.settings.timing.stop_s);
         emit!(info, STOPPING, under_way = gw.stop.requests.len());
-        gw.stop.begin(Time(over_at.0.saturating_sub(END.0)));
+        gw.stop.begin(gw.now(), Time(over_at.0.saturating_sub(END.0)));
         tokio::time::sleep(BALANCER).await;
         gw.stop.closing.cancel();
         let left = over_at.since(gw.now()).0.saturating_sub(END.0);
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -78,8 +78,14 @@
     pub(super) requests: TaskTracker,
     /// Micros of the time at which the process must be over; 0 before a stop.
     over_at: AtomicU64,
+    /// Micros of the time from which on no long answer is begun, however quick they have been.
+    no_long_from: AtomicU64,
 }
 
+/// Part of a stop after which no long answer is begun. Some take far longer than usual, and one
+/// that begins this late must be over by the end.
+const LONG_SHARE: f64 = 0.3;
+
 /// How many times the usual time of a long answer must be left for one to be begun. A tenth of
 /// them takes twice as long, and one that the end of the process cuts is lost; a caller that is
 /// refused finds another VM within its objective or soon after.
@@ -87,7 +93,9 @@
 
 impl Stop {
     /// The stop begins.
-    pub(super) fn begin(&self, over_at: Time) {
+    pub(super) fn begin(&self, now: Time, over_at: Time) {
+        let no_long_from = now + Span::seconds(over_at.since(now).as_seconds() * LONG_SHARE);
+        self.no_long_from.store(no_long_from.0, Ordering::Relaxed);
         self.over_at.store(over_at.0, Ordering::Relaxed);
         self.begun.cancel();
     }
@@ -95,7 +103,11 @@
     /// Whether a long answer that usually takes so long may still be begun.
     pub(super) fn takes_long(&self, usual: Span, now: Time) -> bool {
         let over_at = self.over_at.load(Ordering::Relaxed);
-        over_at == 0 || Time(over_at).since(now).as_seconds() > usual.as_seconds() * LONG_TIMES
+        if over_at == 0 {
+            return true;
+        }
+        let too_late = Time(self.no_long_from.load(Ordering::Relaxed)).is_past(now);
+        !too_late && Time(over_at).since(now).as_seconds() > usual.as_seconds() * LONG_TIMES
     }
 }
 
