--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     error::SettingsError,
-    settings::{LogSettings, expect},
+    settings::{LogSettings, expect, read_file},
 };
 
 /// The settings of one daemon that serves by routes.
@@ -95,9 +95,7 @@
     /// # Errors
     /// Why it cannot be used; the text names the field and what is expected there.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read(path).map_err(|e| SettingsError::Open(path.to_owned(), e))?;
-        let settings: Self =
-            dahliaseam_wire::error::from_json(&text).map_err(|e| SettingsError::Read(path.to_owned(), e))?;
+        let settings: Self = read_file(path)?;
         settings.check()?;
         Ok(settings)
     }
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -5,7 +5,7 @@
 use std::{fmt, net::SocketAddr, path::Path};
 
 use dahliaseam_core::{dispatch::Policy, time::Span};
-use serde::Deserialize;
+use serde::{Deserialize, de::DeserializeOwned};
 
 use crate::error::SettingsError;
 
@@ -242,9 +242,7 @@
     /// # Errors
     /// Why it cannot be used; the text names the field and what is expected there.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read(path).map_err(|e| SettingsError::Open(path.to_owned(), e))?;
-        let settings: Self =
-            dahliaseam_wire::error::from_json(&text).map_err(|e| SettingsError::Read(path.to_owned(), e))?;
+        let settings: Self = read_file(path)?;
         settings.check()?;
         Ok(settings)
     }
@@ -299,6 +297,12 @@
     }
 }
 
+/// Read a settings file, without checking its values.
+pub(crate) fn read_file<T: DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
+    let text = std::fs::read(path).map_err(|e| SettingsError::Open(path.to_owned(), e))?;
+    dahliaseam_wire::error::from_json(&text).map_err(|e| SettingsError::Read(path.to_owned(), e))
+}
+
 pub(crate) fn expect(holds: bool, path: &str, expected: &str) -> Result<(), SettingsError> {
     if holds {
         return Ok(());
