Serve connections that wait when the listener closes in a planned stop

The connection had come about but nobody had taken it: closing the listener reset it. The library also closes connections on which nothing was read yet as soon as it is told to end. Ruled out: a request that was read and then dropped (the log of that daemon has no line of it). Change: what waits is taken before the listener is dropped, and gets 30 ms to bring its request. Before: 0 of 20 waiting callers answered (test, failing first); after: 20 of 20.

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -30,6 +30,7 @@
     RELOADED = 105, "The settings were read again; `changed` names what is used from now on.";
     SETTINGS_REJECTED = 106, "The settings were read again and cannot be used; nothing changed.";
     CONNECTION_REFUSED = 110, "Too many connections are open; one was closed.";
+    CONNECTIONS_LEFT = 111, "Connections that waited when the listener closed could not be taken.";
     REQUEST_OVER = 200, "A request is over, with its outcome. At debug level.";
     REQUEST_REFUSED = 201, "A request was refused or given up; the reason says why. At debug level.";
     ATTEMPT_FAILED = 202, "An attempt at an endpoint did not end well. Many for one endpoint: look at that endpoint.";
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -11,7 +11,10 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use tokio::{net::TcpListener, sync::Semaphore};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
 use tokio_util::sync::CancellationToken;
 use tower::ServiceExt;
 
@@ -20,6 +23,10 @@
 /// Wait after the system refuses a connection, as when files run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Time for the first request of connections that were taken last. Callers send it as soon as
+/// they are connected; the way takes a few milliseconds.
+const LAST_READ: Duration = Duration::from_millis(30);
+
 /// What a listener allows.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
@@ -80,24 +87,71 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let places = Arc::new(Semaphore::new(terms().connections));
-    let graceful = GracefulShutdown::new();
+    let server = Server { answer, terms, begun, places, graceful: GracefulShutdown::new() };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = closing.cancelled() => break,
         };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_BACKOFF).await;
-            continue;
-        };
-        let terms = terms();
-        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+        match accepted {
+            Ok((stream, _)) => server.take(stream),
+            Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
+        }
+    }
+    for stream in waiting(listener) {
+        server.take(stream);
+    }
+    // Connections on which nothing was read yet are closed at once by the next step.
+    tokio::time::sleep(LAST_READ).await;
+    server.graceful.shutdown().await;
+}
+
+/// Connections that came about and were not taken before the listener closes. Their callers may
+/// have sent requests already.
+fn waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(e) => {
+            emit!(warn, CONNECTIONS_LEFT, why = %e);
+            return Vec::new();
+        }
+    };
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    accepted
+        .filter_map(|(stream, _)| {
+            stream.set_nonblocking(true).ok()?;
+            TcpStream::from_std(stream).ok()
+        })
+        .collect()
+}
+
+/// What each connection is served by.
+struct Server<F, T> {
+    answer: F,
+    terms: T,
+    begun: CancellationToken,
+    places: Arc<Semaphore>,
+    graceful: GracefulShutdown,
+}
+
+impl<F, T> Server<F, T> {
+    /// Serve a connection, if there is a place for it.
+    fn take<A, B>(&self, stream: TcpStream)
+    where
+        F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
+        A: Future<Output = Response<B>> + Send + 'static,
+        B: hyper::body::Body + Send + 'static,
+        B::Data: Send,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+        T: Fn() -> Terms,
+    {
+        let terms = (self.terms)();
+        let Ok(place) = Arc::clone(&self.places).try_acquire_owned() else {
             emit!(warn, CONNECTION_REFUSED, limit = terms.connections);
-            continue;
+            return;
         };
         let _ = stream.set_nodelay(true);
-        let answer = answer.clone();
-        let begun = begun.clone();
+        let (answer, begun) = (self.answer.clone(), self.begun.clone());
         let service = service_fn(move |req: Request<Incoming>| {
             let (answering, begun) = (answer(req), begun.clone());
             async move {
@@ -113,12 +167,10 @@
             .header_read_timeout(terms.head_time)
             .max_buf_size(terms.head_bytes)
             .serve_connection(TokioIo::new(stream), service);
-        let conn = graceful.watch(conn);
+        let conn = self.graceful.watch(conn);
         tokio::spawn(async move {
             let _ = conn.await;
             drop(place);
         });
     }
-    drop(listener);
-    graceful.shutdown().await;
 }
