--- a/proofs/src/process.rs
+++ b/proofs/src/process.rs
@@ -84,6 +84,19 @@
         self.child.id()
     }
 
+    /// How it ended, if it did.
+    ///
+    /// # Panics
+    /// When the system does not tell.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("it can be waited for")
+    }
+
+    /// Tell it that its settings file has changed.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Ask for a planned stop.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
@@ -112,7 +125,7 @@
     pub async fn wait(&mut self, limit: Duration) -> ExitStatus {
         let until = Instant::now() + limit;
         loop {
-            if let Some(status) = self.child.try_wait().expect("it can be waited for") {
+            if let Some(status) = self.ended() {
                 return status;
             }
             assert!(Instant::now() < until, "process {} is not over in time", self.id());
--- a/stand-ins/src/relay.rs
+++ b/stand-ins/src/relay.rs
@@ -6,13 +6,15 @@
         Arc,
         atomic::{AtomicU8, Ordering},
     },
+    time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
         TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        tcp::{ReadHalf, WriteHalf},
     },
 };
 
@@ -26,10 +28,41 @@
     Hold = 1,
     /// It closes connections at once.
     Cut = 2,
+    /// It resets connections at once.
+    Reset = 3,
+    /// It passes all bytes on late.
+    Slow = 4,
+    /// It passes on what goes to the target, and keeps what comes back.
+    HoldBack = 5,
+}
+
+impl Link {
+    /// The mode with this number.
+    const fn from_number(number: u8) -> Self {
+        match number {
+            1 => Self::Hold,
+            2 => Self::Cut,
+            3 => Self::Reset,
+            4 => Self::Slow,
+            5 => Self::HoldBack,
+            _ => Self::Pass,
+        }
+    }
+
+    /// Whether bytes wait that go to the target, or those that come back.
+    fn holds(self, is_way_back: bool) -> bool {
+        self == Self::Hold || (self == Self::HoldBack && is_way_back)
+    }
+
+    const fn ends(self) -> bool {
+        matches!(self, Self::Cut | Self::Reset)
+    }
 }
 
 /// How often a held connection looks whether it may go on.
-const LOOK: std::time::Duration = std::time::Duration::from_millis(10);
+const LOOK: Duration = Duration::from_millis(10);
+/// How late a slow link passes bytes on.
+const SLOW: Duration = Duration::from_millis(120);
 /// Bytes moved at once.
 const CHUNK: usize = 16 << 10;
 
@@ -77,42 +110,66 @@
     }
 }
 
+fn now(link: &AtomicU8) -> Link {
+    Link::from_number(link.load(Ordering::SeqCst))
+}
+
 async fn carry(near: TcpStream, target: SocketAddr, link: Arc<AtomicU8>) {
-    if link.load(Ordering::SeqCst) == Link::Cut as u8 {
+    if now(&link).ends() {
+        end(&near, &link);
+        return;
+    }
+    wait_while_held(&link, false).await;
+    let Ok(mut far) = TcpStream::connect(target).await else {
+        // A port where nobody listens resets.
+        let _ = SockRef::from(&near).set_linger(Some(Duration::ZERO));
         return;
+    };
+    let mut near = near;
+    {
+        let (near_rx, near_tx) = near.split();
+        let (far_rx, far_tx) = far.split();
+        tokio::select! {
+            () = copy(near_rx, far_tx, &link, false) => {}
+            () = copy(far_rx, near_tx, &link, true) => {}
+            () = ended(&link) => {}
+        }
     }
-    wait_while_held(&link).await;
-    let Ok(far) = TcpStream::connect(target).await else { return };
-    let (near_rx, near_tx) = near.into_split();
-    let (far_rx, far_tx) = far.into_split();
-    tokio::select! {
-        () = copy(near_rx, far_tx, &link) => {}
-        () = copy(far_rx, near_tx, &link) => {}
-        () = cut(&link) => {}
+    end(&near, &link);
+    end(&far, &link);
+}
+
+/// Have a connection reset when it is dropped, if the link does that.
+fn end(stream: &TcpStream, link: &AtomicU8) {
+    if now(link) == Link::Reset {
+        let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
     }
 }
 
-async fn copy(mut rx: OwnedReadHalf, mut tx: OwnedWriteHalf, link: &AtomicU8) {
+async fn copy(mut rx: ReadHalf<'_>, mut tx: WriteHalf<'_>, link: &AtomicU8, is_way_back: bool) {
     let mut buf = vec![0; CHUNK];
     while let Ok(n) = rx.read(&mut buf).await {
         if n == 0 {
             return;
         }
-        wait_while_held(link).await;
+        if now(link) == Link::Slow {
+            tokio::time::sleep(SLOW).await;
+        }
+        wait_while_held(link, is_way_back).await;
         if tx.write_all(&buf[..n]).await.is_err() {
             return;
         }
     }
 }
 
-async fn wait_while_held(link: &AtomicU8) {
-    while link.load(Ordering::SeqCst) == Link::Hold as u8 {
+async fn wait_while_held(link: &AtomicU8, is_way_back: bool) {
+    while now(link).holds(is_way_back) {
         tokio::time::sleep(LOOK).await;
     }
 }
 
-async fn cut(link: &AtomicU8) {
-    while link.load(Ordering::SeqCst) != Link::Cut as u8 {
+async fn ended(link: &AtomicU8) {
+    while !now(link).ends() {
         tokio::time::sleep(LOOK).await;
     }
 }
