Sum up each hall for the others where daemons are many

Change: from 24 daemons on each tells its hall only; the one with the best link sums the hall up every 50 ms or more and sends that to one daemon of each other hall, drawn anew each time among the better links, which passes it on. A sum replaces what single daemons of that hall said, so nothing counts twice; the own hall's is not taken back. The budget of repeats now divides by the listed daemons as well as by those heard: a daemon that is cut off from the others took the whole slack before (test, failing first with the listed number ignored).

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -14,7 +14,7 @@
     endpoint::Role,
     fleet::{
         budget::{Budget, BudgetTerms},
-        peers::PeerLoads,
+        peers::{PeerLoads, Source},
         policy::FleetPolicy,
         rates::ReadRate,
         replica::{Load, Replica, ReplicaKey},
@@ -110,15 +110,21 @@
     by_id: HashMap<Arc<str>, ReplicaKey>,
     by_hash: HashMap<u32, ReplicaKey>,
     services: HashMap<Arc<str>, ServiceState>,
-    peers: HashMap<u64, PeerLoads>,
+    peers: HashMap<Source, PeerLoads>,
     notes: Vec<peers::ReadNote>,
+    /// Hash of this daemon's hall.
+    hall_id: u32,
+    /// Prompts that daemons of this hall sent since other halls were last told.
+    hall_notes: Vec<peers::ReadNote>,
+    /// Daemons that are listed, whether they are heard or not.
+    listed: usize,
 }
 
 impl Fleet {
     /// No replicas, seen from `hall`.
     #[must_use]
     pub fn new(hall: &str, policy: FleetPolicy, now: Time) -> Self {
-        Self { hall: hall.to_owned(), policy, sees_from: now + BLIND, ..Self::default() }
+        Self { hall: hall.to_owned(), hall_id: short_id(hall), policy, sees_from: now + BLIND, ..Self::default() }
     }
 
     /// A replica's row.
@@ -144,6 +150,11 @@
         self.services.get(service).map_or_else(|| ReadRate::default().tokens_per_ms(), |s| s.rate.tokens_per_ms())
     }
 
+    /// Note how many daemons are listed, this one included.
+    pub const fn set_listed(&mut self, daemons: usize) {
+        self.listed = daemons;
+    }
+
     /// Note what the configuration says of the memory of a service's engines.
     pub fn set_memory(&mut self, service: &Arc<str>, tokens: u64) {
         self.service_mut(service).memory_tokens = tokens;
@@ -226,7 +237,8 @@
 
     /// Take so many repeated sends to a service from the budget, if they are there.
     pub fn take_repeats(&mut self, count: u32, service: &Arc<str>, terms: &BudgetTerms, now: Time) -> bool {
-        let daemons = self.peers.len() + 1;
+        // A daemon that is cut off from the others must not take their part of the budget.
+        let daemons = self.daemons().max(self.listed);
         self.service_mut(service).budget.take(count, terms, daemons, now)
     }
 
@@ -248,7 +260,8 @@
     }
 }
 
-/// Short identifier of a replica in messages between daemons.
-fn short_id(id: &str) -> u32 {
+/// Short identifier of a replica, service or hall in messages between daemons.
+#[must_use]
+pub fn short_id(id: &str) -> u32 {
     crate::hash::bytes(id.as_bytes()) as u32
 }
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -1,6 +1,9 @@
 //! What daemons tell each other of the work that they have under way.
 //!
-//! Each message carries absolute figures, so a lost one is made good by the next.
+//! Each message carries absolute figures, so a lost one is made good by the next. A few daemons
+//! all tell each other. Where there are many, each tells only those of its hall, and one of them
+//! sums up what it heard for the other halls: what a daemon sends and hears then grows with its
+//! hall and the number of halls, not with the number of daemons.
 
 use std::collections::HashMap;
 
@@ -24,6 +27,33 @@
 const DOUBT: Span = Span::millis(600);
 /// Prompts in one message at most; the rest is not told.
 const MAX_NOTES: usize = 32;
+/// The same for a message that sums up a hall: some twenty daemons send a hundred prompts in the
+/// time between two of them.
+const MAX_HALL_NOTES: usize = 96;
+
+/// Whose work a message tells of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Source {
+    /// The daemon of this run.
+    Daemon(u64),
+    /// All daemons of the hall with this hash.
+    Hall(u32),
+}
+
+/// What identifies a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewsId {
+    /// Whose work it tells of.
+    pub source: Source,
+    /// The run of the daemon that wrote it.
+    pub sender: u64,
+    /// Its number among those of that daemon.
+    pub number: u64,
+    /// Hash of that daemon's hall.
+    pub hall: u32,
+    /// Daemons that it tells of.
+    pub daemons: u32,
+}
 
 /// What one daemon has under way at one replica.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -92,12 +122,14 @@
     }
 }
 
-/// What a daemon last said.
-#[derive(Clone, Debug, Default)]
+/// What a daemon or a hall last said.
+#[derive(Clone, Debug)]
 pub struct PeerLoads {
-    number: u64,
+    id: NewsId,
     heard: Time,
     loads: HashMap<ReplicaKey, Load>,
+    /// Replicas that it could not reach.
+    unreachable: Vec<ReplicaKey>,
     /// By the hash of the service's name.
     pub(super) demands: HashMap<u32, Demand>,
 }
@@ -107,48 +139,64 @@
     pub fn own_news(&mut self, now: Time) -> News {
         let mut reads = std::mem::take(&mut self.notes);
         reads.truncate(MAX_NOTES);
-        let left_out = |replica: &Replica| replica.health.ejected_until(now).is_some();
-        let busy = self.replicas.values().filter(|replica| replica.own.active > 0 || left_out(replica));
-        let loads = busy.map(|replica| ReplicaLoad {
-            replica: short_id(&replica.facts.id),
-            reading_ms: replica.own.reading_ms as u32,
-            active: replica.own.active,
-            streams: replica.own.streams,
-            unreachable: left_out(replica),
-        });
-        let demands = self.services.iter().map(|(name, state)| {
-            let demand = state.meter.demand(now);
-            ServiceDemand { service: short_id(name), reading: demand.reading as f32, slots: demand.slots as f32 }
-        });
-        let changing =
-            self.replicas.values().filter(|replica| replica.ordered_here && !replica.changing_until.is_past(now));
-        let changing = changing.map(|replica| ChangingEngine {
-            replica: short_id(&replica.facts.id),
-            to_prefill: replica.changing_to == Role::Prefill,
-            left_ms: replica.changing_until.since(now).as_millis() as u32,
-        });
+        self.hall_notes.extend(reads.iter().cloned());
+        self.hall_notes.truncate(MAX_HALL_NOTES);
+        let busy = self.replicas.values().filter(|replica| replica.own.active > 0 || is_left_out(replica, now));
+        let loads = busy.map(|replica| load_of(replica, replica.own, is_left_out(replica, now)));
+        let demands = self.services.iter().map(|(name, state)| (short_id(name), state.meter.demand(now)));
         News {
             loads: loads.collect(),
             reads,
-            demands: demands.filter(|demand| demand.reading > 0.0 || demand.slots > 0.0).collect(),
-            changing: changing.collect(),
+            demands: demands.filter_map(told).collect(),
+            changing: self.changing(now, |replica| replica.ordered_here),
+        }
+    }
+
+    /// What all daemons of this hall have to say now, for other halls; and how many they are.
+    pub fn hall_news(&mut self, now: Time) -> (News, u32) {
+        let mates: Vec<&PeerLoads> = self.peers.values().filter(|peer| peer.is_mate(self.hall_id)).collect();
+        let mut demands: HashMap<u32, Demand> = HashMap::new();
+        let own = self.services.iter().map(|(name, state)| (short_id(name), state.meter.demand(now)));
+        for (service, demand) in own.chain(mates.iter().flat_map(|mate| mate.demands.clone())) {
+            demands.entry(service).or_default().add(demand);
+        }
+        let mut loads = Vec::new();
+        for (key, replica) in &self.replicas {
+            let told = mates.iter().filter_map(|mate| mate.loads.get(&key));
+            let load = told.fold(replica.own, |sum, load| sum.plus(*load));
+            let unreachable = is_left_out(replica, now) || mates.iter().any(|mate| mate.unreachable.contains(&key));
+            if load.active > 0 || unreachable {
+                loads.push(load_of(replica, load, unreachable));
+            }
         }
+        let daemons = mates.len() as u32 + 1;
+        let news = News {
+            loads,
+            reads: std::mem::take(&mut self.hall_notes),
+            demands: demands.into_iter().filter_map(told).collect(),
+            changing: self.changing(now, |replica| replica.ordered_here || replica.ordered_in_hall),
+        };
+        (news, daemons)
     }
 
-    /// Take in what the daemon `sender` said in its message `number`.
-    pub fn peer_news(&mut self, sender: u64, number: u64, news: &News, now: Time) {
-        let overtaken = self.peers.get(&sender).is_some_and(|peer| peer.number >= number);
+    /// Take in a message.
+    pub fn peer_news(&mut self, id: NewsId, news: &News, now: Time) {
+        if self.is_covered(&id) {
+            return;
+        }
+        let in_hall = id.hall == self.hall_id;
+        let overtaken = self.peers.get(&id.source).is_some_and(|peer| peer.id.overtakes(&id));
         if !overtaken {
-            self.replace_peer(sender, &news.loads, now);
-            let peer = self.peers.entry(sender).or_default();
-            peer.number = number;
-            peer.heard = now;
-            peer.demands = news
-                .demands
-                .iter()
-                .map(|d| (d.service, Demand { reading: f64::from(d.reading), slots: f64::from(d.slots) }))
-                .collect();
-            self.peer_changes(&news.changing, now);
+            self.drop_covered(&id, now);
+            self.replace_peer(id, &news.loads, now);
+            if let Some(peer) = self.peers.get_mut(&id.source) {
+                peer.demands = news.demands.iter().map(ServiceDemand::read).collect();
+            }
+            self.peer_changes(&news.changing, in_hall, now);
+        }
+        if in_hall {
+            self.hall_notes.extend(news.reads.iter().cloned());
+            self.hall_notes.truncate(MAX_HALL_NOTES);
         }
         for note in &news.reads {
             let replica = self.by_hash.get(&note.replica).and_then(|key| self.replicas.get_mut(*key));
@@ -160,7 +208,37 @@
         }
     }
 
-    fn peer_changes(&mut self, changing: &[ChangingEngine], now: Time) {
+    /// Whether a message of one daemon tells what that daemon's hall has told.
+    fn is_covered(&self, id: &NewsId) -> bool {
+        match id.source {
+            Source::Daemon(_) => id.hall != self.hall_id && self.peers.contains_key(&Source::Hall(id.hall)),
+            Source::Hall(hall) => hall == self.hall_id,
+        }
+    }
+
+    /// Forget what single daemons said of which their hall tells now.
+    fn drop_covered(&mut self, id: &NewsId, now: Time) {
+        let Source::Hall(hall) = id.source else {
+            return;
+        };
+        let covered: Vec<Source> =
+            self.peers.values().filter(|peer| peer.is_mate(hall)).map(|peer| peer.id.source).collect();
+        for source in covered {
+            self.forget_peer(source, now);
+        }
+    }
+
+    fn changing(&self, now: Time, by: impl Fn(&Replica) -> bool) -> Vec<ChangingEngine> {
+        let changing = self.replicas.values().filter(|replica| by(replica) && !replica.changing_until.is_past(now));
+        let changing = changing.map(|replica| ChangingEngine {
+            replica: short_id(&replica.facts.id),
+            to_prefill: replica.changing_to == Role::Prefill,
+            left_ms: replica.changing_until.since(now).as_millis() as u32,
+        });
+        changing.collect()
+    }
+
+    fn peer_changes(&mut self, changing: &[ChangingEngine], in_hall: bool, now: Time) {
         for change in changing {
             let to = if change.to_prefill { Role::Prefill } else { Role::Decode };
             let until = now + Span::millis(u64::from(change.left_ms));
@@ -170,25 +248,25 @@
             {
                 replica.changing_until = until;
                 replica.changing_to = to;
+                replica.ordered_in_hall = in_hall;
             }
         }
     }
 
-    /// Forget daemons that have been silent for long; returns the numbers of their runs.
+    /// Forget daemons and halls that have been silent for long; returns the runs of those that spoke.
     pub fn forget_silent(&mut self, now: Time) -> Vec<u64> {
-        let silent: Vec<u64> =
-            self.peers.iter().filter(|(_, peer)| now.since(peer.heard) > SILENT).map(|(sender, _)| *sender).collect();
-        for sender in &silent {
-            self.replace_peer(*sender, &[], now);
-            self.peers.remove(sender);
+        let silent: Vec<NewsId> =
+            self.peers.values().filter(|peer| now.since(peer.heard) > SILENT).map(|peer| peer.id).collect();
+        for id in &silent {
+            self.forget_peer(id.source, now);
         }
-        silent
+        silent.into_iter().map(|id| id.sender).collect()
     }
 
     /// Daemons heard of lately, this one included.
     #[must_use]
     pub fn daemons(&self) -> usize {
-        self.peers.len() + 1
+        self.peers.values().map(|peer| peer.id.daemons as usize).sum::<usize>() + 1
     }
 
     /// Age of the oldest view that a peer gave, in milliseconds.
@@ -197,14 +275,22 @@
         self.peers.values().map(|peer| now.since(peer.heard).as_millis()).max().unwrap_or(0)
     }
 
-    fn replace_peer(&mut self, sender: u64, loads: &[ReplicaLoad], now: Time) {
-        let before = std::mem::take(&mut self.peers.entry(sender).or_default().loads);
+    fn forget_peer(&mut self, source: Source, now: Time) {
+        if let Some(peer) = self.peers.get(&source) {
+            self.replace_peer(peer.id, &[], now);
+            self.peers.remove(&source);
+        }
+    }
+
+    fn replace_peer(&mut self, id: NewsId, loads: &[ReplicaLoad], now: Time) {
+        let before = self.peers.remove(&id.source).map(|peer| peer.loads).unwrap_or_default();
         for (key, load) in before {
             if let Some(replica) = self.replicas.get_mut(key) {
                 replica.peers = replica.peers.minus(load);
             }
         }
         let mut after = HashMap::with_capacity(loads.len());
+        let mut unreachable = Vec::new();
         for load in loads {
             let Some(key) = self.by_hash.get(&load.replica).copied() else {
                 continue;
@@ -214,10 +300,51 @@
                 replica.peers = replica.peers.plus(value);
                 if load.unreachable {
                     replica.doubted_until = now + DOUBT;
+                    unreachable.push(key);
                 }
             }
             after.insert(key, value);
         }
-        self.peers.entry(sender).or_default().loads = after;
+        self.peers.insert(id.source, PeerLoads { id, heard: now, loads: after, unreachable, demands: HashMap::new() });
+    }
+}
+
+impl NewsId {
+    /// Whether `other` is an older message of the same daemon.
+    const fn overtakes(&self, other: &Self) -> bool {
+        self.sender == other.sender && self.number >= other.number
+    }
+}
+
+impl PeerLoads {
+    /// Whether this is a single daemon of that hall.
+    const fn is_mate(&self, hall: u32) -> bool {
+        matches!(self.id.source, Source::Daemon(_)) && self.id.hall == hall
+    }
+}
+
+impl ServiceDemand {
+    const fn read(&self) -> (u32, Demand) {
+        (self.service, Demand { reading: self.reading as f64, slots: self.slots as f64 })
+    }
+}
+
+/// How a demand is told, if there is any.
+fn told((service, demand): (u32, Demand)) -> Option<ServiceDemand> {
+    let told = ServiceDemand { service, reading: demand.reading as f32, slots: demand.slots as f32 };
+    (told.reading > 0.0 || told.slots > 0.0).then_some(told)
+}
+
+fn is_left_out(replica: &Replica, now: Time) -> bool {
+    replica.health.ejected_until(now).is_some()
+}
+
+fn load_of(replica: &Replica, load: Load, unreachable: bool) -> ReplicaLoad {
+    ReplicaLoad {
+        replica: short_id(&replica.facts.id),
+        reading_ms: load.reading_ms as u32,
+        active: load.active,
+        streams: load.streams,
+        unreachable,
     }
 }
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -100,6 +100,8 @@
     pub changing_to: Role,
     /// Whether this daemon gave that order, and so tells the others.
     pub ordered_here: bool,
+    /// Whether a daemon of this hall gave that order.
+    pub ordered_in_hall: bool,
     /// From when on it may get an order; later than now while one may still take effect.
     pub orders_from: Time,
     slowness: f64,
@@ -122,6 +124,7 @@
             changing_until: Time(0),
             changing_to: Role::Plain,
             ordered_here: false,
+            ordered_in_hall: false,
             orders_from: Time(0),
             slowness: 1.0,
             slowness_at: Time(0),
--- a/crates/core/src/fleet/split.rs
+++ b/crates/core/src/fleet/split.rs
@@ -62,6 +62,14 @@
     pub slots: f64,
 }
 
+impl Demand {
+    /// Add another demand for the same service.
+    pub fn add(&mut self, other: Self) {
+        self.reading += other.reading;
+        self.slots += other.slots;
+    }
+}
+
 /// Measures the demand that this daemon sees.
 #[derive(Clone, Copy, Debug)]
 pub struct DemandMeter {
@@ -195,10 +203,11 @@
     pub fn demand(&self, service: &str, now: Time) -> Demand {
         let own = self.services.get(service).map_or_else(Demand::default, |state| state.meter.demand(now));
         let key = super::short_id(service);
-        self.peers
-            .values()
-            .filter_map(|peer| peer.demands.get(&key))
-            .fold(own, |sum, demand| Demand { reading: sum.reading + demand.reading, slots: sum.slots + demand.slots })
+        let mut sum = own;
+        for demand in self.peers.values().filter_map(|peer| peer.demands.get(&key)) {
+            sum.add(*demand);
+        }
+        sum
     }
 }
 
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -9,9 +9,10 @@
         budget::{Budget, BudgetTerms},
         cache::Cache,
         choose::{Ask, NoPlan, Plan, Step},
-        peers::{News, ReplicaLoad},
+        peers::{News, NewsId, ReplicaLoad, Source},
         policy::FleetPolicy,
-        replica::{ReplicaFacts, ReplicaKey},
+        replica::{Replica, ReplicaFacts, ReplicaKey},
+        short_id,
         split::Demand,
     },
     prompt::Prompt,
@@ -40,6 +41,16 @@
     }
 }
 
+/// Hash of the hall of the fleets of these tests.
+fn hall() -> u32 {
+    short_id("hall-1")
+}
+
+/// A message of a daemon of the same hall.
+fn said(sender: u64, number: u64) -> NewsId {
+    NewsId { source: Source::Daemon(sender), sender, number, hall: hall(), daemons: 1 }
+}
+
 fn with(replicas: &[(&str, Role)]) -> Fleet {
     let mut fleet = fleet();
     for (id, role) in replicas {
@@ -263,14 +274,14 @@
         other.begin(key, &step(key, 0.0, false), None, now());
     }
     let news = other.own_news(now());
-    fleet.peer_news(1, 5, &news, now());
+    fleet.peer_news(said(1, 5), &news, now());
     let chosen = |fleet: &Fleet| match fleet.choose(&ask(None, &[]), now()) {
         Ok(Plan::Whole(step)) => id(fleet, step.key),
         other => panic!("{other:?}"),
     };
     assert_eq!(chosen(&fleet), "b");
     let overtaken = News { loads: Vec::new(), ..news.clone() };
-    fleet.peer_news(1, 4, &overtaken, now());
+    fleet.peer_news(said(1, 4), &overtaken, now());
     let active = |fleet: &Fleet| fleet.replicas().map(|(_, replica)| replica.active()).sum::<u32>();
     assert_eq!(active(&fleet), 9);
     assert_eq!(fleet.daemons(), 2);
@@ -282,8 +293,8 @@
 fn a_peer_cannot_name_replicas_that_are_not_there() {
     let mut fleet = with(&[("a", Role::Plain)]);
     let unknown = ReplicaLoad { replica: 1, reading_ms: 9, active: 9, streams: 0, unreachable: false };
-    fleet.peer_news(1, 1, &News { loads: vec![unknown], ..News::default() }, now());
-    fleet.peer_news(1, 2, &News::default(), now());
+    fleet.peer_news(said(1, 1), &News { loads: vec![unknown], ..News::default() }, now());
+    fleet.peer_news(said(1, 2), &News::default(), now());
     assert_eq!(fleet.replicas().map(|(_, replica)| replica.active()).sum::<u32>(), 0);
 }
 
@@ -331,3 +342,59 @@
     }
     assert_eq!(fleet.next_shift(SERVICE, Demand { reading: 9.0, slots: 2.0 }, now()), None);
 }
+
+/// A fleet with one replica, in a hall of its own.
+fn in_hall(name: &str) -> Fleet {
+    let mut fleet = Fleet::new(name, FleetPolicy::default(), Time(0));
+    fleet.put(facts("a", Role::Plain), 1);
+    fleet
+}
+
+fn busy(active: u32) -> News {
+    let load = ReplicaLoad { replica: short_id("a"), reading_ms: 10, active, streams: 0, unreachable: active > 50 };
+    News { loads: vec![load], ..News::default() }
+}
+
+fn active_at_a(fleet: &Fleet) -> u32 {
+    fleet.key("a").and_then(|key| fleet.get(key)).map_or(0, Replica::active)
+}
+
+#[test]
+fn a_hall_is_summed_up_for_other_halls_and_counted_once() {
+    let mut relay = in_hall("hall-1");
+    relay.peer_news(said(1, 1), &busy(2), now());
+    relay.peer_news(said(2, 1), &busy(60), now());
+    let key = relay.key("a").expect("it is known");
+    relay.begin(key, &step(key, 0.0, false), None, now());
+    let (news, daemons) = relay.hall_news(now());
+    assert_eq!((news.loads[0].active, news.loads[0].unreachable, daemons), (63, true, 3));
+
+    let mut far = in_hall("hall-2");
+    far.peer_news(said(1, 1), &busy(2), now());
+    assert_eq!((active_at_a(&far), far.daemons()), (2, 2));
+    let digest = |sender, number| NewsId { source: Source::Hall(hall()), sender, number, hall: hall(), daemons };
+    far.peer_news(digest(9, 5), &news, now());
+    assert_eq!((active_at_a(&far), far.daemons()), (63, 4));
+    // A daemon of that hall is already in its sum; an older sum, or one of the own hall, is not taken.
+    far.peer_news(said(1, 2), &busy(2), now());
+    far.peer_news(digest(9, 4), &busy(1), now());
+    relay.peer_news(digest(9, 6), &busy(1), now());
+    assert_eq!((active_at_a(&far), active_at_a(&relay)), (63, 63));
+    // Another daemon may sum the hall up from now on.
+    far.peer_news(digest(8, 1), &busy(5), now());
+    assert_eq!(active_at_a(&far), 5);
+    // What other halls say is not passed on as this hall's.
+    assert_eq!(far.hall_news(now()).0.loads, Vec::new());
+    assert_eq!(far.forget_silent(now() + Span::millis(5_000)), [8]);
+    assert_eq!((active_at_a(&far), far.daemons()), (0, 1));
+}
+
+#[test]
+fn a_daemon_that_hears_nobody_spends_its_own_part_of_the_budget_only() {
+    let mut fleet = in_hall("hall-1");
+    let terms = BudgetTerms { ratio: 0.2, slack: 40.0, window: Span::seconds(10.0) };
+    fleet.set_listed(8);
+    let service: Arc<str> = Arc::from(SERVICE);
+    let taken = (0..40).filter(|_| fleet.take_repeats(1, &service, &terms, now())).count();
+    assert!((1..=5).contains(&taken), "{taken} repeats");
+}
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -1,7 +1,10 @@
 //! What daemons tell each other: the work that each has under way, in small datagrams.
 //!
 //! Daemons find each other through keys in the store that end with a lease, and through the
-//! datagrams themselves. A daemon that cannot reach the store asks a peer for what it has read.
+//! datagrams themselves. A few daemons all tell each other. Where there are many, each tells those
+//! of its hall, and the one with the best link sums up what the hall does: it sends that to one
+//! daemon of each other hall, drawn anew each time, which passes it on in its own hall. So no
+//! daemon needs to know who speaks for another hall, and one that is gone loses one message.
 
 use std::{
     collections::HashMap,
@@ -15,7 +18,7 @@
     kv::{Entry, LeaseId, Swap, Swapped},
 };
 use dahliaseam_core::{
-    fleet::peers::News,
+    fleet::peers::{News, NewsId, Source},
     time::{Span, Time},
 };
 use serde::{Deserialize, Serialize};
@@ -39,6 +42,12 @@
 const FOLLOWERS: usize = 3;
 /// Silence, of a daemon or of the store to it, after which it no longer counts as one that follows.
 const FOLLOWER_SILENT: Span = Span::millis(1_000);
+/// Daemons up to which all tell all. It keeps what each sends under a hundred kilobytes a second.
+const ALL_TELL_ALL: usize = 24;
+/// Time between two messages that sum up a hall. They cross halls, where bytes cost.
+const SUM_UP: Span = Span::millis(50);
+/// Silence after which another daemon of the hall sums it up.
+const SUMMER_SILENT: Span = Span::millis(1_000);
 /// Largest message that is read.
 const MAX_MESSAGE: usize = 8 << 10;
 /// Life of the lease under which a daemon is listed, in seconds. It must bridge a few lost calls.
@@ -61,6 +70,12 @@
     revision: i64,
     /// Hash of the sender's hall.
     hall: u32,
+    /// Megabits a second of the sender's link.
+    link_mbps: u32,
+    /// Daemons of the hall, if this sums it up; else it tells of the sender alone.
+    sums_up: Option<u32>,
+    /// Whether a daemon of another hall passes it on.
+    passed_on: bool,
     /// Milliseconds since the store last answered the sender itself, if it follows the store.
     store_age_ms: Option<u32>,
     news: News,
@@ -71,6 +86,10 @@
 struct Listing {
     /// Where it takes messages.
     load: SocketAddr,
+    /// Hash of its hall.
+    hall: u32,
+    /// Megabits a second of its link.
+    link_mbps: u32,
 }
 
 /// What another daemon last said of itself.
@@ -81,6 +100,7 @@
     state: SocketAddr,
     revision: i64,
     hall: u32,
+    link_mbps: u32,
     /// When the store last answered it, if it follows the store.
     followed_at: Option<Time>,
 }
@@ -89,8 +109,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Peers {
     seen: Mutex<HashMap<SocketAddr, Seen>>,
-    /// Where those take messages that are listed in the store, by key.
-    listed: Mutex<HashMap<String, SocketAddr>>,
+    /// Those that are listed in the store, by key.
+    listed: Mutex<HashMap<String, Listing>>,
 }
 
 impl Peers {
@@ -122,6 +142,7 @@
             state: message.state,
             revision: message.revision,
             hall: message.hall,
+            link_mbps: message.link_mbps,
             followed_at: age.map(|age| now - age),
         };
         self.lock().insert(from, seen).is_none()
@@ -130,28 +151,55 @@
     /// Note an entry of the store; those that list no daemon are of no interest here.
     pub(super) fn list(&self, entry: &Entry) {
         if let Ok(listing) = serde_json::from_str::<Listing>(&entry.value) {
-            self.listed().insert(entry.key.clone(), listing.load);
+            self.listed().insert(entry.key.clone(), listing);
         }
     }
 
+    /// Daemons that are listed.
+    pub(super) fn count_listed(&self) -> usize {
+        self.listed().len()
+    }
+
     /// Note that an entry of the store is gone.
     pub(super) fn unlist(&self, key: &str) {
         self.listed().remove(key);
     }
 
-    /// All that are to be told: listed, or heard of lately.
-    fn all(&self, own: SocketAddr, now: Time) -> Vec<SocketAddr> {
+    /// All other daemons that are listed, or were heard of lately, each with the hash of its hall.
+    fn all(&self, own: SocketAddr, now: Time) -> Vec<(SocketAddr, u32)> {
         let mut seen = self.lock();
         seen.retain(|_, peer| now.since(peer.at) < FORGET);
         let listed = self.listed();
-        let known = seen.keys().copied().chain(listed.values().copied());
-        let mut all: Vec<SocketAddr> = known.filter(|address| *address != own).collect();
+        let heard = seen.iter().map(|(address, peer)| (*address, peer.hall));
+        let known = heard.chain(listed.values().map(|listing| (listing.load, listing.hall)));
+        let mut all: Vec<_> = known.filter(|(address, _)| *address != own).collect();
         all.sort_unstable();
-        all.dedup();
+        all.dedup_by_key(|(address, _)| *address);
         all
     }
 
-    fn listed(&self) -> MutexGuard<'_, HashMap<String, SocketAddr>> {
+    /// Whether no other daemon of the hall that is heard has a better link.
+    fn sums_up(&self, own: (u32, u64), hall: u32, now: Time) -> bool {
+        let seen = self.lock();
+        let mates = seen.values().filter(|peer| peer.hall == hall && now.since(peer.at) < SUMMER_SILENT);
+        mates.map(|peer| (peer.link_mbps, peer.sender)).all(|mate| mate < own)
+    }
+
+    /// One listed daemon of each other hall, drawn among the better half of links there.
+    fn one_of_each_hall(&self, own_hall: u32, draw: u64) -> Vec<SocketAddr> {
+        let mut halls: HashMap<u32, Vec<Listing>> = HashMap::new();
+        for listing in self.listed().values().filter(|listing| listing.hall != own_hall) {
+            halls.entry(listing.hall).or_default().push(*listing);
+        }
+        let drawn = halls.into_values().map(|mut daemons| {
+            daemons.sort_unstable_by_key(|listing| (std::cmp::Reverse(listing.link_mbps), listing.load));
+            let better = daemons.len().div_ceil(2);
+            daemons[draw as usize % better].load
+        });
+        drawn.collect()
+    }
+
+    fn listed(&self) -> MutexGuard<'_, HashMap<String, Listing>> {
         self.listed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -177,21 +225,38 @@
 
 async fn tell(gw: &Gateway, socket: &UdpSocket) {
     let mut number = 0;
+    let mut sum_up_at = Time(0);
     loop {
         let _ = tokio::time::timeout(LONGEST, gw.load_changed.notified()).await;
         number += 1;
-        let news = gw.fleet().own_news(gw.now());
-        let message = message(gw, number, news);
-        let told = gw.peers.all(gw.settings.load_address, gw.now());
-        match postcard::to_allocvec(&message) {
-            Ok(bytes) => send(gw, socket, &told, &bytes).await,
-            Err(e) => emit!(error, PEER_MESSAGE_LOST, why = %e),
+        let now = gw.now();
+        let all = gw.peers.all(gw.settings.load_address, now);
+        gw.fleet().set_listed(gw.peers.count_listed());
+        let told = whom_to_tell(gw, &all);
+        let news = gw.fleet().own_news(now);
+        tell_of(gw, socket, message(gw, number, None, news), &told).await;
+        if told.len() < all.len() && sum_up_at.is_past(now) && gw.peers.sums_up(rank(gw), gw.hall, now) {
+            sum_up_at = now + SUM_UP;
+            let (news, daemons) = gw.fleet().hall_news(now);
+            let others = gw.peers.one_of_each_hall(gw.hall, gw.draw());
+            tell_of(gw, socket, message(gw, number, Some(daemons), news), &others).await;
         }
         tokio::time::sleep(SHORTEST.max(EACH * told.len() as u32)).await;
     }
 }
 
-fn message(gw: &Gateway, number: u64, news: News) -> Message {
+/// All daemons where they are few; else those of the same hall.
+fn whom_to_tell(gw: &Gateway, all: &[(SocketAddr, u32)]) -> Vec<SocketAddr> {
+    let few = all.len() < ALL_TELL_ALL;
+    all.iter().filter(|(_, hall)| few || *hall == gw.hall).map(|(address, _)| *address).collect()
+}
+
+/// What decides who sums up a hall: the link, then the run.
+fn rank(gw: &Gateway) -> (u32, u64) {
+    (gw.settings.link_mbps as u32, gw.start)
+}
+
+fn message(gw: &Gateway, number: u64, sums_up: Option<u32>, news: News) -> Message {
     let now = gw.now();
     let copies = gw.copies();
     let age = copies.following.then(|| now.since(copies.heard).as_millis() as u32);
@@ -201,11 +266,21 @@
         state: gw.settings.peer_address,
         revision: copies.revision,
         hall: gw.hall,
+        link_mbps: gw.settings.link_mbps as u32,
+        sums_up,
+        passed_on: false,
         store_age_ms: age,
         news,
     }
 }
 
+async fn tell_of(gw: &Gateway, socket: &UdpSocket, message: Message, to: &[SocketAddr]) {
+    match postcard::to_allocvec(&message) {
+        Ok(bytes) => send(gw, socket, to, &bytes).await,
+        Err(e) => emit!(error, PEER_MESSAGE_LOST, why = %e),
+    }
+}
+
 async fn send(gw: &Gateway, socket: &UdpSocket, to: &[SocketAddr], bytes: &[u8]) {
     for address in to {
         match socket.send_to(bytes, address).await {
@@ -238,17 +313,35 @@
             continue;
         }
         gw.metrics.peer_message("received");
-        let now = gw.now();
-        if gw.peers.hear(from, &message, now) {
-            emit!(info, PEER_HEARD, peer = %from, sender = message.sender, revision = message.revision);
-        }
-        if message.revision > gw.copies().revision {
-            gw.peer_ahead.notify_one();
+        take_in(gw, from, &message);
+        if message.sums_up.is_some() && !message.passed_on && message.hall != gw.hall {
+            pass_on(gw, socket, message).await;
         }
-        gw.fleet().peer_news(message.sender, message.number, &message.news, now);
     }
 }
 
+fn take_in(gw: &Gateway, from: SocketAddr, message: &Message) {
+    let now = gw.now();
+    if !message.passed_on && gw.peers.hear(from, message, now) {
+        emit!(info, PEER_HEARD, peer = %from, sender = message.sender, revision = message.revision);
+    }
+    if message.revision > gw.copies().revision {
+        gw.peer_ahead.notify_one();
+    }
+    let source = message.sums_up.map_or(Source::Daemon(message.sender), |_| Source::Hall(message.hall));
+    let daemons = message.sums_up.unwrap_or(1);
+    let id = NewsId { source, sender: message.sender, number: message.number, hall: message.hall, daemons };
+    gw.fleet().peer_news(id, &message.news, now);
+}
+
+/// Tell this hall what another one does.
+async fn pass_on(gw: &Gateway, socket: &UdpSocket, message: Message) {
+    let all = gw.peers.all(gw.settings.load_address, gw.now());
+    let mates: Vec<SocketAddr> =
+        all.into_iter().filter(|(_, hall)| *hall == gw.hall).map(|(address, _)| address).collect();
+    tell_of(gw, socket, Message { passed_on: true, ..message }, &mates).await;
+}
+
 /// Keep this daemon listed in the store.
 async fn be_listed(gw: &Gateway) {
     let key = format!("{}{}", prefix(gw), gw.settings.vm);
@@ -275,7 +368,8 @@
         return Ok(lease);
     }
     let lease = kv.grant(LISTED_S).await?;
-    let listing = Listing { load: gw.settings.load_address };
+    let (link_mbps, _) = rank(gw);
+    let listing = Listing { load: gw.settings.load_address, hall: gw.hall, link_mbps };
     let value = serde_json::to_string(&listing).map_err(|e| CallError::NotSent(e.to_string()))?;
     let mut expect = present.map_or(0, |entry| entry.revision);
     loop {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -10,7 +10,7 @@
 
 use dahliaseam_border::{dialect::SharedDialect, feed::ChangeFeed, kv::KeyValue};
 use dahliaseam_core::{
-    fleet::{Fleet, budget::BudgetTerms},
+    fleet::{Fleet, budget::BudgetTerms, short_id},
     route::RouteTable,
     time::{Span, Time},
 };
@@ -123,7 +123,7 @@
             stop: Stop::default(),
             load_changed: Notify::new(),
             peer_ahead: Notify::new(),
-            hall: dahliaseam_core::hash::bytes(settings.hall.as_bytes()) as u32,
+            hall: short_id(&settings.hall),
             seeds: Mutex::new(settings.seeds.clone()),
             retries: Mutex::new(settings.retries),
             table: Mutex::new(None),
