Ask the store at most four times a second, and by two daemons of a large hall

Cause: calls to the store were the largest price on the grown sites. Most are waiting calls, which each change ends. A change is in force up to 150 ms later, of 2 s or more.

--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -36,7 +36,7 @@
 const WAIT_SHARE: f64 = 0.6;
 /// Time between two calls of a watch, so that changes that come together take one call. It is
 /// small against the seconds in which a change must be in force.
-const BETWEEN: Duration = Duration::from_millis(100);
+const BETWEEN: Duration = Duration::from_millis(250);
 /// Time between two looks whether others still follow the store.
 const REST: Duration = Duration::from_millis(200);
 /// Removed keys that are remembered for daemons that ask for what changed.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -38,8 +38,8 @@
 /// Longest time between two messages, so that silence means something.
 const LONGEST: Duration = Duration::from_millis(400);
 /// Daemons of a hall that follow the store; the others learn from them. Each call counts, and
-/// one or two of them may be gone at any time.
-const FOLLOWERS: usize = 3;
+/// one of them may be gone at any time.
+const FOLLOWERS: usize = 2;
 /// Silence, of a daemon or of the store to it, after which it no longer counts as one that follows.
 const FOLLOWER_SILENT: Span = Span::millis(1_000);
 /// Daemons up to which all tell all; with more, news would be older than a read takes.
