--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -48,7 +48,7 @@
 /// Milliseconds that a replica counts more whose entry lapsed, or that a peer could not reach.
 const DOUBT_MS: f64 = 80.0;
 /// Milliseconds of chance for each daemon, and at most.
-const SPREAD_MS_EACH: f64 = 0.4;
+const SPREAD_MS_EACH: f64 = 0.15;
 /// See [`SPREAD_MS_EACH`].
 const SPREAD_MS_MOST: f64 = 25.0;
 /// Part of its remaining time after which a caller does not come back any more.
