Let the daemons with the best links follow the store for their hall

A link of 10 Mbit/s is then full for seconds: news of peers was 554 ms old there, connections in its own hall took over 120 ms, and four tries in a row failed at four sound replicas. Ruled out: the link's outgoing estimate (bodies sent are counted), the replicas (others reached them meanwhile). Change: those with the best links follow and are asked first.

--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -22,6 +22,7 @@
     gateway::{
         attempt::duration,
         borrow::{CopiedEntry, StoreCopy},
+        peers::rank,
         state::Gateway,
     },
 };
@@ -128,7 +129,7 @@
     let mut retry = RETRY.0;
     loop {
         let read = gw.copies().revision > 0;
-        if read && gw.peers.followed(gw.start, gw.hall, gw.now()) {
+        if read && gw.peers.followed(rank(gw), gw.hall, gw.now()) {
             rest(gw).await;
             continue;
         }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -92,6 +92,14 @@
     link_mbps: u32,
 }
 
+/// Order of the daemons of a hall: those with better links do what is done for the hall.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    link_mbps: u32,
+    /// The run, so that no two are equal.
+    run: u64,
+}
+
 /// What another daemon last said of itself.
 #[derive(Clone, Copy, Debug)]
 struct Seen {
@@ -105,6 +113,12 @@
     followed_at: Option<Time>,
 }
 
+impl Seen {
+    const fn rank(&self) -> Rank {
+        Rank { link_mbps: self.link_mbps, run: self.sender }
+    }
+}
+
 /// Other daemons, by where they take messages.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
@@ -119,16 +133,17 @@
     pub(super) fn ahead_of(&self, revision: i64, hall: u32) -> Option<SocketAddr> {
         let seen = self.lock();
         let ahead = seen.values().filter(|peer| peer.revision > revision);
-        ahead.max_by_key(|peer| (peer.hall == hall, peer.revision)).map(|peer| peer.state)
+        ahead.max_by_key(|peer| (peer.hall == hall, peer.revision, peer.link_mbps)).map(|peer| peer.state)
     }
 
-    /// Whether enough other daemons of the hall follow the store, so that this one need not.
-    pub(super) fn followed(&self, own: u64, hall: u32, now: Time) -> bool {
+    /// Whether enough other daemons of the hall, with better links, follow the store, so that this
+    /// one need not. A large configuration goes out to all of the hall from those that do.
+    pub(super) fn followed(&self, own: Rank, hall: u32, now: Time) -> bool {
         let fresh = |at: Time| now.since(at) < FOLLOWER_SILENT;
         let seen = self.lock();
         let followers = seen.values().filter(|peer| {
             let following = peer.followed_at.is_some_and(fresh) && fresh(peer.at);
-            following && peer.hall == hall && peer.sender < own
+            following && peer.hall == hall && peer.rank() > own
         });
         followers.count() >= FOLLOWERS
     }
@@ -179,10 +194,10 @@
     }
 
     /// Whether no other daemon of the hall that is heard has a better link.
-    fn sums_up(&self, own: (u32, u64), hall: u32, now: Time) -> bool {
+    fn sums_up(&self, own: Rank, hall: u32, now: Time) -> bool {
         let seen = self.lock();
-        let mates = seen.values().filter(|peer| peer.hall == hall && now.since(peer.at) < SUMMER_SILENT);
-        mates.map(|peer| (peer.link_mbps, peer.sender)).all(|mate| mate < own)
+        let mut mates = seen.values().filter(|peer| peer.hall == hall && now.since(peer.at) < SUMMER_SILENT);
+        mates.all(|mate| mate.rank() < own)
     }
 
     /// One listed daemon of each other hall, drawn among the better half of links there.
@@ -251,9 +266,9 @@
     all.iter().filter(|(_, hall)| few || *hall == gw.hall).map(|(address, _)| *address).collect()
 }
 
-/// What decides who sums up a hall: the link, then the run.
-fn rank(gw: &Gateway) -> (u32, u64) {
-    (gw.settings.link_mbps as u32, gw.start)
+/// This daemon's rank.
+pub(super) fn rank(gw: &Gateway) -> Rank {
+    Rank { link_mbps: gw.settings.link_mbps as u32, run: gw.start }
 }
 
 fn message(gw: &Gateway, number: u64, sums_up: Option<u32>, news: News) -> Message {
@@ -368,7 +383,7 @@
         return Ok(lease);
     }
     let lease = kv.grant(LISTED_S).await?;
-    let (link_mbps, _) = rank(gw);
+    let Rank { link_mbps, .. } = rank(gw);
     let listing = Listing { load: gw.settings.load_address, hall: gw.hall, link_mbps };
     let value = serde_json::to_string(&listing).map_err(|e| CallError::NotSent(e.to_string()))?;
     let mut expect = present.map_or(0, |entry| entry.revision);
