--- a/crates/daemon/src/bin/dahliaseamd/routes.rs
+++ b/crates/daemon/src/bin/dahliaseamd/routes.rs
@@ -1,6 +1,10 @@
 //! The process of a daemon that serves by routes.
 
-use std::sync::Arc;
+use std::{
+    path::Path,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
 
 use dahliaseam_platform::{dialect::PlatformDialect, store::Store};
 use dahliaseam_settings::gateway::GatewaySettings;
@@ -14,6 +18,9 @@
 
 use crate::app::App;
 
+/// Time between two looks whether the settings file was written without a signal.
+const LOOK: Duration = Duration::from_secs(2);
+
 /// Run the daemon until it is told to stop.
 ///
 /// # Errors
@@ -46,17 +53,36 @@
         dropped_lines: Some(log.dropped()),
     };
     let daemon = GatewayController::start(settings, outside).await?;
+    let mut written = Written::of(&app.settings);
     loop {
         tokio::select! {
             _ = term.recv() => break,
             _ = tokio::signal::ctrl_c() => break,
-            _ = hangup.recv() => reload(app, &daemon),
+            _ = hangup.recv() => {}
+            () = tokio::time::sleep(LOOK) => {
+                if Written::of(&app.settings) == written {
+                    continue;
+                }
+            }
         }
+        written = Written::of(&app.settings);
+        reload(app, &daemon);
     }
     daemon.stop().await;
     Ok(())
 }
 
+/// What tells whether a file was written again; nothing while it is not there.
+#[derive(Debug, PartialEq, Eq)]
+struct Written(Option<(SystemTime, u64)>);
+
+impl Written {
+    fn of(file: &Path) -> Self {
+        let told = std::fs::metadata(file).and_then(|facts| Ok((facts.modified()?, facts.len())));
+        Self(told.ok())
+    }
+}
+
 /// Read the settings again. A file that cannot be used changes nothing.
 fn reload(app: &App, daemon: &GatewayController) {
     match GatewaySettings::load(&app.settings) {
