Pack the copies that daemons take from each other, and wait longer for them

A copy was half a megabyte of JSON; a link of 10 Mbit/s needs 0.4 s for one, the answer was given up after 0.5 s, and all of a hall ask at once, so it was asked for again. Change: deflate, and one second for the answer.

--- a/crates/daemon/src/gateway/borrow.rs
+++ b/crates/daemon/src/gateway/borrow.rs
@@ -1,17 +1,29 @@
 //! Copies of what lies in the store, taken from another daemon while the store is out of reach.
 //!
+//! A copy is packed: a configuration of many routes is half a megabyte of text that repeats itself,
+//! a link of ten megabits would need seconds for the copies of a hall.
+//!
 //! The store may turn some VMs away and serve the others, and where there are many daemons only
 //! a few follow it. Daemons tell each other in their messages how far they have followed it; one
 //! that is cut off, or leaves it to others, asks another that is ahead.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io::{BufReader, Read},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use dahliaseam_border::{
+    error::CallError,
     feed::{Change, Snapshot},
     http::{HttpClient, Reuse},
     kv::Entry,
 };
 use dahliaseam_core::time::Span;
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use http::{Request, StatusCode};
+use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -26,8 +38,11 @@
 /// Silence of the store after which another daemon is asked. The store itself answers in
 /// milliseconds, and what it says is newer.
 const PATIENCE: Span = Span::millis(600);
-/// Time for another daemon's answer.
-const ANSWER: Duration = Duration::from_millis(500);
+/// Time for another daemon's answer. A large configuration takes a small link some hundred
+/// milliseconds, and others of the hall ask at the same time.
+const ANSWER: Duration = Duration::from_secs(1);
+/// Bytes of an unpacked copy at most: the largest value of the store a few times over.
+const MAX_COPY: u64 = 8 << 20;
 
 /// What a daemon has read from the store.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -44,6 +59,22 @@
     pub(super) grace_ms: u64,
 }
 
+impl StoreCopy {
+    /// The copy as it is sent.
+    pub(super) fn pack(&self) -> Result<Vec<u8>, CallError> {
+        let unsent = |e: &dyn std::error::Error| CallError::NotSent(e.to_string());
+        let mut packed = DeflateEncoder::new(Vec::new(), Compression::fast());
+        serde_json::to_writer(&mut packed, self).map_err(|e| unsent(&e))?;
+        packed.finish().map_err(|e| unsent(&e))
+    }
+
+    /// Read a copy that was sent.
+    fn unpack(packed: &[u8]) -> Result<Self, CallError> {
+        let text = DeflateDecoder::new(packed).take(MAX_COPY);
+        serde_json::from_reader(BufReader::new(text)).map_err(|e| CallError::Lost(format!("unreadable copy: {e}")))
+    }
+}
+
 /// One entry.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct CopiedEntry {
@@ -129,7 +160,7 @@
 
 async fn ask(gw: &Arc<Gateway>, client: &HttpClient, from: SocketAddr) {
     let after = gw.copies().revision;
-    match client.get::<StoreCopy>(&format!("http://{from}{STATE_PATH}?after={after}"), ANSWER).await {
+    match fetch(client, from, after).await {
         Ok(copy) if copy.revision > gw.copies().revision => {
             let (revision, whole) = (copy.revision, copy.whole);
             emit!(info, BORROWED, peer = %from, after, revision, whole, entries = copy.entries.len());
@@ -139,3 +170,12 @@
         Err(e) => emit!(info, NOT_BORROWED, peer = %from, why = %e),
     }
 }
+
+async fn fetch(client: &HttpClient, from: SocketAddr, after: i64) -> Result<StoreCopy, CallError> {
+    let url = format!("http://{from}{STATE_PATH}?after={after}");
+    let req = Request::get(url).body(Full::default()).map_err(|e| CallError::NotSent(e.to_string()))?;
+    match client.fetch(req, ANSWER).await? {
+        (StatusCode::OK, packed) => StoreCopy::unpack(&packed),
+        (status, _) => Err(CallError::Lost(format!("status {status}"))),
+    }
+}
--- a/crates/daemon/src/gateway/pages.rs
+++ b/crates/daemon/src/gateway/pages.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use axum::{
-    Json, Router,
+    Router,
     extract::{Query, State},
     response::{IntoResponse, Response},
     routing::get,
@@ -11,11 +11,10 @@
 use http::{StatusCode, header::CONTENT_TYPE};
 use serde::Deserialize;
 
-use crate::gateway::{
-    borrow::{STATE_PATH, StoreCopy},
-    state::Gateway,
-};
+use crate::gateway::{borrow::STATE_PATH, state::Gateway};
 
+/// Media type of a packed copy.
+const PACKED: &str = "application/octet-stream";
 /// Media type of Prometheus text.
 const PROMETHEUS: &str = "text/plain; version=0.0.4";
 
@@ -43,9 +42,13 @@
     after: i64,
 }
 
-async fn copy(State(gw): State<Arc<Gateway>>, Query(query): Query<CopyQuery>) -> Json<StoreCopy> {
+async fn copy(State(gw): State<Arc<Gateway>>, Query(query): Query<CopyQuery>) -> Response {
     let now = gw.now();
-    Json(gw.copies().copy(query.after, now))
+    let copy = gw.copies().copy(query.after, now);
+    match copy.pack() {
+        Ok(packed) => ([(CONTENT_TYPE, PACKED)], packed).into_response(),
+        Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()).into_response(),
+    }
 }
 
 async fn is_ready(State(gw): State<Arc<Gateway>>) -> Response {
