Bound what peers tell by parts of prompts; the table of peers has a file of its own

Cause (found by reading): a message names up to 96 prompts with all their parts; prompts of many parts made it larger than the buffer that reads it, so every one of them would have been lost. Change: 384 parts in a message at most, and a buffer as large as a datagram can be. The rest is moved: peers.rs keeps what runs, peer_table.rs what is known of other daemons.

--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -31,6 +31,10 @@
 /// time between two of them.
 const MAX_HALL_NOTES: usize = 96;
 
+/// Parts of prompts in one message at most, of some fourteen bytes each, so that a datagram holds it
+/// whatever prompts are made of.
+const MAX_PARTS: usize = 384;
+
 /// Whose work a message tells of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Source {
@@ -139,6 +143,7 @@
     pub fn own_news(&mut self, now: Time) -> News {
         let mut reads = std::mem::take(&mut self.notes);
         reads.truncate(MAX_NOTES);
+        shorten(&mut reads);
         self.hall_notes.extend(reads.iter().cloned());
         self.hall_notes.truncate(MAX_HALL_NOTES);
         let busy = self.replicas.values().filter(|replica| replica.own.active > 0 || is_left_out(replica, now));
@@ -170,9 +175,11 @@
             }
         }
         let daemons = mates.len() as u32 + 1;
+        let mut reads = std::mem::take(&mut self.hall_notes);
+        shorten(&mut reads);
         let news = News {
             loads,
-            reads: std::mem::take(&mut self.hall_notes),
+            reads,
             demands: demands.into_iter().filter_map(told).collect(),
             changing: self.changing(now, |replica| replica.ordered_here || replica.ordered_in_hall),
         };
@@ -335,6 +342,15 @@
     (told.reading > 0.0 || told.slots > 0.0).then_some(told)
 }
 
+/// Leave out the last notes, so that the parts of all together fit into a message.
+fn shorten(notes: &mut Vec<ReadNote>) {
+    let mut parts = 0;
+    notes.retain(|note| {
+        parts += note.parts.len();
+        parts <= MAX_PARTS
+    });
+}
+
 fn is_left_out(replica: &Replica, now: Time) -> bool {
     replica.health.ejected_until(now).is_some()
 }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -398,3 +398,19 @@
     let taken = (0..40).filter(|_| fleet.take_repeats(1, &service, &terms, now())).count();
     assert!((1..=5).contains(&taken), "{taken} repeats");
 }
+
+#[test]
+fn messages_stay_small_whatever_prompts_are_made_of() {
+    let mut fleet = in_hall("hall-1");
+    let key = fleet.key("a").expect("it is known");
+    for n in 0..200 {
+        let prompt = Prompt::new("m", (0..60).map(|part| (n * 100 + part, 100)), 6_000, 10);
+        fleet.begin(key, &step(key, 0.0, false), Some(&prompt), now());
+    }
+    let parts = |news: &News| news.reads.iter().map(|note| note.parts.len()).sum::<usize>();
+    let own = fleet.own_news(now());
+    fleet.peer_news(said(1, 1), &own, now());
+    let (sum, _) = fleet.hall_news(now());
+    assert!((1..=400).contains(&parts(&own)), "{} parts", parts(&own));
+    assert!((1..=400).contains(&parts(&sum)), "{} parts", parts(&sum));
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! [`ending`]), [`attempt`] (one try), [`upstream`] (connections to replicas) and [`relay`] (the
 //! answer as it arrives). Beside it run [`follow`] (configuration and replicas from the store),
 //! [`borrow`] (the same from another daemon while the store is out of reach), [`peers`] (what
-//! daemons tell each other), [`orders`] (roles of engines) and [`pages`] (readiness, metrics).
+//! daemons tell each other, with [`peer_table`]), [`orders`] (roles of engines) and [`pages`] (readiness, metrics).
 //! [`state`] is what they share, and [`controller`] starts and stops them.
 
 mod answer;
@@ -19,6 +19,7 @@
 mod metrics;
 mod orders;
 mod pages;
+mod peer_table;
 mod peers;
 mod relay;
 mod request;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -6,16 +6,11 @@
 //! daemon of each other hall, drawn anew each time, which passes it on in its own hall. So no
 //! daemon needs to know who speaks for another hall, and one that is gone loses one message.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use dahliaseam_border::{
     error::CallError,
-    kv::{Entry, LeaseId, Swap, Swapped},
+    kv::{LeaseId, Swap, Swapped},
 };
 use dahliaseam_core::{
     fleet::peers::{News, NewsId, Source},
@@ -26,7 +21,11 @@
 
 use crate::{
     emit,
-    gateway::{attempt::duration, state::Gateway},
+    gateway::{
+        attempt::duration,
+        peer_table::{Listing, Rank, Seen},
+        state::Gateway,
+    },
 };
 
 /// Shortest time between two messages. A prompt takes an engine some tens of milliseconds, so
@@ -37,25 +36,16 @@
 const EACH: Duration = Duration::from_millis(1);
 /// Longest time between two messages, so that silence means something.
 const LONGEST: Duration = Duration::from_millis(400);
-/// Daemons of a hall that follow the store; the others learn from them. Each call counts, and
-/// one of them may be gone at any time.
-const FOLLOWERS: usize = 2;
-/// Silence, of a daemon or of the store to it, after which it no longer counts as one that follows.
-const FOLLOWER_SILENT: Span = Span::millis(1_000);
 /// Daemons up to which all tell all; with more, news would be older than a read takes.
 const ALL_TELL_ALL: usize = 24;
 /// Time between two messages that sum up a hall. They cross halls, where bytes cost.
 const SUM_UP: Span = Span::millis(20);
-/// Silence after which another daemon of the hall sums it up.
-const SUMMER_SILENT: Span = Span::millis(1_000);
-/// Largest message that is read.
-const MAX_MESSAGE: usize = 8 << 10;
+/// Largest message that is read; a datagram is never larger. What is told stays far below it.
+const MAX_MESSAGE: usize = 64 << 10;
 /// Life of the lease under which a daemon is listed, in seconds. It must bridge a few lost calls.
 const LISTED_S: u64 = 10;
 /// Time between two renewals.
 const RENEW: Duration = Duration::from_secs(3);
-/// Time after which a daemon that is neither listed nor heard is no longer told anything.
-const FORGET: Span = Span::millis(5_000);
 
 /// One message.
 #[derive(Debug, Serialize, Deserialize)]
@@ -81,146 +71,20 @@
     news: News,
 }
 
-/// How a daemon is listed in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Listing {
-    /// Where it takes messages.
-    load: SocketAddr,
-    /// Hash of its hall.
-    hall: u32,
-    /// Megabits a second of its link.
-    link_mbps: u32,
-}
-
-/// Order of the daemons of a hall: those with better links do what is done for the hall.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Rank {
-    link_mbps: u32,
-    /// The run, so that no two are equal.
-    run: u64,
-}
-
-/// What another daemon last said of itself.
-#[derive(Clone, Copy, Debug)]
-struct Seen {
-    at: Time,
-    sender: u64,
-    state: SocketAddr,
-    revision: i64,
-    hall: u32,
-    link_mbps: u32,
-    /// When the store last answered it, if it follows the store.
-    followed_at: Option<Time>,
-}
-
-impl Seen {
-    const fn rank(&self) -> Rank {
-        Rank { link_mbps: self.link_mbps, run: self.sender }
-    }
-}
-
-/// Other daemons, by where they take messages.
-#[derive(Debug, Default)]
-pub(super) struct Peers {
-    seen: Mutex<HashMap<SocketAddr, Seen>>,
-    /// Those that are listed in the store, by key.
-    listed: Mutex<HashMap<String, Listing>>,
-}
-
-impl Peers {
-    /// Where the state of a daemon can be read that has followed the store beyond `revision`,
-    /// best one in the same hall.
-    pub(super) fn ahead_of(&self, revision: i64, hall: u32) -> Option<SocketAddr> {
-        let seen = self.lock();
-        let ahead = seen.values().filter(|peer| peer.revision > revision);
-        ahead.max_by_key(|peer| (peer.hall == hall, peer.revision, peer.link_mbps)).map(|peer| peer.state)
-    }
-
-    /// Whether enough other daemons of the hall, with better links, follow the store, so that this
-    /// one need not. A large configuration goes out to all of the hall from those that do.
-    pub(super) fn followed(&self, own: Rank, hall: u32, now: Time) -> bool {
-        let fresh = |at: Time| now.since(at) < FOLLOWER_SILENT;
-        let seen = self.lock();
-        let followers = seen.values().filter(|peer| {
-            let following = peer.followed_at.is_some_and(fresh) && fresh(peer.at);
-            following && peer.hall == hall && peer.rank() > own
-        });
-        followers.count() >= FOLLOWERS
-    }
-
-    /// Note a message; returns whether it is the first of that daemon.
-    fn hear(&self, from: SocketAddr, message: &Message, now: Time) -> bool {
-        let age = message.store_age_ms.map(|ms| Span::millis(u64::from(ms)));
-        let seen = Seen {
+impl Message {
+    /// What the sender says of itself.
+    fn seen(&self, now: Time) -> Seen {
+        let age = self.store_age_ms.map(|ms| Span::millis(u64::from(ms)));
+        Seen {
             at: now,
-            sender: message.sender,
-            state: message.state,
-            revision: message.revision,
-            hall: message.hall,
-            link_mbps: message.link_mbps,
+            sender: self.sender,
+            state: self.state,
+            revision: self.revision,
+            hall: self.hall,
+            link_mbps: self.link_mbps,
             followed_at: age.map(|age| now - age),
-        };
-        self.lock().insert(from, seen).is_none()
-    }
-
-    /// Note an entry of the store; those that list no daemon are of no interest here.
-    pub(super) fn list(&self, entry: &Entry) {
-        if let Ok(listing) = serde_json::from_str::<Listing>(&entry.value) {
-            self.listed().insert(entry.key.clone(), listing);
         }
     }
-
-    /// Daemons that are listed.
-    pub(super) fn count_listed(&self) -> usize {
-        self.listed().len()
-    }
-
-    /// Note that an entry of the store is gone.
-    pub(super) fn unlist(&self, key: &str) {
-        self.listed().remove(key);
-    }
-
-    /// All other daemons that are listed, or were heard of lately, each with the hash of its hall.
-    fn all(&self, own: SocketAddr, now: Time) -> Vec<(SocketAddr, u32)> {
-        let mut seen = self.lock();
-        seen.retain(|_, peer| now.since(peer.at) < FORGET);
-        let listed = self.listed();
-        let heard = seen.iter().map(|(address, peer)| (*address, peer.hall));
-        let known = heard.chain(listed.values().map(|listing| (listing.load, listing.hall)));
-        let mut all: Vec<_> = known.filter(|(address, _)| *address != own).collect();
-        all.sort_unstable();
-        all.dedup_by_key(|(address, _)| *address);
-        all
-    }
-
-    /// Whether no other daemon of the hall that is heard has a better link.
-    fn sums_up(&self, own: Rank, hall: u32, now: Time) -> bool {
-        let seen = self.lock();
-        let mut mates = seen.values().filter(|peer| peer.hall == hall && now.since(peer.at) < SUMMER_SILENT);
-        mates.all(|mate| mate.rank() < own)
-    }
-
-    /// One listed daemon of each other hall, drawn among the better half of links there.
-    fn one_of_each_hall(&self, own_hall: u32, draw: u64) -> Vec<SocketAddr> {
-        let mut halls: HashMap<u32, Vec<Listing>> = HashMap::new();
-        for listing in self.listed().values().filter(|listing| listing.hall != own_hall) {
-            halls.entry(listing.hall).or_default().push(*listing);
-        }
-        let drawn = halls.into_values().map(|mut daemons| {
-            daemons.sort_unstable_by_key(|listing| (std::cmp::Reverse(listing.link_mbps), listing.load));
-            let better = daemons.len().div_ceil(2);
-            daemons[draw as usize % better].load
-        });
-        drawn.collect()
-    }
-
-    fn listed(&self) -> MutexGuard<'_, HashMap<String, Listing>> {
-        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Seen>> {
-        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 fn prefix(gw: &Gateway) -> String {
@@ -337,7 +201,7 @@
 
 fn take_in(gw: &Gateway, from: SocketAddr, message: &Message) {
     let now = gw.now();
-    if !message.passed_on && gw.peers.hear(from, message, now) {
+    if !message.passed_on && gw.peers.hear(from, message.seen(now)) {
         emit!(info, PEER_HEARD, peer = %from, sender = message.sender, revision = message.revision);
     }
     if message.revision > gw.copies().revision {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     clock::Clock,
-    gateway::{follow::Copies, link::Link, metrics::GatewayMetrics, peers::Peers, upstream::Upstream},
+    gateway::{follow::Copies, link::Link, metrics::GatewayMetrics, peer_table::Peers, upstream::Upstream},
 };
 
 /// What a daemon meets outside, so that tests can put fakes there.
