--- a/crates/daemon/src/gateway/peer_table.rs
+++ b/crates/daemon/src/gateway/peer_table.rs
@@ -16,8 +16,8 @@
 const FOLLOWERS: usize = 2;
 /// Silence, of a daemon or of the store to it, after which it no longer counts as one that follows.
 const FOLLOWER_SILENT: Span = Span::millis(1_000);
-/// Silence after which another daemon of the hall sums it up.
-const SUMMER_SILENT: Span = Span::millis(1_000);
+/// Silence of the daemon that sums a hall up, after which another one of the hall does.
+const SUM_SILENT: Span = Span::millis(1_000);
 /// Time after which a daemon that is neither listed nor heard is no longer told anything.
 const FORGET: Span = Span::millis(5_000);
 
@@ -131,7 +131,7 @@
     /// Whether no other daemon of the hall that is heard has a better link.
     pub(super) fn sums_up(&self, own: Rank, hall: u32, now: Time) -> bool {
         let seen = self.lock();
-        let mut mates = seen.values().filter(|peer| peer.hall == hall && now.since(peer.at) < SUMMER_SILENT);
+        let mut mates = seen.values().filter(|peer| peer.hall == hall && now.since(peer.at) < SUM_SILENT);
         mates.all(|mate| mate.rank() < own)
     }
 
