--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -11,6 +11,7 @@
     endpoint::Role,
     fleet::{
         Fleet,
+        engine::{EngineModel, hand_over::Moved, read_time::Reading},
         replica::{Replica, ReplicaKey},
     },
     hash::rendezvous,
@@ -18,10 +19,6 @@
     time::{Span, Time},
 };
 
-/// Milliseconds to hand a prompt's memory over to another engine and begin there.
-const HAND_OVER_MS: f64 = 6.0;
-/// How many times as long a decode engine takes to read.
-const DECODE_READ_FACTOR: f64 = 2.0;
 /// How many times the time to send it counts for a request that is sent twice: the second send
 /// itself, and what waits behind it on the link.
 const SECOND_SEND: f64 = 2.0;
@@ -65,6 +62,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Time left in which the first event would be in time.
     pub objective_left: Span,
+    /// Time left until its caller leaves if nothing has come.
+    pub silence_left: Span,
     /// Time left at all.
     pub time_left: Span,
     /// Whether its caller seems to have been refused before.
@@ -92,14 +91,37 @@
     pub work_ms: f64,
     /// Milliseconds of that until the request is sent.
     pub link_ms: f64,
-    /// Tokens to be read.
-    pub uncached: u32,
+    /// What is to be read.
+    pub reading: Reading,
+    /// What is to be handed over to it.
+    pub moved: Option<Moved>,
     /// An engine that holds more of the prompt, to copy that from.
     pub copy_from: Option<ReplicaKey>,
     /// Tokens to be copied from it.
     pub copied: u32,
     /// Whether its answer will keep a slot for seconds.
     pub long: bool,
+    /// Whether it is known to be late, and goes behind all that can still be in time.
+    pub late: bool,
+}
+
+impl Step {
+    /// A step that takes no time at all.
+    #[must_use]
+    pub fn at(key: ReplicaKey) -> Self {
+        Self {
+            key,
+            wait_ms: 0.0,
+            work_ms: 0.0,
+            link_ms: 0.0,
+            reading: Reading::default(),
+            moved: None,
+            copy_from: None,
+            copied: 0,
+            long: false,
+            late: false,
+        }
+    }
 }
 
 /// How a request is to be served.
@@ -149,6 +171,12 @@
         }
     }
 
+    /// Whether it is known to be late.
+    #[must_use]
+    pub const fn is_late(&self) -> bool {
+        self.reading().late
+    }
+
     /// Predicted milliseconds to the first event.
     #[must_use]
     pub fn predicted_ms(&self) -> f64 {
@@ -165,22 +193,19 @@
     /// # Errors
     /// Why it is not to be served.
     pub fn choose(&self, ask: &Ask<'_>, now: Time) -> Result<Plan, NoPlan> {
-        let plan = match ask.prompt {
-            Some(prompt) => self.choose_engines(ask, prompt, now),
-            None => self.choose_plain(ask, now),
-        };
-        let plan = plan.ok_or(NoPlan::NoReplica)?;
-        let limit = if ask.prompt.is_some() {
-            ask.objective_left.as_seconds() * self.admit_share(ask)
-        } else {
-            ask.time_left.as_seconds()
+        let Some(prompt) = ask.prompt else {
+            let plan = self.choose_plain(ask, now).ok_or(NoPlan::NoReplica)?;
+            return within(ask.time_left, plan, ask);
         };
-        let predicted_ms = plan.predicted_ms();
-        if ask.may_refuse && predicted_ms > limit * 1_000.0 {
-            let come_back = come_back(ask, predicted_ms - limit * 1_000.0);
-            return Err(NoPlan::TooLate { plan: Box::new(plan), predicted_ms: predicted_ms as u64, come_back });
+        let urgent = self.choose_engines(ask, prompt, false, now).ok_or(NoPlan::NoReplica)?;
+        let in_time = ask.objective_left.as_seconds() * self.admit_share(ask);
+        if urgent.predicted_ms() <= in_time * 1_000.0 {
+            return Ok(urgent);
         }
-        Ok(plan)
+        // It is worth less when late, but not nothing, and costs others no time behind them.
+        let late = self.choose_engines(ask, prompt, true, now).ok_or(NoPlan::NoReplica)?;
+        let left = ask.silence_left.min(ask.time_left);
+        within(Span::seconds(left.as_seconds() * self.policy.late_share), late, ask)
     }
 
     fn choose_plain(&self, ask: &Ask<'_>, now: Time) -> Option<Plan> {
@@ -191,22 +216,23 @@
             let crowd = f64::from(replica.active()) / f64::from(replica.facts.slots.max(1));
             let link_ms = ask.link_ms + ask.send_ms;
             let wait_ms = work_ms * over / f64::from(replica.facts.slots.max(1)) + crowd * CROWD_MS + link_ms;
-            let step = Step { key, wait_ms, work_ms, link_ms, uncached: 0, copy_from: None, copied: 0, long: false };
+            let step = Step { key, wait_ms, work_ms, link_ms, ..Step::at(key) };
             (step.wait_ms + work_ms + self.way_ms(replica, now) + self.spread_ms(key, ask, now), step)
         });
         lowest(steps).map(Plan::Whole)
     }
 
-    fn choose_engines(&self, ask: &Ask<'_>, prompt: &Prompt, now: Time) -> Option<Plan> {
+    fn choose_engines(&self, ask: &Ask<'_>, prompt: &Prompt, late: bool, now: Time) -> Option<Plan> {
         let long = prompt.output >= LONG_OUTPUT;
         let holder = self.holder(ask, prompt, now);
+        let pause_ms = self.bearable_pause_ms(ask.service);
         let whole = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).filter_map(
             |(key, replica)| {
-                let step = self.reading_step((key, replica), ask, prompt, holder, now);
+                let step = self.reading_step((key, replica), ask, prompt, holder, late, now);
                 let over = slot_wait_ms(replica, long);
                 let step = Step { wait_ms: step.wait_ms + over, long, ..step };
                 let disturbs = replica.streams() > 0 && step.work_ms > SHORT_READ_MS;
-                if disturbs && step.wait_ms + step.work_ms > self.policy.disturb_ms {
+                if replica.active() > 0 && step.wait_ms + step.work_ms > pause_ms {
                     return None;
                 }
                 let disturbed = if disturbs { f64::from(replica.streams()) * DISTURBED_MS } else { 0.0 };
@@ -220,7 +246,7 @@
         ));
         let read = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role == Role::Prefill).map(
             |(key, replica)| {
-                let step = self.reading_step((key, replica), ask, prompt, holder, now);
+                let step = self.reading_step((key, replica), ask, prompt, holder, late, now);
                 (
                     step.wait_ms
                         + step.work_ms
@@ -231,8 +257,10 @@
                 )
             },
         ));
-        let write = self.choose_writer(ask, long, now);
-        let two = read.zip(write).map(|(read, write)| Plan::TwoSteps { read, write });
+        let two = read.and_then(|read| {
+            let write = self.choose_writer(ask, prompt, &read, long, now)?;
+            Some(Plan::TwoSteps { read, write })
+        });
         match (whole.map(Plan::Whole), two) {
             (Some(whole), Some(two)) if two.predicted_ms() < whole.predicted_ms() => Some(two),
             (whole, two) => whole.or(two),
@@ -246,12 +274,16 @@
         held.max_by_key(|(_, tokens)| *tokens)
     }
 
-    fn choose_writer(&self, ask: &Ask<'_>, long: bool, now: Time) -> Option<Step> {
+    fn choose_writer(&self, ask: &Ask<'_>, prompt: &Prompt, reader: &Step, long: bool, now: Time) -> Option<Step> {
+        let engine = self.engine(ask.service);
+        let reader = self.replicas.get(reader.key);
         lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).map(|(key, replica)| {
             let wait_ms = slot_wait_ms(replica, long) + replica.reading_ms(now) * 0.5;
-            let work_ms = HAND_OVER_MS + ask.send_ms * SECOND_SEND;
-            let step = Step { key, wait_ms, work_ms, link_ms: 0.0, uncached: 0, copy_from: None, copied: 0, long };
-            let cost = wait_ms + self.way_ms(replica, now) + f64::from(replica.active()) * ACTIVE_MS;
+            let across = reader.is_none_or(|reader| reader.facts.hall != replica.facts.hall);
+            let moved = Moved { tokens: prompt.tokens, across };
+            let work_ms = engine.hand_over.work_ms(moved) + ask.send_ms * SECOND_SEND;
+            let step = Step { wait_ms, work_ms, moved: Some(moved), long, ..Step::at(key) };
+            let cost = wait_ms + work_ms + self.way_ms(replica, now) + f64::from(replica.active()) * ACTIVE_MS;
             (cost + self.packing_ms(replica, long, now) + self.spread_ms(key, ask, now), step)
         }))
     }
@@ -262,6 +294,7 @@
         ask: &Ask<'_>,
         prompt: &Prompt,
         holder: Option<(ReplicaKey, u32)>,
+        late: bool,
         now: Time,
     ) -> Step {
         let held = replica.cache.held_tokens(prompt);
@@ -270,24 +303,47 @@
             _ => (None, 0),
         };
         let held = held + copied;
-        let uncached = prompt.tokens.saturating_sub(held).max(1);
-        let copy_ms = if copy_from.is_some() { self.policy.copy_ms } else { 0.0 };
-        let rate = self.services.get(ask.service).map(|state| state.rate).unwrap_or_default();
-        let factor = if replica.facts.role == Role::Decode { DECODE_READ_FACTOR } else { 1.0 };
+        let reading = Reading { uncached: prompt.tokens.saturating_sub(held).max(1), held };
+        let engine = self.engine(ask.service);
+        let copy_ms = copy_from.map_or(0.0, |holder| {
+            let across = self.replicas.get(holder).is_none_or(|holder| holder.facts.hall != replica.facts.hall);
+            engine.hand_over.work_ms(Moved { tokens: copied, across })
+        });
+        let factor = if replica.facts.role == Role::Decode { engine.read.decode_factor() } else { 1.0 };
         let link_ms = ask.link_ms + ask.send_ms;
+        let ahead_ms = if late { replica.reading_ms(now) } else { replica.urgent_ms(now) };
         Step {
             key,
             // The engine goes on with what it has while the request is on its way.
-            wait_ms: replica.reading_ms(now).max(link_ms),
+            wait_ms: ahead_ms.max(link_ms),
             link_ms,
-            work_ms: rate.work_ms(uncached) * factor * replica.slowness(now) + copy_ms,
-            uncached,
+            work_ms: engine.read.work_ms(reading) * factor * replica.slowness(now) + copy_ms,
+            reading,
+            moved: None,
             copy_from,
             copied,
             long: false,
+            late,
         }
     }
 
+    /// What is learned of the engines of a service.
+    fn engine(&self, service: &str) -> EngineModel {
+        self.services.get(service).map(|state| state.engine).unwrap_or_default()
+    }
+
+    /// Milliseconds of reading at once that do not hold up the streams beside it for too long.
+    fn bearable_pause_ms(&self, service: &str) -> f64 {
+        let Some(state) = self.services.get(service) else {
+            return f64::INFINITY;
+        };
+        let Some(pause) = state.pause else {
+            return f64::INFINITY;
+        };
+        let room = pause.as_seconds() * 1_000.0 - state.engine.pace.interval_ms();
+        (room * self.policy.pause_share).max(SHORT_READ_MS)
+    }
+
     /// Some chance, so that daemons whose view is equally old do not all choose the same replica.
     /// The view gets older with the number of daemons, since each then tells less often.
     fn spread_ms(&self, key: ReplicaKey, ask: &Ask<'_>, now: Time) -> f64 {
@@ -354,6 +410,17 @@
     crowded + f64::from((short + 1).saturating_sub(slots)) * OVER_SLOTS_MS
 }
 
+/// The plan, or a refusal if it is predicted to take longer than `limit`.
+fn within(limit: Span, plan: Plan, ask: &Ask<'_>) -> Result<Plan, NoPlan> {
+    let predicted_ms = plan.predicted_ms();
+    let over_ms = predicted_ms - limit.as_seconds() * 1_000.0;
+    if ask.may_refuse && over_ms > 0.0 {
+        let come_back = come_back(ask, over_ms);
+        return Err(NoPlan::TooLate { plan: Box::new(plan), predicted_ms: predicted_ms as u64, come_back });
+    }
+    Ok(plan)
+}
+
 fn lowest(steps: impl Iterator<Item = (f64, Step)>) -> Option<Step> {
     steps.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, step)| step)
 }
--- /dev/null
+++ b/crates/core/src/fleet/engine/event_pace.rs
@@ -0,0 +1,39 @@
+//! How far apart the events of a stream usually come, learned from streams that were passed on.
+
+use crate::{fleet::engine::read_time::millis, time::Span};
+
+/// Milliseconds between two events before anything is learned.
+const GUESS_MS: f64 = 40.0;
+/// Weight of a new observation, once there are many.
+const LEARN: f64 = 0.01;
+/// How many times as long as usual an interval counts at most: a pause is not the usual pace.
+const LONGEST: f64 = 2.0;
+
+/// The learned interval between two events, for the engines of one service.
+#[derive(Clone, Copy, Debug)]
+pub struct EventPace {
+    interval_ms: f64,
+    seen: u32,
+}
+
+impl Default for EventPace {
+    fn default() -> Self {
+        Self { interval_ms: GUESS_MS, seen: 0 }
+    }
+}
+
+impl EventPace {
+    /// Usual milliseconds between two events.
+    #[must_use]
+    pub const fn interval_ms(&self) -> f64 {
+        self.interval_ms
+    }
+
+    /// Learn from the time between two events.
+    pub fn learn(&mut self, interval: Span) {
+        self.seen = self.seen.saturating_add(1);
+        let weight = LEARN.max(1.0 / f64::from(self.seen + 1));
+        let seen = millis(interval).min(self.interval_ms * LONGEST);
+        self.interval_ms += weight * (seen - self.interval_ms);
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/engine/least_squares.rs
@@ -0,0 +1,76 @@
+//! Recursive least squares: a weighted sum of a few terms, fitted as observations come.
+//!
+//! The uncertainty of each weight is kept with it. A first guess with a wide uncertainty gives
+//! way within a few observations, a well-known weight moves slowly.
+
+/// Share of what was learned that the next observation leaves; an engine's speed changes over
+/// minutes, if at all, so some five hundred observations count.
+const KEEP: f64 = 0.998;
+/// How many standard deviations above the expected an observation counts at most. Waiting for
+/// other work looks like slowness and only ever adds.
+const CLIP_ABOVE: f64 = 1.0;
+/// The same below: nothing makes work look faster than it is, but lost precision.
+const CLIP_BELOW: f64 = 4.0;
+/// Error of one observation as a share of what is expected.
+const NOISE_SHARE: f64 = 0.1;
+/// Error of one observation beside that, in milliseconds: the way there and timers.
+const NOISE_MS: f64 = 2.0;
+
+/// Weights of `N` terms.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LeastSquares<const N: usize> {
+    weights: [f64; N],
+    /// Spread of the first guess, which bounds the uncertainty.
+    widths: [f64; N],
+    covariance: [[f64; N]; N],
+}
+
+impl<const N: usize> LeastSquares<N> {
+    /// A first guess of the weights, and how far off each may be.
+    pub(super) fn new(weights: [f64; N], widths: [f64; N]) -> Self {
+        let mut covariance = [[0.0; N]; N];
+        for (i, width) in widths.iter().enumerate() {
+            covariance[i][i] = width * width;
+        }
+        Self { weights, widths, covariance }
+    }
+
+    pub(super) const fn weights(&self) -> [f64; N] {
+        self.weights
+    }
+
+    /// Take over weights that were learned elsewhere.
+    pub(super) const fn set_weights(&mut self, weights: [f64; N]) {
+        self.weights = weights;
+    }
+
+    /// The weighted sum.
+    pub(super) fn expect(&self, terms: &[f64; N]) -> f64 {
+        dot(&self.weights, terms)
+    }
+
+    /// Learn from one observation.
+    pub(super) fn learn(&mut self, terms: &[f64; N], seen: f64) {
+        let expected = self.expect(terms);
+        let spread: [f64; N] = std::array::from_fn(|i| dot(&self.covariance[i], terms));
+        let noise = NOISE_MS + NOISE_SHARE * expected;
+        let variance = dot(&spread, terms) + noise * noise;
+        let deviation = variance.sqrt();
+        let error = (seen - expected).clamp(-CLIP_BELOW * deviation, CLIP_ABOVE * deviation);
+        for i in 0..N {
+            // A negative time for a term has no meaning.
+            self.weights[i] = (self.weights[i] + spread[i] / variance * error).max(0.0);
+        }
+        for i in 0..N {
+            for j in 0..N {
+                let left = self.covariance[i][j] - spread[i] * spread[j] / variance;
+                let widest = self.widths[i] * self.widths[j];
+                self.covariance[i][j] = (left / KEEP).clamp(-widest, widest);
+            }
+        }
+    }
+}
+
+fn dot<const N: usize>(a: &[f64; N], b: &[f64; N]) -> f64 {
+    a.iter().zip(b).map(|(a, b)| a * b).sum()
+}
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`replica`] is a row of the table. Discovery changes which rows there are ([`discovery`]);
 //! daemons tell each other what they have under way ([`peers`]); [`choose`] picks replicas for a
-//! request from that view, or says that it cannot be in time. [`cache`] and [`rates`] are
+//! request from that view, or says that it cannot be in time. [`cache`] and [`engine`] are
 //! estimates that this needs, [`budget`] bounds repeated sends, and [`split`] decides which role
 //! an engine should play.
 
@@ -14,9 +14,9 @@
     endpoint::Role,
     fleet::{
         budget::{Budget, BudgetTerms},
+        engine::{EngineModel, hand_over::Moved, read_time::Reading},
         peers::{PeerLoads, Source},
         policy::FleetPolicy,
-        rates::ReadRate,
         replica::{Load, Replica, ReplicaKey},
         split::DemandMeter,
     },
@@ -28,9 +28,9 @@
 pub mod cache;
 pub mod choose;
 pub mod discovery;
+pub mod engine;
 pub mod peers;
 pub mod policy;
-pub mod rates;
 pub mod replica;
 pub mod split;
 
@@ -46,20 +46,23 @@
 /// What is learned of one service.
 #[derive(Clone, Debug)]
 struct ServiceState {
-    rate: ReadRate,
+    engine: EngineModel,
     plain_ms: f64,
     budget: Budget,
     memory_tokens: u64,
+    /// Longest pause between the events of its streams that is in time; absent if none is known.
+    pause: Option<Span>,
     meter: DemandMeter,
 }
 
 impl Default for ServiceState {
     fn default() -> Self {
         Self {
-            rate: ReadRate::default(),
+            engine: EngineModel::default(),
             plain_ms: PLAIN_GUESS_MS,
             budget: Budget::default(),
             memory_tokens: MEMORY_GUESS,
+            pause: None,
             meter: DemandMeter::default(),
         }
     }
@@ -87,8 +90,10 @@
     pub key: ReplicaKey,
     /// What it counts as.
     pub load: Load,
-    /// Tokens to be read.
-    pub uncached: u32,
+    /// What is to be read.
+    pub reading: Reading,
+    /// What is to be handed over to it.
+    pub moved: Option<Moved>,
     /// Milliseconds after which it should be over.
     pub expected_ms: f64,
     /// Time that this VM's link needs to send it.
@@ -116,6 +121,8 @@
     hall_id: u32,
     /// Prompts that daemons of this hall sent since other halls were last told.
     hall_notes: Vec<peers::ReadNote>,
+    /// When others are told again what was learned.
+    tell_learned_at: Time,
     /// Daemons that are listed, whether they are heard or not.
     listed: usize,
 }
@@ -144,12 +151,6 @@
         self.replicas.iter()
     }
 
-    /// Tokens a millisecond that an engine of `service` reads.
-    #[must_use]
-    pub fn read_rate(&self, service: &str) -> f64 {
-        self.services.get(service).map_or_else(|| ReadRate::default().tokens_per_ms(), |s| s.rate.tokens_per_ms())
-    }
-
     /// Note how many daemons are listed, this one included.
     pub const fn set_listed(&mut self, daemons: usize) {
         self.listed = daemons;
@@ -160,18 +161,35 @@
         self.service_mut(service).memory_tokens = tokens;
     }
 
+    /// Note the longest pause between the events of a service's streams that is in time.
+    pub fn set_pause(&mut self, service: &Arc<str>, pause: Option<Span>) {
+        self.service_mut(service).pause = pause;
+    }
+
+    /// Learn from the usual time between two events of a stream that was passed on.
+    pub fn learn_pace(&mut self, service: &Arc<str>, interval: Span) {
+        self.service_mut(service).engine.pace.learn(interval);
+    }
+
     /// Note a new request, and what it would ask of engines.
-    pub fn offered(&mut self, service: &Arc<str>, step: &choose::Step, now: Time) {
+    pub fn offered(&mut self, service: &Arc<str>, reading: Reading, now: Time) {
         let state = self.service_mut(service);
-        let work_ms = state.rate.work_ms(step.uncached);
-        state.meter.offered(work_ms, step.long, now);
+        let tokens = reading.uncached + reading.held;
+        let moved = Moved { tokens, across: false };
+        let reading_ms = state.engine.read.work_ms(reading);
+        state.meter.offered(reading_ms, state.engine.hand_over.link_ms(moved), tokens, now);
     }
 
     /// Note that work begins at a replica; `prompt` is what it reads.
     pub fn begin(&mut self, key: ReplicaKey, step: &choose::Step, prompt: Option<&Prompt>, now: Time) -> Option<Sent> {
         let replica = self.replicas.get_mut(key)?;
         let alone = replica.own.reading_ms + replica.peers.reading_ms <= 0.0;
-        let load = Load { reading_ms: step.work_ms, active: 1, streams: u32::from(step.long) };
+        let load = Load {
+            reading_ms: step.work_ms,
+            late_ms: if step.late { step.work_ms } else { 0.0 },
+            active: 1,
+            streams: u32::from(step.long),
+        };
         replica.own = replica.own.plus(load);
         replica.health.sent();
         if let Some(prompt) = prompt {
@@ -180,12 +198,13 @@
         }
         let expected_ms = step.wait_ms + step.work_ms;
         let link = Span::seconds(step.link_ms / 1_000.0);
-        Some(Sent { key, load, uncached: step.uncached, expected_ms, link, alone, at: now })
+        let (reading, moved) = (step.reading, step.moved);
+        Some(Sent { key, load, reading, moved, expected_ms, link, alone, at: now })
     }
 
     /// Note that reading is over while the request goes on; returns the work that remains counted.
     pub fn reading_over(&mut self, sent: &mut Sent, end: StepEnd, now: Time) {
-        let read = Load { reading_ms: sent.load.reading_ms, ..Load::default() };
+        let read = Load { reading_ms: sent.load.reading_ms, late_ms: sent.load.late_ms, ..Load::default() };
         if let Some(replica) = self.replicas.get_mut(sent.key) {
             replica.own = replica.own.minus(read);
         }
@@ -204,6 +223,7 @@
         if replica.own.active == 0 {
             // Rounding errors do not add up.
             replica.own.reading_ms = 0.0;
+            replica.own.late_ms = 0.0;
         }
         match end {
             StepEnd::Done => replica.health.success(),
@@ -248,10 +268,14 @@
         };
         let took = now.since(sent.at);
         replica.learn_slowness(sent.expected_ms, took, now);
-        if sent.alone && replica.facts.role != Role::Decode {
-            let service = Arc::clone(&replica.facts.service);
-            let read = Span(took.0.saturating_sub(sent.link.0));
-            self.service_mut(&service).rate.learn(sent.uncached, read);
+        let (service, role) = (Arc::clone(&replica.facts.service), replica.facts.role);
+        let took = Span(took.0.saturating_sub(sent.link.0));
+        let engine = &mut self.service_mut(&service).engine;
+        match sent.moved {
+            Some(moved) => engine.hand_over.learn(moved, took),
+            None if !sent.alone => {}
+            None if role == Role::Decode => engine.read.learn_decode(sent.reading, took),
+            None => engine.read.learn(sent.reading, took),
         }
     }
 
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -5,14 +5,15 @@
 //! sums up what it heard for the other halls: what a daemon sends and hears then grows with its
 //! hall and the number of halls, not with the number of daemons.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     endpoint::Role,
     fleet::{
-        Fleet,
+        Fleet, ServiceState,
+        engine::Learned,
         replica::{Load, Replica, ReplicaKey},
         short_id,
         split::Demand,
@@ -25,6 +26,9 @@
 pub const SILENT: Span = Span::millis(1_500);
 /// Time for which a peer's failure to reach a replica counts, unless it repeats it.
 const DOUBT: Span = Span::millis(600);
+/// Time between two messages that tell what was learned. A daemon that starts has its first
+/// requests before it hears one, some ten of them on a busy VM; what is told is 40 bytes a service.
+const TELL_LEARNED: Span = Span::millis(500);
 /// Prompts in one message at most; the rest is not told.
 const MAX_NOTES: usize = 32;
 /// The same for a message that sums up a hall: some twenty daemons send a hundred prompts in the
@@ -66,6 +70,8 @@
     pub replica: u32,
     /// Milliseconds of reading.
     pub reading_ms: u32,
+    /// The part of that which is read behind all else.
+    pub late_ms: u32,
     /// Requests under way.
     pub active: u32,
     /// Those of them whose answers are long.
@@ -81,8 +87,12 @@
     pub service: u32,
     /// Engines that would be reading all the time.
     pub reading: f32,
-    /// Slots that long answers would take.
+    /// Slots that answers would take.
     pub slots: f32,
+    /// Tokens of memory that answers would take.
+    pub tokens: f32,
+    /// Engines that would be taking over prompts all the time.
+    pub moving: f32,
 }
 
 /// An engine whose role is about to change.
@@ -107,6 +117,17 @@
     pub demands: Vec<ServiceDemand>,
     /// Engines whose role it is changing.
     pub changing: Vec<ChangingEngine>,
+    /// What it has learned of engines, now and then.
+    pub learned: Vec<ServiceLearned>,
+}
+
+/// What a daemon has learned of the engines of one service.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceLearned {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// What it has learned.
+    pub learned: Learned,
 }
 
 /// A prompt that was sent to a replica, so that its memory holds it.
@@ -141,6 +162,7 @@
 impl Fleet {
     /// What this daemon has to say now.
     pub fn own_news(&mut self, now: Time) -> News {
+        let learned = self.learned_news(now);
         let mut reads = std::mem::take(&mut self.notes);
         reads.truncate(MAX_NOTES);
         shorten(&mut reads);
@@ -154,6 +176,7 @@
             reads,
             demands: demands.filter_map(told).collect(),
             changing: self.changing(now, |replica| replica.ordered_here),
+            learned,
         }
     }
 
@@ -182,6 +205,7 @@
             reads,
             demands: demands.into_iter().filter_map(told).collect(),
             changing: self.changing(now, |replica| replica.ordered_here || replica.ordered_in_hall),
+            learned: Vec::new(),
         };
         (news, daemons)
     }
@@ -201,6 +225,7 @@
             }
             self.peer_changes(&news.changing, in_hall, now);
         }
+        self.hear_learned(&news.learned);
         if in_hall {
             self.hall_notes.extend(news.reads.iter().cloned());
             self.hall_notes.truncate(MAX_HALL_NOTES);
@@ -215,6 +240,28 @@
         }
     }
 
+    /// What this daemon has learned, when it is time to tell it again.
+    fn learned_news(&mut self, now: Time) -> Vec<ServiceLearned> {
+        if !self.tell_learned_at.is_past(now) {
+            return Vec::new();
+        }
+        self.tell_learned_at = now + TELL_LEARNED;
+        let told = |(name, state): (&Arc<str>, &ServiceState)| {
+            let learned = state.engine.told()?;
+            Some(ServiceLearned { service: short_id(name), learned })
+        };
+        self.services.iter().filter_map(told).collect()
+    }
+
+    fn hear_learned(&mut self, all: &[ServiceLearned]) {
+        for (name, state) in &mut self.services {
+            let service = short_id(name);
+            for told in all.iter().filter(|told| told.service == service) {
+                state.engine.hear(&told.learned);
+            }
+        }
+    }
+
     /// Whether a message of one daemon tells what that daemon's hall has told.
     fn is_covered(&self, id: &NewsId) -> bool {
         match id.source {
@@ -302,7 +349,12 @@
             let Some(key) = self.by_hash.get(&load.replica).copied() else {
                 continue;
             };
-            let value = Load { reading_ms: f64::from(load.reading_ms), active: load.active, streams: load.streams };
+            let value = Load {
+                reading_ms: f64::from(load.reading_ms),
+                late_ms: f64::from(load.late_ms),
+                active: load.active,
+                streams: load.streams,
+            };
             if let Some(replica) = self.replicas.get_mut(key) {
                 replica.peers = replica.peers.plus(value);
                 if load.unreachable {
@@ -332,13 +384,25 @@
 
 impl ServiceDemand {
     const fn read(&self) -> (u32, Demand) {
-        (self.service, Demand { reading: self.reading as f64, slots: self.slots as f64 })
+        let demand = Demand {
+            reading: self.reading as f64,
+            slots: self.slots as f64,
+            tokens: self.tokens as f64,
+            moving: self.moving as f64,
+        };
+        (self.service, demand)
     }
 }
 
 /// How a demand is told, if there is any.
 fn told((service, demand): (u32, Demand)) -> Option<ServiceDemand> {
-    let told = ServiceDemand { service, reading: demand.reading as f32, slots: demand.slots as f32 };
+    let told = ServiceDemand {
+        service,
+        reading: demand.reading as f32,
+        slots: demand.slots as f32,
+        tokens: demand.tokens as f32,
+        moving: demand.moving as f32,
+    };
     (told.reading > 0.0 || told.slots > 0.0).then_some(told)
 }
 
@@ -359,6 +423,7 @@
     ReplicaLoad {
         replica: short_id(&replica.facts.id),
         reading_ms: load.reading_ms as u32,
+        late_ms: load.late_ms as u32,
         active: load.active,
         streams: load.streams,
         unreachable,
--- a/crates/core/src/fleet/policy.rs
+++ b/crates/core/src/fleet/policy.rs
@@ -10,18 +10,20 @@
     pub admit_share: f64,
     /// The same for a request whose caller seems to have come back after a refusal.
     pub admit_share_returned: f64,
+    /// Part of the time until its caller leaves that a prediction for a late request may use up;
+    /// beyond it the request is refused.
+    pub late_share: f64,
     /// Share of an engine's memory that is taken to keep parts of earlier prompts.
     pub cache_share: f64,
-    /// Milliseconds that copying a prompt's parts from another engine takes.
-    pub copy_ms: f64,
     /// Milliseconds that each thousand copied tokens count more, since they push out other parts.
     pub copy_cost_ms: f64,
     /// Milliseconds that a step in another hall counts more: the way there, and bytes that cost.
     pub other_hall_ms: f64,
     /// Share of an engine's slots that long answers may take before another engine gets them.
     pub packed_share: f64,
-    /// Milliseconds of reading at once that an engine with long answers takes.
-    pub disturb_ms: f64,
+    /// Part of the pause that streams can bear, beyond their usual interval, that reading at once
+    /// beside them may take; more is read by an engine without streams.
+    pub pause_share: f64,
     /// Share of a service's engines that read prompts before any demand was seen; 0 leaves roles
     /// as they are. Even halves cost least whichever side the demand turns out to be on.
     pub first_read_share: f64,
@@ -36,12 +38,12 @@
         Self {
             admit_share: 0.9,
             admit_share_returned: 0.9,
+            late_share: 0.5,
             cache_share: 0.93,
-            copy_ms: 2.0,
             copy_cost_ms: 3.0,
             other_hall_ms: 5.0,
             packed_share: 0.8,
-            disturb_ms: 45.0,
+            pause_share: 0.4,
             first_read_share: 0.5,
             read_share: 0.6,
             slot_share: 0.75,
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -40,6 +40,8 @@
 pub struct Load {
     /// Milliseconds of reading that an idle replica would need for it.
     pub reading_ms: f64,
+    /// The part of that which is known to be late, and read behind all else.
+    pub late_ms: f64,
     /// Requests under way, those being read included.
     pub active: u32,
     /// Those of them whose answers are long, so that they keep their slot for seconds.
@@ -52,6 +54,7 @@
     pub fn plus(self, other: Self) -> Self {
         Self {
             reading_ms: self.reading_ms + other.reading_ms,
+            late_ms: self.late_ms + other.late_ms,
             active: self.active + other.active,
             streams: self.streams + other.streams,
         }
@@ -62,6 +65,7 @@
     pub fn minus(self, other: Self) -> Self {
         Self {
             reading_ms: (self.reading_ms - other.reading_ms).max(0.0),
+            late_ms: (self.late_ms - other.late_ms).max(0.0),
             active: self.active.saturating_sub(other.active),
             streams: self.streams.saturating_sub(other.streams),
         }
@@ -161,6 +165,13 @@
         (self.own.reading_ms + self.peers.reading_ms) * self.slowness(now)
     }
 
+    /// Milliseconds until what goes before a request that can be in time has been read.
+    #[must_use]
+    pub fn urgent_ms(&self, now: Time) -> f64 {
+        let late = self.own.late_ms + self.peers.late_ms;
+        (self.reading_ms(now) - late * self.slowness(now)).max(0.0)
+    }
+
     /// How many times as long as its service's usual it takes.
     #[must_use]
     pub fn slowness(&self, now: Time) -> f64 {
--- a/crates/core/src/fleet/split.rs
+++ b/crates/core/src/fleet/split.rs
@@ -16,10 +16,14 @@
 /// Time over which demand is averaged. Shorter than a role change pays for, longer than a burst
 /// of a few requests.
 const AVERAGE: Span = Span::millis(1_500);
+/// Seconds of an answer before any was seen.
+const ANSWER_GUESS: f64 = 1.0;
 /// Seconds of a long answer before any was seen.
-const ANSWER_GUESS: f64 = 3.0;
+const LONG_GUESS: f64 = 3.0;
+/// Weight of a new observation of an answer's time, once there are many.
+const LEARN: f64 = 0.02;
 /// Weight of a new observation of a long answer's time.
-const LEARN: f64 = 0.05;
+const LEARN_LONG: f64 = 0.05;
 /// Engines of a service below which roles are left alone.
 const FEWEST: usize = 4;
 /// Decode engines that are kept at least: one may be lost at any time.
@@ -58,8 +62,12 @@
 pub struct Demand {
     /// Engines that would be reading all the time.
     pub reading: f64,
-    /// Slots that long answers would take.
+    /// Slots that answers would take.
     pub slots: f64,
+    /// Tokens of memory that answers would take.
+    pub tokens: f64,
+    /// Engines that would be taking over prompts all the time.
+    pub moving: f64,
 }
 
 impl Demand {
@@ -67,6 +75,8 @@
     pub fn add(&mut self, other: Self) {
         self.reading += other.reading;
         self.slots += other.slots;
+        self.tokens += other.tokens;
+        self.moving += other.moving;
     }
 }
 
@@ -74,36 +84,64 @@
 #[derive(Clone, Copy, Debug)]
 pub struct DemandMeter {
     reading: Fading,
+    /// Answers that were begun.
     answers: Fading,
+    /// Tokens of memory that they hold.
+    held: Fading,
+    /// Engine-seconds of handing prompts over.
+    moving: Fading,
+    /// Seconds that an answer takes.
     answer_s: f64,
+    answers_seen: u32,
+    /// Seconds that a long answer takes.
+    long_s: f64,
     seen: bool,
 }
 
 impl Default for DemandMeter {
     fn default() -> Self {
-        Self { reading: Fading::default(), answers: Fading::default(), answer_s: ANSWER_GUESS, seen: false }
+        Self {
+            reading: Fading::default(),
+            answers: Fading::default(),
+            held: Fading::default(),
+            moving: Fading::default(),
+            answer_s: ANSWER_GUESS,
+            answers_seen: 0,
+            long_s: LONG_GUESS,
+            seen: false,
+        }
     }
 }
 
 impl DemandMeter {
-    /// Note a request that takes `work_ms` of reading, and whether its answer is long.
-    pub fn offered(&mut self, work_ms: f64, long: bool, now: Time) {
+    /// Note a request: what reading it takes, what handing it over takes, and the tokens of its prompt.
+    pub fn offered(&mut self, reading_ms: f64, moving_ms: f64, tokens: u32, now: Time) {
         self.seen = true;
-        self.reading.add(work_ms / 1_000.0, now);
-        if long {
-            self.answers.add(1.0, now);
-        }
+        self.reading.add(reading_ms / 1_000.0, now);
+        self.moving.add(moving_ms / 1_000.0, now);
+        self.held.add(f64::from(tokens), now);
+        self.answers.add(1.0, now);
     }
 
-    /// Note that a long answer took so long.
-    pub fn answered(&mut self, took: Span) {
-        self.answer_s += LEARN * (took.as_seconds() - self.answer_s);
+    /// Note that an answer took so long, and whether it was a long one.
+    pub fn answered(&mut self, took: Span, long: bool) {
+        self.answers_seen = self.answers_seen.saturating_add(1);
+        let weight = LEARN.max(1.0 / f64::from(self.answers_seen + 1));
+        self.answer_s += weight * (took.as_seconds() - self.answer_s);
+        if long {
+            self.long_s += LEARN_LONG * (took.as_seconds() - self.long_s);
+        }
     }
 
     /// The demand now.
     #[must_use]
     pub fn demand(&self, now: Time) -> Demand {
-        Demand { reading: self.reading.rate(now), slots: self.answers.rate(now) * self.answer_s }
+        Demand {
+            reading: self.reading.rate(now),
+            slots: self.answers.rate(now) * self.answer_s,
+            tokens: self.held.rate(now) * self.answer_s,
+            moving: self.moving.rate(now),
+        }
     }
 }
 
@@ -185,17 +223,17 @@
         }
     }
 
-    /// Note that a long answer took so long.
-    pub fn answered(&mut self, service: &str, took: Span) {
+    /// Note that an answer took so long, and whether it was a long one.
+    pub fn answered(&mut self, service: &str, took: Span, long: bool) {
         if let Some(state) = self.services.get_mut(service) {
-            state.meter.answered(took);
+            state.meter.answered(took, long);
         }
     }
 
     /// How long a long answer of a service usually takes.
     #[must_use]
     pub fn usual_answer(&self, service: &str) -> Span {
-        self.services.get(service).map_or(Span::seconds(ANSWER_GUESS), |state| Span::seconds(state.meter.answer_s))
+        self.services.get(service).map_or(Span::seconds(LONG_GUESS), |state| Span::seconds(state.meter.long_s))
     }
 
     /// The demand that this daemon and its peers see for a service.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -42,6 +42,10 @@
     pub timeout: Span,
     /// Time in which a whole answer, or a stream's first event, is worth most.
     pub objective: Span,
+    /// Time after which a caller that has heard nothing leaves.
+    pub silence: Span,
+    /// Longest pause between two events of a stream that is in time; absent if any is.
+    pub pause: Option<Span>,
     /// Endpoints that one request may run on.
     pub attempts: u32,
     /// Rank, 0 the most urgent.
@@ -139,6 +143,14 @@
         self.services.get(name)
     }
 
+    /// Longest pause between two events that is in time on all streams of a service.
+    #[must_use]
+    pub fn pause(&self, service: &str) -> Option<Span> {
+        let routes = self.hosts.values().flatten();
+        let its = routes.filter(|route| route.shares.iter().any(|share| &*share.service == service));
+        its.filter_map(|route| route.pause).min()
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
         self.services.values()
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -9,6 +9,7 @@
         budget::{Budget, BudgetTerms},
         cache::Cache,
         choose::{Ask, NoPlan, Plan, Step},
+        engine::read_time::Reading,
         peers::{News, NewsId, ReplicaLoad, Source},
         policy::FleetPolicy,
         replica::{Replica, ReplicaFacts, ReplicaKey},
@@ -68,6 +69,7 @@
         service: SERVICE,
         prompt,
         objective_left: Span::millis(250),
+        silence_left: Span::millis(1_000),
         time_left: Span::millis(2_000),
         returned: false,
         may_refuse: true,
@@ -83,7 +85,7 @@
 }
 
 fn step(key: ReplicaKey, work_ms: f64, long: bool) -> Step {
-    Step { key, wait_ms: 0.0, work_ms, link_ms: 0.0, uncached: 1, copy_from: None, copied: 0, long }
+    Step { work_ms, reading: Reading { uncached: 1, held: 0 }, long, ..Step::at(key) }
 }
 
 #[test]
@@ -196,7 +198,7 @@
         panic!("it is read by one engine and answered by another");
     };
     assert_eq!(id(&fleet, read.key), "r2");
-    assert_eq!((read.copy_from, read.copied, read.uncached), (Some(holder), 3_000, 1_000));
+    assert_eq!((read.copy_from, read.copied, read.reading.uncached), (Some(holder), 3_000, 1_000));
 }
 
 #[test]
@@ -292,7 +294,7 @@
 #[test]
 fn a_peer_cannot_name_replicas_that_are_not_there() {
     let mut fleet = with(&[("a", Role::Plain)]);
-    let unknown = ReplicaLoad { replica: 1, reading_ms: 9, active: 9, streams: 0, unreachable: false };
+    let unknown = ReplicaLoad { replica: 1, reading_ms: 9, late_ms: 0, active: 9, streams: 0, unreachable: false };
     fleet.peer_news(said(1, 1), &News { loads: vec![unknown], ..News::default() }, now());
     fleet.peer_news(said(1, 2), &News::default(), now());
     assert_eq!(fleet.replicas().map(|(_, replica)| replica.active()).sum::<u32>(), 0);
@@ -309,7 +311,7 @@
         ("d4", Role::Decode),
     ];
     let mut fleet = with(&roles);
-    let reading = Demand { reading: 9.0, slots: 2.0 };
+    let reading = Demand { reading: 9.0, slots: 2.0, ..Demand::default() };
     let mut changed = 0;
     while let Some(shift) = fleet.next_shift(SERVICE, reading, now()) {
         assert_eq!(shift.to, Role::Prefill);
@@ -317,16 +319,16 @@
         changed += 1;
     }
     assert_eq!(changed, 2, "two decode engines are kept");
-    let calm = Demand { reading: 0.1, slots: 2.0 };
+    let calm = Demand { reading: 0.1, slots: 2.0, ..Demand::default() };
     assert_eq!(with(&roles).next_shift(SERVICE, calm, now()), None);
-    let answers = Demand { reading: 0.1, slots: 90.0 };
+    let answers = Demand { reading: 0.1, slots: 90.0, ..Demand::default() };
     assert_eq!(with(&roles).next_shift(SERVICE, answers, now()), None, "two prefill engines are kept");
 }
 
 #[test]
 fn an_engine_whose_order_is_uncertain_gets_no_other() {
     let mut fleet = with(&[("p", Role::Prefill), ("d1", Role::Decode), ("d2", Role::Decode), ("d3", Role::Decode)]);
-    let reading = Demand { reading: 9.0, slots: 2.0 };
+    let reading = Demand { reading: 9.0, slots: 2.0, ..Demand::default() };
     let first = fleet.next_shift(SERVICE, reading, now()).expect("one is worth it");
     fleet.no_orders_until(first.key, now() + Span::millis(13_000));
     let second = fleet.next_shift(SERVICE, reading, now()).expect("another one can change");
@@ -340,7 +342,7 @@
         let key = fleet.key(id).expect("it is known");
         fleet.begin(key, &step(key, 0.0, true), None, now());
     }
-    assert_eq!(fleet.next_shift(SERVICE, Demand { reading: 9.0, slots: 2.0 }, now()), None);
+    assert_eq!(fleet.next_shift(SERVICE, Demand { reading: 9.0, slots: 2.0, ..Demand::default() }, now()), None);
 }
 
 /// A fleet with one replica, in a hall of its own.
@@ -351,7 +353,14 @@
 }
 
 fn busy(active: u32) -> News {
-    let load = ReplicaLoad { replica: short_id("a"), reading_ms: 10, active, streams: 0, unreachable: active > 50 };
+    let load = ReplicaLoad {
+        replica: short_id("a"),
+        reading_ms: 10,
+        late_ms: 0,
+        active,
+        streams: 0,
+        unreachable: active > 50,
+    };
     News { loads: vec![load], ..News::default() }
 }
 
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -49,6 +49,7 @@
     PROMPT_READ = 229, "An engine has read a prompt; the fields compare that with what was predicted. At debug level.";
     REFUSED_STOPPING = 230, "This daemon stops and would not finish the long answer; the request was refused before it was sent.";
     NOT_SENT_ON = 231, "A caller's head cannot be sent on to a replica.";
+    READ_OVERDUE = 232, "A prompt's reading takes longer than predicted, and its engine answers; it is waited for. At debug level.";
     CONFIG_IN_FORCE = 300, "A newer configuration is in force on this VM.";
     CONFIG_REJECTED = 301, "A stored configuration cannot be read; the present one stays in force.";
     CONFIG_ACCEPTED = 302, "An operator's change was accepted.";
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -20,6 +20,7 @@
 use crate::{
     emit,
     gateway::{
+        orders,
         request::Job,
         state::Gateway,
         upstream::{Conn, SendError},
@@ -27,10 +28,13 @@
     },
 };
 
-/// How many times as long as predicted a prompt's reading may take before it is tried elsewhere.
+/// How many times as long as predicted a prompt's reading may take before its engine is asked
+/// whether it is there at all.
 const READ_PATIENCE: f64 = 2.0;
 /// What is added to that: the way there, and a prediction that is far off.
 const READ_SLACK: Span = Span::millis(150);
+/// Time between two questions to an engine whose reading takes longer than predicted.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
 /// Wait for an answer after which a replica counts as silent; a caller's own deadline may be shorter.
 const SILENT: Span = Span::millis(150);
 /// What is added for each daemon: what they send in the meantime is heard of later, the more there are.
@@ -41,6 +45,8 @@
 const SHORT_ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Time to free memory at an engine.
 const FREE: Duration = Duration::from_secs(1);
+/// Rank of what is known to be late: behind all that can still be in time.
+const LATE_PRIORITY: u8 = u8::MAX;
 /// Least time left for which it is worth to send anything.
 const LEAST_LEFT: Span = Span::millis(2);
 
@@ -59,6 +65,8 @@
     Lost(String),
     /// It may have run; no answer came in time.
     TimedOut,
+    /// It may have run; the replica works, but the caller's time is over.
+    Overdue,
 }
 
 impl CallFailure {
@@ -70,6 +78,7 @@
             Self::OtherReplica => "other_replica",
             Self::Lost(_) => "lost",
             Self::TimedOut => "timed_out",
+            Self::Overdue => "overdue",
         }
     }
 
@@ -80,13 +89,13 @@
 
     /// Whether the replica may have run the request.
     pub(super) const fn may_have_run(&self) -> bool {
-        matches!(self, Self::Lost(_) | Self::TimedOut)
+        matches!(self, Self::Lost(_) | Self::TimedOut | Self::Overdue)
     }
 
     /// What this says of the replica.
     fn step_end(&self, waited: Span) -> StepEnd {
         match self {
-            Self::NotTried(_) => StepEnd::Unknown,
+            Self::NotTried(_) | Self::Overdue => StepEnd::Unknown,
             Self::Rejected(_) => StepEnd::Rejected,
             Self::NotSent(_) => StepEnd::Silent,
             Self::TimedOut if waited >= SILENT => StepEnd::Silent,
@@ -176,9 +185,10 @@
     async fn read(&self, step: &Step) -> Result<KeptPrompt, CallFailure> {
         let predicted = Span::seconds((step.wait_ms + step.work_ms) / 1_000.0 * READ_PATIENCE);
         let unseen = Span(UNSEEN_EACH.0 * self.gw.fleet().daemons() as u64);
-        let limit = self.deadline.min(self.gw.now() + predicted + READ_SLACK + unseen);
+        let overdue = self.deadline.min(self.gw.now() + predicted + READ_SLACK + unseen);
         let (replica, mut work) = self.begin(step)?;
-        let read = self.read_at(&replica, &Task::Read { copy_from: self.copy_from(step) }, limit).await;
+        let task = Task::Read { copy_from: self.copy_from(step) };
+        let read = self.read_patiently(&replica, &task, self.priority(step), overdue).await;
         match read {
             Ok(handle) => {
                 self.gw.metrics.reading(work.age().as_seconds());
@@ -188,7 +198,8 @@
                     request = self.caller.id,
                     replica = %replica.id,
                     hall = %replica.hall,
-                    uncached = step.uncached,
+                    uncached = step.reading.uncached,
+                    held = step.reading.held,
                     copied = step.copy_from.is_some(),
                     alone = work.was_alone(),
                     expected_ms = (step.wait_ms + step.work_ms) as u64,
@@ -205,8 +216,51 @@
         }
     }
 
-    async fn read_at(&self, replica: &ReplicaFacts, task: &Task, limit: Time) -> Result<Handle, CallFailure> {
-        let (head, body, conn) = self.call(replica, task, limit).await?;
+    /// Wait for a reading as long as its engine answers at all.
+    ///
+    /// A reading that is broken off is begun again from nothing elsewhere, where it costs as much
+    /// once more; so a busy engine keeps it, and only one that is gone or unreachable loses it.
+    async fn read_patiently(
+        &self,
+        replica: &ReplicaFacts,
+        task: &Task,
+        priority: u8,
+        overdue: Time,
+    ) -> Result<Handle, CallFailure> {
+        let mut reading = std::pin::pin!(self.read_at(replica, task, priority, self.deadline));
+        let in_time = tokio::time::timeout(duration(overdue.since(self.gw.now())), &mut reading);
+        if let Ok(read) = in_time.await {
+            return read;
+        }
+        tokio::select! {
+            read = &mut reading => read.map_err(|why| match why {
+                CallFailure::TimedOut => CallFailure::Overdue,
+                other => other,
+            }),
+            () = self.until_silent(replica) => Err(CallFailure::TimedOut),
+        }
+    }
+
+    /// Return once the engine does not answer a question that costs it nothing.
+    async fn until_silent(&self, replica: &ReplicaFacts) {
+        loop {
+            let asked = tokio::time::timeout(duration(SILENT), orders::report(&self.gw, replica)).await;
+            if !matches!(asked, Ok(Ok(_))) {
+                return;
+            }
+            emit!(debug, READ_OVERDUE, request = self.caller.id, replica = %replica.id);
+            tokio::time::sleep(ASK_AGAIN).await;
+        }
+    }
+
+    async fn read_at(
+        &self,
+        replica: &ReplicaFacts,
+        task: &Task,
+        priority: u8,
+        limit: Time,
+    ) -> Result<Handle, CallFailure> {
+        let (head, body, conn) = self.call(replica, task, priority, limit).await?;
         let text = Limited::new(body, SHORT_ANSWER).collect();
         let text = tokio::time::timeout(SHORT_ANSWER_TIME, text).await.map_err(|_| CallFailure::TimedOut)?;
         let text = text.map_err(|e| CallFailure::Lost(e.to_string()))?.to_bytes();
@@ -222,7 +276,7 @@
     async fn serve(&self, step: &Step, task: &Task) -> Result<Answer, CallFailure> {
         let limit = self.try_limit(step);
         let (replica, mut work) = self.begin(step)?;
-        match self.call(&replica, task, limit).await {
+        match self.call(&replica, task, self.priority(step), limit).await {
             Ok((head, body, conn)) => Ok(Answer { head, body, conn: Some(conn), replica, work }),
             Err(why) => {
                 self.note_failure(&replica, &mut work, &why, "serve");
@@ -231,6 +285,10 @@
         }
     }
 
+    fn priority(&self, step: &Step) -> u8 {
+        if step.late { LATE_PRIORITY } else { self.route.priority }
+    }
+
     fn copy_from(&self, step: &Step) -> Option<SocketAddr> {
         let key = step.copy_from?;
         self.gw.fleet().get(key).map(|replica| replica.facts.address)
@@ -248,6 +306,7 @@
         &self,
         replica: &ReplicaFacts,
         task: &Task,
+        priority: u8,
         limit: Time,
     ) -> Result<(response::Parts, Incoming, Conn), CallFailure> {
         let now = self.gw.now();
@@ -260,7 +319,7 @@
             body: self.body.clone(),
             replica,
             time_left,
-            priority: self.route.priority,
+            priority,
             task,
             last_event: self.last_event.as_deref(),
         };
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -270,7 +270,9 @@
             let (version, routes) = (table.version, table.len());
             for service in table.services() {
                 if let Some(engine) = &service.engine {
-                    gw.fleet().set_memory(&service.name, engine.memory_tokens);
+                    let mut fleet = gw.fleet();
+                    fleet.set_memory(&service.name, engine.memory_tokens);
+                    fleet.set_pause(&service.name, table.pause(&service.name));
                 }
             }
             if gw.set_table(table) {
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -253,7 +253,8 @@
     gw.outside.dialect.order_answer(status.as_u16()).ok_or_else(|| CallError::Lost(format!("status {status}")))
 }
 
-async fn report(gw: &Gateway, replica: &ReplicaFacts) -> Result<EngineReport, CallError> {
+/// Ask an engine for its state.
+pub(super) async fn report(gw: &Gateway, replica: &ReplicaFacts) -> Result<EngineReport, CallError> {
     let req = gw.outside.dialect.ask_report(replica).map_err(|e| CallError::NotSent(e.to_string()))?;
     let (status, body) = call(gw, replica, req).await?;
     if status != StatusCode::OK {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -7,7 +7,11 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use dahliaseam_core::{fleet::StepEnd, route::Repeat};
+use dahliaseam_core::{
+    fleet::StepEnd,
+    route::Repeat,
+    time::{Span, Time},
+};
 use futures_util::stream;
 use http::{Response, header, response};
 use http_body_util::{BodyExt, StreamBody};
@@ -142,6 +146,7 @@
             let relay = Relay {
                 resumable: job.route.stream && job.route.repeat == Repeat::Allowed,
                 last_id: sse::last_id(&first),
+                passed: Passed::new(job.gw.now()),
                 job,
                 answer,
                 events,
@@ -170,11 +175,36 @@
     events: Events,
     next: Option<Bytes>,
     last_id: Option<String>,
+    passed: Passed,
     resumable: bool,
     over: bool,
     ending: Ending,
 }
 
+/// What was passed on after the first event, for how far apart events come.
+#[derive(Clone, Copy, Debug)]
+struct Passed {
+    first_at: Time,
+    last_at: Time,
+    count: u64,
+}
+
+impl Passed {
+    const fn new(now: Time) -> Self {
+        Self { first_at: now, last_at: now, count: 0 }
+    }
+
+    const fn note(&mut self, now: Time) {
+        self.last_at = now;
+        self.count += 1;
+    }
+
+    /// The mean time between two of them.
+    fn interval(&self) -> Option<Span> {
+        self.last_at.since(self.first_at).0.checked_div(self.count).map(Span)
+    }
+}
+
 type Item = Result<Frame<Bytes>, RelayError>;
 
 impl Relay {
@@ -194,7 +224,10 @@
                     Err(why) => why,
                 },
                 Ok(Some(Ok(frame))) => match frame.into_data().ok().and_then(|data| self.take(data)) {
-                    Some(bytes) => return Some(Ok(Frame::data(bytes))),
+                    Some(bytes) => {
+                        self.passed.note(self.job.gw.now());
+                        return Some(Ok(Frame::data(bytes)));
+                    }
                     None => continue,
                 },
                 Ok(Some(Err(e))) => e.to_string(),
@@ -231,9 +264,14 @@
         self.over = true;
         keep(&self.job, &mut self.answer);
         self.answer.work.ended(StepEnd::Done);
-        if self.answer.work.is_long() {
-            self.job.gw.fleet().answered(&self.job.service, self.answer.work.age());
+        let mut fleet = self.job.gw.fleet();
+        if self.job.caller.prompt.is_some() {
+            fleet.answered(&self.job.service, self.answer.work.age(), self.answer.work.is_long());
+        }
+        if let Some(interval) = self.passed.interval() {
+            fleet.learn_pace(&self.job.service, interval);
         }
+        drop(fleet);
         self.ending.set("answered", self.answer.head.status.as_u16());
         Ok((!rest.is_empty()).then_some(rest))
     }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -222,8 +222,7 @@
         let chosen = fleet.choose(&self.ask(now), now);
         let is_new = self.tried.is_empty();
         if is_new && let Some(plan) = offered(&chosen) {
-            let offered = Step { long: plan.is_long(), ..*plan.reading() };
-            fleet.offered(&self.service, &offered, now);
+            fleet.offered(&self.service, plan.reading().reading, now);
         }
         let usual = fleet.usual_answer(&self.service);
         match chosen {
@@ -249,6 +248,7 @@
             service: &self.service,
             prompt: self.caller.prompt.as_ref(),
             objective_left: (self.arrived + self.route.objective).since(now),
+            silence_left: (self.arrived + self.route.silence).since(now),
             time_left: self.deadline.since(now),
             returned: self.returned(),
             may_refuse: self.tried.is_empty() && self.last_event.is_none(),
@@ -295,11 +295,12 @@
             read,
             replica = write,
             predicted_ms = plan.predicted_ms() as u64,
+            late = plan.is_late(),
             wait_ms = first.wait_ms as u64,
             work_ms = first.work_ms as u64,
             tokens = self.caller.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
             output = self.caller.prompt.as_ref().map_or(0, |prompt| prompt.output),
-            uncached = first.uncached,
+            uncached = first.reading.uncached,
             view_age_ms = fleet.peers_age_ms(now),
             daemons = fleet.daemons(),
             left_ms = self.deadline.since(now).as_millis()
