--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -42,6 +42,9 @@
 const DISTURBED_MS: f64 = 1.0;
 /// Milliseconds that each request at an engine counts where a prompt is handed over to it.
 const ACTIVE_MS: f64 = 0.2;
+/// Share of their time that readers have for what is late, at least: under an overload that is
+/// measured as such, nothing late is begun, but no prediction is endless.
+const LEAST_FREE: f64 = 0.05;
 /// Milliseconds that a replica counts more whose entry lapsed, or that a peer could not reach.
 const DOUBT_MS: f64 = 80.0;
 /// Milliseconds of chance for each daemon, and at most.
@@ -205,6 +208,7 @@
         // It is worth less when late, but not nothing, and costs others no time behind them.
         let late = self.choose_engines(ask, prompt, true, now).ok_or(NoPlan::NoReplica)?;
         let left = ask.silence_left.min(ask.time_left);
+        let late = self.held_up(late, ask.service, now);
         within(Span::seconds(left.as_seconds() * self.policy.late_share), late, ask)
     }
 
@@ -327,6 +331,21 @@
         }
     }
 
+    /// A late plan with the time for which what is more urgent keeps coming before it. Its own
+    /// reading is not broken off once it has begun.
+    fn held_up(&self, plan: Plan, service: &str, now: Time) -> Plan {
+        let readers = self.replicas.values().filter(|replica| {
+            &*replica.facts.service == service && replica.facts.role == Role::Prefill && replica.is_open(now)
+        });
+        let readers = readers.count().max(1) as f64;
+        let free = (1.0 - self.demand(service, now).urgent / readers).max(LEAST_FREE);
+        let hold_up = |step: Step| Step { wait_ms: step.wait_ms / free, ..step };
+        match plan {
+            Plan::Whole(step) => Plan::Whole(hold_up(step)),
+            Plan::TwoSteps { read, write } => Plan::TwoSteps { read: hold_up(read), write },
+        }
+    }
+
     /// What is learned of the engines of a service.
     fn engine(&self, service: &str) -> EngineModel {
         self.services.get(service).map(|state| state.engine).unwrap_or_default()
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -14,11 +14,12 @@
     endpoint::Role,
     fleet::{
         budget::{Budget, BudgetTerms},
+        choose::Plan,
         engine::{EngineModel, hand_over::Moved, read_time::Reading},
         peers::{PeerLoads, Source},
         policy::FleetPolicy,
         replica::{Load, Replica, ReplicaKey},
-        split::DemandMeter,
+        split::{DemandMeter, Offer},
     },
     prompt::Prompt,
     time::{Span, Time},
@@ -172,12 +173,18 @@
     }
 
     /// Note a new request, and what it would ask of engines.
-    pub fn offered(&mut self, service: &Arc<str>, reading: Reading, now: Time) {
+    pub fn offered(&mut self, service: &Arc<str>, plan: &Plan, now: Time) {
         let state = self.service_mut(service);
+        let reading = plan.reading().reading;
         let tokens = reading.uncached + reading.held;
-        let moved = Moved { tokens, across: false };
-        let reading_ms = state.engine.read.work_ms(reading);
-        state.meter.offered(reading_ms, state.engine.hand_over.link_ms(moved), tokens, now);
+        let offer = Offer {
+            reading_ms: state.engine.read.work_ms(reading),
+            moving_ms: state.engine.hand_over.link_ms(Moved { tokens, across: false }),
+            tokens,
+            long: plan.is_long(),
+            late: plan.is_late(),
+        };
+        state.meter.offered(&offer, now);
     }
 
     /// Note that work begins at a replica; `prompt` is what it reads.
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -87,6 +87,8 @@
     pub service: u32,
     /// Engines that would be reading all the time.
     pub reading: f32,
+    /// The part of that which can be in time.
+    pub urgent: f32,
     /// Slots that answers would take.
     pub slots: f32,
     /// Tokens of memory that answers would take.
@@ -386,6 +388,7 @@
     const fn read(&self) -> (u32, Demand) {
         let demand = Demand {
             reading: self.reading as f64,
+            urgent: self.urgent as f64,
             slots: self.slots as f64,
             tokens: self.tokens as f64,
             moving: self.moving as f64,
@@ -399,6 +402,7 @@
     let told = ServiceDemand {
         service,
         reading: demand.reading as f32,
+        urgent: demand.urgent as f32,
         slots: demand.slots as f32,
         tokens: demand.tokens as f32,
         moving: demand.moving as f32,
--- a/crates/core/src/fleet/split.rs
+++ b/crates/core/src/fleet/split.rs
@@ -13,17 +13,15 @@
     time::{Span, Time},
 };
 
-/// Time over which demand is averaged. Shorter than a role change pays for, longer than a burst
-/// of a few requests.
-const AVERAGE: Span = Span::millis(1_500);
-/// Seconds of an answer before any was seen.
-const ANSWER_GUESS: f64 = 1.0;
+/// Time over which demand is averaged. Longer than a role change takes the engine away, shorter
+/// than most swings of the mix.
+const AVERAGE: Span = Span::millis(2_500);
+/// Seconds of a short answer before any was seen.
+const SHORT_GUESS: f64 = 0.5;
 /// Seconds of a long answer before any was seen.
 const LONG_GUESS: f64 = 3.0;
 /// Weight of a new observation of an answer's time, once there are many.
-const LEARN: f64 = 0.02;
-/// Weight of a new observation of a long answer's time.
-const LEARN_LONG: f64 = 0.05;
+const LEARN: f64 = 0.05;
 /// Engines of a service below which roles are left alone.
 const FEWEST: usize = 4;
 /// Decode engines that are kept at least: one may be lost at any time.
@@ -31,6 +29,18 @@
 /// Share of a service's engines that stay decode engines at least. When the store is away roles
 /// cannot change back, and without decode engines nothing is answered; an idle one still reads.
 const LEAST_DECODE_SHARE: f64 = 0.25;
+/// Share of a decode engine's memory that running answers take when it is well used; the rest keeps
+/// parts of earlier prompts.
+const ANSWERS_MEMORY_SHARE: f64 = 0.5;
+/// Share of its time that a decode engine's link takes over prompts when it is well used: they
+/// queue, and come in bursts.
+const LINK_SHARE: f64 = 0.5;
+/// How many times as many decode engines as there are must be needed before one is taken from
+/// reading that is itself short of them.
+const OVERFULL: f64 = 1.25;
+/// Share of the engines that change at once at most, one at least. Each is away for seconds, so a
+/// demand that turns again would find too few.
+const MOST_CHANGING: f64 = 0.1;
 /// Prefill engines that are kept at least.
 const LEAST_PREFILL: usize = 2;
 
@@ -62,6 +72,8 @@
 pub struct Demand {
     /// Engines that would be reading all the time.
     pub reading: f64,
+    /// The part of that which can be in time, and goes before the rest.
+    pub urgent: f64,
     /// Slots that answers would take.
     pub slots: f64,
     /// Tokens of memory that answers would take.
@@ -74,27 +86,73 @@
     /// Add another demand for the same service.
     pub fn add(&mut self, other: Self) {
         self.reading += other.reading;
+        self.urgent += other.urgent;
         self.slots += other.slots;
         self.tokens += other.tokens;
         self.moving += other.moving;
     }
 }
 
+/// Answers of one kind: how many begin, what memory they hold, and how long they take.
+#[derive(Clone, Copy, Debug)]
+struct AnswerMeter {
+    begun: Fading,
+    tokens: Fading,
+    seconds: f64,
+    seen: u32,
+}
+
+impl AnswerMeter {
+    fn new(seconds: f64) -> Self {
+        Self { begun: Fading::default(), tokens: Fading::default(), seconds, seen: 0 }
+    }
+
+    fn offered(&mut self, tokens: u32, now: Time) {
+        self.begun.add(1.0, now);
+        self.tokens.add(f64::from(tokens), now);
+    }
+
+    fn answered(&mut self, took: Span) {
+        self.seen = self.seen.saturating_add(1);
+        let weight = LEARN.max(1.0 / f64::from(self.seen + 1));
+        self.seconds += weight * (took.as_seconds() - self.seconds);
+    }
+
+    /// Slots that are taken on average.
+    fn slots(&self, now: Time) -> f64 {
+        self.begun.rate(now) * self.seconds
+    }
+
+    /// Tokens of memory that are held on average.
+    fn held(&self, now: Time) -> f64 {
+        self.tokens.rate(now) * self.seconds
+    }
+}
+
+/// What a request asks of engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Offer {
+    /// Milliseconds of reading.
+    pub reading_ms: f64,
+    /// Milliseconds of a link for handing it over.
+    pub moving_ms: f64,
+    /// Tokens of its prompt.
+    pub tokens: u32,
+    /// Whether its answer keeps a slot for seconds.
+    pub long: bool,
+    /// Whether it can only be late.
+    pub late: bool,
+}
+
 /// Measures the demand that this daemon sees.
 #[derive(Clone, Copy, Debug)]
 pub struct DemandMeter {
     reading: Fading,
-    /// Answers that were begun.
-    answers: Fading,
-    /// Tokens of memory that they hold.
-    held: Fading,
+    urgent: Fading,
+    short: AnswerMeter,
+    long: AnswerMeter,
     /// Engine-seconds of handing prompts over.
     moving: Fading,
-    /// Seconds that an answer takes.
-    answer_s: f64,
-    answers_seen: u32,
-    /// Seconds that a long answer takes.
-    long_s: f64,
     seen: bool,
 }
 
@@ -102,35 +160,32 @@
     fn default() -> Self {
         Self {
             reading: Fading::default(),
-            answers: Fading::default(),
-            held: Fading::default(),
+            urgent: Fading::default(),
+            short: AnswerMeter::new(SHORT_GUESS),
+            long: AnswerMeter::new(LONG_GUESS),
             moving: Fading::default(),
-            answer_s: ANSWER_GUESS,
-            answers_seen: 0,
-            long_s: LONG_GUESS,
             seen: false,
         }
     }
 }
 
 impl DemandMeter {
-    /// Note a request: what reading it takes, what handing it over takes, and the tokens of its prompt.
-    pub fn offered(&mut self, reading_ms: f64, moving_ms: f64, tokens: u32, now: Time) {
+    /// Note a request.
+    pub fn offered(&mut self, offer: &Offer, now: Time) {
         self.seen = true;
-        self.reading.add(reading_ms / 1_000.0, now);
-        self.moving.add(moving_ms / 1_000.0, now);
-        self.held.add(f64::from(tokens), now);
-        self.answers.add(1.0, now);
+        self.reading.add(offer.reading_ms / 1_000.0, now);
+        if !offer.late {
+            self.urgent.add(offer.reading_ms / 1_000.0, now);
+        }
+        self.moving.add(offer.moving_ms / 1_000.0, now);
+        let kind = if offer.long { &mut self.long } else { &mut self.short };
+        kind.offered(offer.tokens, now);
     }
 
     /// Note that an answer took so long, and whether it was a long one.
     pub fn answered(&mut self, took: Span, long: bool) {
-        self.answers_seen = self.answers_seen.saturating_add(1);
-        let weight = LEARN.max(1.0 / f64::from(self.answers_seen + 1));
-        self.answer_s += weight * (took.as_seconds() - self.answer_s);
-        if long {
-            self.long_s += LEARN_LONG * (took.as_seconds() - self.long_s);
-        }
+        let kind = if long { &mut self.long } else { &mut self.short };
+        kind.answered(took);
     }
 
     /// The demand now.
@@ -138,8 +193,9 @@
     pub fn demand(&self, now: Time) -> Demand {
         Demand {
             reading: self.reading.rate(now),
-            slots: self.answers.rate(now) * self.answer_s,
-            tokens: self.held.rate(now) * self.answer_s,
+            urgent: self.urgent.rate(now),
+            slots: self.short.slots(now) + self.long.slots(now),
+            tokens: self.short.held(now) + self.long.held(now),
             moving: self.moving.rate(now),
         }
     }
@@ -172,30 +228,45 @@
         if prefill + decode < FEWEST {
             return None;
         }
-        let streams: u32 = engines.iter().map(|(_, replica)| replica.streams()).sum();
-        let slots = engines.iter().map(|(_, replica)| replica.facts.slots).min()?;
-        let need_slots = demand.slots.max(f64::from(streams)) / (f64::from(slots) * self.policy.slot_share);
-        let least_decode = LEAST_DECODE.max(((prefill + decode) as f64 * LEAST_DECODE_SHARE) as usize);
-        let need_decode = (need_slots.ceil() as usize).max(least_decode);
-        let need_prefill = demand.reading / self.policy.read_share;
         let shift = |key, to| Shift { key, to, demand, before: (prefill, decode) };
-        if demand == Demand::default() && streams == 0 {
+        if demand == Demand::default() {
             let wanted = ((prefill + decode) as f64 * self.policy.first_read_share) as usize;
             let lacks = prefill < wanted && decode > LEAST_DECODE && !self.saw_demand(service);
             return idle_engine(&engines, Role::Decode, now).filter(|_| lacks).map(|key| shift(key, Role::Prefill));
         }
-        let short_of_prefill = need_prefill > prefill as f64;
-        if short_of_prefill && decode > need_decode {
+        let all = prefill + decode;
+        let changing = engines.iter().filter(|(_, replica)| !replica.changing_until.is_past(now)).count();
+        if changing as f64 >= (all as f64 * MOST_CHANGING).max(1.0) {
+            return None;
+        }
+        let need = self.need(service, &engines, demand)?;
+        let kept = (need.decode.ceil() as usize).max(least_decode(all));
+        if need.prefill > prefill as f64 && decode > kept {
             return idle_engine(&engines, Role::Decode, now).map(|key| shift(key, Role::Prefill));
         }
-        let spare_prefill = prefill > LEAST_PREFILL && need_prefill <= (prefill - 1) as f64;
-        let far_short_of_decode = prefill > LEAST_PREFILL && need_slots > decode as f64 * OVERFULL;
-        if need_decode > decode && (spare_prefill || far_short_of_decode) {
+        let spare = need.prefill <= prefill.saturating_sub(1) as f64;
+        let overfull = need.decode > decode as f64 * OVERFULL;
+        if prefill > LEAST_PREFILL && kept > decode && (spare || overfull) {
             return idle_engine(&engines, Role::Prefill, now).map(|key| shift(key, Role::Decode));
         }
         None
     }
 
+    /// Engines that a demand needs on each side, each used as well as the policy wants.
+    fn need(&self, service: &str, engines: &[(ReplicaKey, &Replica)], demand: Demand) -> Option<Need> {
+        let slots = f64::from(engines.iter().map(|(_, replica)| replica.facts.slots).min()?);
+        let memory = self.services.get(service).map_or(super::MEMORY_GUESS, |state| state.memory_tokens) as f64;
+        let answering = engines.iter().filter(|(_, replica)| replica.facts.role == Role::Decode);
+        let active: u32 = answering.map(|(_, replica)| replica.active()).sum();
+        let for_slots = demand.slots.max(f64::from(active)) / (slots * self.policy.slot_share);
+        let for_memory = demand.tokens / (memory * ANSWERS_MEMORY_SHARE);
+        let for_moves = demand.moving / LINK_SHARE;
+        Some(Need {
+            prefill: demand.reading / self.policy.read_share,
+            decode: for_slots.max(for_memory).max(for_moves),
+        })
+    }
+
     /// Whether there are engines with different roles, so that roles may be worth changing.
     #[must_use]
     pub fn has_split_engines(&self) -> bool {
@@ -233,7 +304,7 @@
     /// How long a long answer of a service usually takes.
     #[must_use]
     pub fn usual_answer(&self, service: &str) -> Span {
-        self.services.get(service).map_or(Span::seconds(LONG_GUESS), |state| Span::seconds(state.meter.long_s))
+        self.services.get(service).map_or(Span::seconds(LONG_GUESS), |state| Span::seconds(state.meter.long.seconds))
     }
 
     /// The demand that this daemon and its peers see for a service.
@@ -249,6 +320,18 @@
     }
 }
 
+/// Engines that are needed on each side.
+#[derive(Clone, Copy, Debug)]
+struct Need {
+    prefill: f64,
+    decode: f64,
+}
+
+/// Decode engines that are kept at least, of so many engines.
+fn least_decode(engines: usize) -> usize {
+    LEAST_DECODE.max((engines as f64 * LEAST_DECODE_SHARE) as usize)
+}
+
 /// The engine with this role that a change disturbs least.
 fn idle_engine(engines: &[(ReplicaKey, &Replica)], role: Role, now: Time) -> Option<ReplicaKey> {
     engines
@@ -261,10 +344,6 @@
         .map(|(key, _)| *key)
 }
 
-/// How many times as many slots as there are must be lacking before engines are taken from
-/// reading that is itself short of them.
-const OVERFULL: f64 = 1.25;
-
 fn is_serving(replica: &Replica, now: Time) -> bool {
     !replica.facts.draining && !replica.gone_at.is_past(now)
 }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -222,7 +222,7 @@
         let chosen = fleet.choose(&self.ask(now), now);
         let is_new = self.tried.is_empty();
         if is_new && let Some(plan) = offered(&chosen) {
-            fleet.offered(&self.service, plan.reading().reading, now);
+            fleet.offered(&self.service, plan, now);
         }
         let usual = fleet.usual_answer(&self.service);
         match chosen {
