Count a removal after the store's return as meant

Ruled out: late news, the removal was known in 11 ms. Now the time to come back is given to removals up to the revision that the store had 300 ms after its return.

--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -262,7 +262,7 @@
             },
         ));
         let two = read.and_then(|read| {
-            let write = self.choose_writer(ask, prompt, &read, long, now)?;
+            let write = self.choose_writer(ask, &read, long, now)?;
             Some(Plan::TwoSteps { read, write })
         });
         match (whole.map(Plan::Whole), two) {
@@ -278,7 +278,10 @@
         held.max_by_key(|(_, tokens)| *tokens)
     }
 
-    fn choose_writer(&self, ask: &Ask<'_>, prompt: &Prompt, reader: &Step, long: bool, now: Time) -> Option<Step> {
+    /// The engine that answers a prompt which another one reads or has read.
+    #[must_use]
+    pub fn choose_writer(&self, ask: &Ask<'_>, reader: &Step, long: bool, now: Time) -> Option<Step> {
+        let prompt = ask.prompt?;
         let engine = self.engine(ask.service);
         let reader = self.replicas.get(reader.key);
         lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).map(|(key, replica)| {
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -8,8 +8,8 @@
 use dahliaseam_core::{
     fleet::{
         StepEnd,
-        choose::{Plan, Step},
-        replica::ReplicaFacts,
+        choose::{Ask, Plan, Step},
+        replica::{ReplicaFacts, ReplicaKey},
     },
     time::{Span, Time},
 };
@@ -43,6 +43,9 @@
 const SHORT_ANSWER: usize = 64 << 10;
 /// Time for the rest of a short answer whose head came.
 const SHORT_ANSWER_TIME: Duration = Duration::from_millis(100);
+/// Engines that are asked to answer a prompt that was read, after the first one refused. Reading
+/// it again costs far more than asking.
+const MORE_WRITERS: usize = 2;
 /// Time to free memory at an engine.
 const FREE: Duration = Duration::from_secs(1);
 /// Rank of what is known to be late: behind all that can still be in time.
@@ -121,6 +124,8 @@
     pub(super) why: CallFailure,
     /// Whether only the reading of the prompt failed, which is no run.
     pub(super) reading: bool,
+    /// Where.
+    pub(super) at: ReplicaKey,
 }
 
 /// Memory at an engine that is freed unless it was used.
@@ -164,21 +169,49 @@
             Plan::Whole(step) => self
                 .serve(step, &Task::Serve { copy_from: self.copy_from(step) })
                 .await
-                .map_err(|why| Failed { why, reading: false }),
+                .map_err(|why| Failed { why, reading: false, at: step.key }),
             Plan::TwoSteps { read, write } => self.two_steps(read, write).await,
         }
     }
 
     async fn two_steps(&self, read: &Step, write: &Step) -> Result<Answer, Failed> {
-        let kept = self.read(read).await.map_err(|why| Failed { why, reading: true })?;
+        let mut kept = self.read(read).await.map_err(|why| Failed { why, reading: true, at: read.key })?;
         let Some(handle) = &kept.handle else {
-            return Err(Failed { why: CallFailure::Lost("no handle".to_owned()), reading: true });
+            let why = CallFailure::Lost("no handle".to_owned());
+            return Err(Failed { why, reading: true, at: read.key });
         };
         let task = Task::Continue { reader: kept.replica.address, handle: handle.name.clone() };
-        let answer = self.serve(write, &task).await.map_err(|why| Failed { why, reading: false })?;
-        let mut kept = kept;
-        kept.handle = None;
-        Ok(answer)
+        let mut refused = Vec::new();
+        loop {
+            let write = self.writer(read, write, &refused);
+            match self.serve(&write, &task).await {
+                Ok(answer) => {
+                    kept.handle = None;
+                    return Ok(answer);
+                }
+                Err(why) if refused.len() < MORE_WRITERS && self.may_hand_on(&why) => refused.push(write.key),
+                Err(why) => return Err(Failed { why, reading: false, at: write.key }),
+            }
+        }
+    }
+
+    /// The engine that is to answer, chosen anew now that the prompt is read: since it was planned
+    /// engines have filled up, left, or begun to change their role.
+    fn writer(&self, read: &Step, planned: &Step, refused: &[ReplicaKey]) -> Step {
+        let now = self.gw.now();
+        let fleet = self.gw.fleet();
+        let ask = Ask { tried: refused, ..self.ask(now) };
+        fleet.choose_writer(&ask, read, planned.long, now).unwrap_or(*planned)
+    }
+
+    /// Whether another engine may answer instead: the prompt's memory is still there if this one
+    /// did not begin.
+    fn may_hand_on(&self, why: &CallFailure) -> bool {
+        if why.may_have_run() || matches!(why, CallFailure::NotTried(_)) {
+            return false;
+        }
+        let now = self.gw.now();
+        !why.arrived() || self.gw.fleet().take_repeats(1, &self.service, &self.gw.budget(), now)
     }
 
     /// Have a prompt read.
--- a/crates/daemon/src/gateway/borrow.rs
+++ b/crates/daemon/src/gateway/borrow.rs
@@ -55,8 +55,11 @@
     pub(super) entries: Vec<CopiedEntry>,
     /// Keys that were removed, with the revisions at which they were.
     pub(super) removed: Vec<(String, i64)>,
-    /// Milliseconds for which entries that are missing may still come back.
+    /// Milliseconds for which entries that lapsed while the store was away may still come back.
     pub(super) grace_ms: u64,
+    /// Removals up to this revision may be such lapses.
+    #[serde(default)]
+    pub(super) lapsed_up_to: i64,
 }
 
 impl StoreCopy {
@@ -143,7 +146,7 @@
 }
 
 fn take_over(gw: &Arc<Gateway>, copy: StoreCopy) {
-    gw.copies().set_grace(gw.now() + Span::millis(copy.grace_ms));
+    gw.copies().set_grace(gw.now() + Span::millis(copy.grace_ms), copy.lapsed_up_to);
     let entries = copy.entries.into_iter().map(Entry::from);
     if copy.whole {
         follow::apply_snapshot(gw, Snapshot { entries: entries.collect(), revision: copy.revision });
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -30,6 +30,9 @@
 /// Time that a lapsed entry gets to come back after the store did. Replicas that live write
 /// again within about two seconds; a little more for the way.
 const COME_BACK: Span = Span::millis(2_200);
+/// Time after the store's return in which entries may still lapse because of it. A later removal is
+/// one that its replica meant, and a daemon that was cut off alone must not think otherwise.
+const SETTLE: Span = Span::millis(300);
 /// Waits between calls that fail, doubling from the first to the last.
 const RETRY: (Span, Span) = (Span::millis(50), Span::millis(800));
 /// Part of the time allowed for following again that one waiting call may take. A call on a
@@ -64,8 +67,12 @@
     removed: VecDeque<(String, i64)>,
     /// Revision from which on all removals are among those.
     removed_since: i64,
-    /// Until when entries that are missing may come back.
+    /// Until when entries that lapsed while the store was away may come back.
     grace_until: Time,
+    /// Removals up to this revision may be such lapses; later ones are meant.
+    lapsed_up_to: i64,
+    /// Until when removals that the store reports may still be lapses of the time before.
+    settled_at: Time,
     lost: bool,
 }
 
@@ -86,6 +93,7 @@
             entries: newer.map(CopiedEntry::from).collect(),
             removed: self.removed.iter().filter(|(_, revision)| *revision > after).cloned().collect(),
             grace_ms: self.grace_until.since(now).as_millis(),
+            lapsed_up_to: self.lapsed_up_to,
         }
     }
 
@@ -99,9 +107,15 @@
         }
     }
 
-    /// Give entries that are missing this long to come back.
-    pub(super) fn set_grace(&mut self, until: Time) {
+    /// Give entries that were removed up to a revision this long to come back.
+    pub(super) fn set_grace(&mut self, until: Time, lapsed_up_to: i64) {
         self.grace_until = self.grace_until.max(until);
+        self.lapsed_up_to = self.lapsed_up_to.max(lapsed_up_to);
+    }
+
+    /// When a replica whose entry was removed at a revision counts as gone.
+    fn gone_at(&self, revision: i64, now: Time) -> Time {
+        if revision <= self.lapsed_up_to { now.max(self.grace_until) } else { now }
     }
 
     /// Go on from a revision that another daemon has followed the store to.
@@ -137,7 +151,6 @@
         let step = if read { next(gw).await } else { read_all(gw).await };
         match step {
             Ok(()) => {
-                store_answered(gw);
                 retry = RETRY.0;
                 tokio::time::sleep(BETWEEN).await;
             }
@@ -167,7 +180,7 @@
 
 async fn read_all(gw: &Arc<Gateway>) -> Result<(), CallError> {
     let snapshot = gw.outside.feed.snapshot("").await?;
-    store_answered(gw);
+    store_answered(gw, snapshot.revision);
     apply_snapshot(gw, snapshot);
     Ok(())
 }
@@ -181,7 +194,7 @@
             read_all(gw).await
         }
         Changes::Next { changes, revision } => {
-            store_answered(gw);
+            store_answered(gw, revision);
             for change in changes {
                 apply(gw, change);
             }
@@ -191,15 +204,20 @@
     }
 }
 
-fn store_answered(gw: &Gateway) {
+/// The store answered, with what it has up to a revision.
+fn store_answered(gw: &Gateway, revision: i64) {
     gw.metrics.store_call("answered");
     let now = gw.now();
     let mut copies = gw.copies();
     copies.heard = now;
     if std::mem::take(&mut copies.lost) {
         copies.grace_until = now + COME_BACK;
+        copies.settled_at = now + SETTLE;
         emit!(info, STORE_BACK, revision = copies.revision);
     }
+    if !copies.settled_at.is_past(now) {
+        copies.lapsed_up_to = copies.lapsed_up_to.max(revision);
+    }
 }
 
 fn store_failed(gw: &Gateway, e: &CallError) {
@@ -322,7 +340,7 @@
             return;
         }
         copies.replicas.remove(key);
-        now.max(copies.grace_until)
+        copies.gone_at(revision, now)
     };
     if gw.fleet().removed(id, revision, gone_at) {
         emit!(info, REPLICA_LEFT, replica = id, revision, grace_ms = gone_at.since(now).as_millis());
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -149,10 +149,13 @@
         };
         ending.tries += 1;
         let failed = match job.attempt(&plan).await {
-            Ok(answer) => match begin_answer(&job, answer).await {
-                Ok(begun) => return relay::answer(job, begun, ending),
-                Err(why) => Failed { why, reading: false },
-            },
+            Ok(answer) => {
+                let at = answer.work.replica();
+                match begin_answer(&job, answer).await {
+                    Ok(begun) => return relay::answer(job, begun, ending),
+                    Err(why) => Failed { why, reading: false, at },
+                }
+            }
             Err(failed) => failed,
         };
         job.note_failed(&plan, &failed);
@@ -243,7 +246,7 @@
         }
     }
 
-    fn ask(&self, now: Time) -> Ask<'_> {
+    pub(super) fn ask(&self, now: Time) -> Ask<'_> {
         Ask {
             service: &self.service,
             prompt: self.caller.prompt.as_ref(),
@@ -308,12 +311,8 @@
     }
 
     pub(super) fn note_failed(&mut self, plan: &Plan, failed: &Failed) {
-        let key = match (plan, failed.reading) {
-            (Plan::Whole(step), _) | (Plan::TwoSteps { read: step, .. }, true) => step.key,
-            (Plan::TwoSteps { write, .. }, false) => write.key,
-        };
         self.tries += 1;
-        self.tried.push(key);
+        self.tried.push(failed.at);
         if failed.reading {
             // The engine may have waited for the one that it was to copy from.
             self.tried.extend(plan.reading().copy_from);
--- a/crates/daemon/src/gateway/work.rs
+++ b/crates/daemon/src/gateway/work.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use dahliaseam_core::{
-    fleet::{Sent, StepEnd, choose::Step},
+    fleet::{Sent, StepEnd, choose::Step, replica::ReplicaKey},
     prompt::Prompt,
     time::Span,
 };
@@ -45,6 +45,11 @@
         self.gw.fleet().learn_plain(&self.sent, now.since(self.sent.at), now);
     }
 
+    /// Where it is done.
+    pub(super) const fn replica(&self) -> ReplicaKey {
+        self.sent.key
+    }
+
     /// Whether it is the answer that will keep a slot for seconds.
     pub(super) const fn is_long(&self) -> bool {
         self.sent.load.streams > 0
