Serve a prompt beside streams where no engine only reads

Cause, found by reading: where all engines both read and answer, or the readers are gone, a prompt whose reading takes longer than the streams beside it can bear had no way at all and was refused. Now the bound holds only while there is another way. The choice of one engine and of a reader are functions of their own.

--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -108,6 +108,18 @@
     pub late: bool,
 }
 
+/// A prompt that is to be read.
+#[derive(Clone, Copy, Debug)]
+struct Read<'a> {
+    prompt: &'a Prompt,
+    /// The engine that holds the most of it, and how many tokens.
+    holder: Option<(ReplicaKey, u32)>,
+    /// Whether it can only be late.
+    late: bool,
+    /// Whether its answer will keep a slot for seconds.
+    long: bool,
+}
+
 impl Step {
     /// A step that takes no time at all.
     #[must_use]
@@ -227,50 +239,58 @@
     }
 
     fn choose_engines(&self, ask: &Ask<'_>, prompt: &Prompt, late: bool, now: Time) -> Option<Plan> {
-        let long = prompt.output >= LONG_OUTPUT;
-        let holder = self.holder(ask, prompt, now);
+        let read = Read { prompt, holder: self.holder(ask, prompt, now), late, long: prompt.output >= LONG_OUTPUT };
         let pause_ms = self.bearable_pause_ms(ask.service);
-        let whole = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill).filter_map(
-            |(key, replica)| {
-                let step = self.reading_step((key, replica), ask, prompt, holder, late, now);
-                let over = slot_wait_ms(replica, long);
-                let step = Step { wait_ms: step.wait_ms + over, long, ..step };
-                let disturbs = replica.streams() > 0 && step.work_ms > SHORT_READ_MS;
-                if replica.active() > 0 && step.wait_ms + step.work_ms > pause_ms {
-                    return None;
-                }
-                let disturbed = if disturbs { f64::from(replica.streams()) * DISTURBED_MS } else { 0.0 };
-                let cost = step.wait_ms
-                    + step.work_ms
-                    + self.way_ms(replica, now)
-                    + disturbed
-                    + self.packing_ms(replica, long, now);
-                Some((cost + self.spread_ms(key, ask, now), step))
-            },
-        ));
-        let read = lowest(self.open(ask, now).filter(|(_, replica)| replica.facts.role == Role::Prefill).map(
-            |(key, replica)| {
-                let step = self.reading_step((key, replica), ask, prompt, holder, late, now);
-                (
-                    step.wait_ms
-                        + step.work_ms
-                        + self.way_ms(replica, now)
-                        + self.pushed_out_ms(&step)
-                        + self.spread_ms(key, ask, now),
-                    step,
-                )
-            },
-        ));
-        let two = read.and_then(|read| {
-            let write = self.choose_writer(ask, &read, long, now)?;
-            Some(Plan::TwoSteps { read, write })
+        let whole = self.choose_whole(ask, &read, pause_ms, now).map(Plan::Whole);
+        let two = self.choose_reader(ask, &read, now).and_then(|reader| {
+            let write = self.choose_writer(ask, &reader, read.long, now)?;
+            Some(Plan::TwoSteps { read: reader, write })
         });
-        match (whole.map(Plan::Whole), two) {
+        match (whole, two) {
             (Some(whole), Some(two)) if two.predicted_ms() < whole.predicted_ms() => Some(two),
+            (None, None) => self.choose_whole(ask, &read, f64::INFINITY, now).map(Plan::Whole),
             (whole, two) => whole.or(two),
         }
     }
 
+    /// The engine that reads and answers a prompt; one with short answers under way only if it
+    /// reads at once no longer than `most_ms`.
+    fn choose_whole(&self, ask: &Ask<'_>, read: &Read<'_>, most_ms: f64, now: Time) -> Option<Step> {
+        let pause_ms = self.bearable_pause_ms(ask.service);
+        let engines = self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill);
+        lowest(engines.filter_map(|(key, replica)| {
+            let step = self.reading_step((key, replica), ask, read, now);
+            let over = slot_wait_ms(replica, read.long);
+            let step = Step { wait_ms: step.wait_ms + over, long: read.long, ..step };
+            let most_ms = match (replica.streams(), replica.active()) {
+                (0, 0) => f64::INFINITY,
+                (0, _) => most_ms,
+                (_, _) => pause_ms,
+            };
+            if step.wait_ms + step.work_ms > most_ms {
+                return None;
+            }
+            let disturbs = replica.streams() > 0 && step.work_ms > SHORT_READ_MS;
+            let disturbed = if disturbs { f64::from(replica.streams()) * DISTURBED_MS } else { 0.0 };
+            let cost = step.wait_ms
+                + step.work_ms
+                + self.way_ms(replica, now)
+                + disturbed
+                + self.packing_ms(replica, read.long, now);
+            Some((cost + self.spread_ms(key, ask, now), step))
+        }))
+    }
+
+    /// The engine that only reads a prompt.
+    fn choose_reader(&self, ask: &Ask<'_>, read: &Read<'_>, now: Time) -> Option<Step> {
+        let engines = self.open(ask, now).filter(|(_, replica)| replica.facts.role == Role::Prefill);
+        lowest(engines.map(|(key, replica)| {
+            let step = self.reading_step((key, replica), ask, read, now);
+            let cost = step.wait_ms + step.work_ms + self.way_ms(replica, now) + self.pushed_out_ms(&step);
+            (cost + self.spread_ms(key, ask, now), step)
+        }))
+    }
+
     /// The engine whose memory holds the most of a prompt, and how many tokens.
     fn holder(&self, ask: &Ask<'_>, prompt: &Prompt, now: Time) -> Option<(ReplicaKey, u32)> {
         let sure = self.open(ask, now).filter(|(_, replica)| !replica.is_doubted(now));
@@ -295,15 +315,8 @@
         }))
     }
 
-    fn reading_step(
-        &self,
-        (key, replica): (ReplicaKey, &Replica),
-        ask: &Ask<'_>,
-        prompt: &Prompt,
-        holder: Option<(ReplicaKey, u32)>,
-        late: bool,
-        now: Time,
-    ) -> Step {
+    fn reading_step(&self, (key, replica): (ReplicaKey, &Replica), ask: &Ask<'_>, read: &Read<'_>, now: Time) -> Step {
+        let Read { prompt, holder, late, .. } = *read;
         let held = replica.cache.held_tokens(prompt);
         let (copy_from, copied) = match holder {
             Some((other, more)) if other != key && more >= held + WORTH_COPYING => (Some(other), more - held),
--- a/crates/core/src/fleet/split.rs
+++ b/crates/core/src/fleet/split.rs
@@ -1,8 +1,9 @@
 //! Which role each engine of a service should play.
 //!
-//! The demand for reading and for long answers is measured over a second or two, on all daemons.
-//! An engine changes its role when one side lacks engines and the other has one to spare. A
-//! change takes the engine away for seconds, so nothing is changed for a small difference.
+//! The demand for reading and for answers is measured over some seconds, on all daemons: what
+//! reading takes of engines, and what answers take of slots, memory and links. An engine changes
+//! its role when one side lacks engines and the other has one to spare. A change takes the engine
+//! away for seconds, so nothing is changed for a small difference, and few change at once.
 
 use crate::{
     endpoint::Role,
