--- a/crates/core/src/fleet/policy.rs
+++ b/crates/core/src/fleet/policy.rs
@@ -48,7 +48,7 @@
             other_hall_ms: 5.0,
             packed_share: 0.8,
             pause_ms: 150.0,
-            pause_share: 0.4,
+            pause_share: 0.27,
             first_read_share: 0.5,
             read_share: 0.6,
             slot_share: 0.75,
