One running mean, one rule for taking over what others learned, one look-up for each choice

The learned model was looked up and copied for each replica of a choice, and the holder of a prompt was sought twice for what is late; now once. Messages that tell nothing learned are not walked through.

--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -112,6 +112,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Read<'a> {
     prompt: &'a Prompt,
+    /// What is learned of the engines.
+    engine: EngineModel,
     /// The engine that holds the most of it, and how many tokens.
     holder: Option<(ReplicaKey, u32)>,
     /// Whether it can only be late.
@@ -212,13 +214,14 @@
             let plan = self.choose_plain(ask, now).ok_or(NoPlan::NoReplica)?;
             return within(ask.time_left, plan, ask);
         };
-        let urgent = self.choose_engines(ask, prompt, false, now).ok_or(NoPlan::NoReplica)?;
+        let read = self.read_of(ask, prompt, now);
+        let urgent = self.choose_engines(ask, &read, now).ok_or(NoPlan::NoReplica)?;
         let in_time = ask.objective_left.as_seconds() * self.admit_share(ask);
         if urgent.predicted_ms() <= in_time * 1_000.0 {
             return Ok(urgent);
         }
         // It is worth less when late, but not nothing, and costs others no time behind them.
-        let late = self.choose_engines(ask, prompt, true, now).ok_or(NoPlan::NoReplica)?;
+        let late = self.choose_engines(ask, &Read { late: true, ..read }, now).ok_or(NoPlan::NoReplica)?;
         let left = ask.silence_left.min(ask.time_left);
         let late = self.held_up(late, ask.service, now);
         within(Span::seconds(left.as_seconds() * self.policy.late_share), late, ask)
@@ -238,36 +241,40 @@
         lowest(steps).map(Plan::Whole)
     }
 
-    fn choose_engines(&self, ask: &Ask<'_>, prompt: &Prompt, late: bool, now: Time) -> Option<Plan> {
-        let read = Read { prompt, holder: self.holder(ask, prompt, now), late, long: prompt.output >= LONG_OUTPUT };
-        let pause_ms = self.bearable_pause_ms(ask.service);
-        let whole = self.choose_whole(ask, &read, pause_ms, now).map(Plan::Whole);
-        let two = self.choose_reader(ask, &read, now).and_then(|reader| {
+    fn read_of<'a>(&self, ask: &Ask<'_>, prompt: &'a Prompt, now: Time) -> Read<'a> {
+        Read {
+            prompt,
+            engine: self.engine(ask.service),
+            holder: self.holder(ask, prompt, now),
+            late: false,
+            long: prompt.output >= LONG_OUTPUT,
+        }
+    }
+
+    fn choose_engines(&self, ask: &Ask<'_>, read: &Read<'_>, now: Time) -> Option<Plan> {
+        let whole = self.choose_whole(ask, read, true, now).map(Plan::Whole);
+        let two = self.choose_reader(ask, read, now).and_then(|reader| {
             let write = self.choose_writer(ask, &reader, read.long, now)?;
             Some(Plan::TwoSteps { read: reader, write })
         });
         match (whole, two) {
             (Some(whole), Some(two)) if two.predicted_ms() < whole.predicted_ms() => Some(two),
-            (None, None) => self.choose_whole(ask, &read, f64::INFINITY, now).map(Plan::Whole),
+            (None, None) => self.choose_whole(ask, read, false, now).map(Plan::Whole),
             (whole, two) => whole.or(two),
         }
     }
 
-    /// The engine that reads and answers a prompt; one with short answers under way only if it
-    /// reads at once no longer than `most_ms`.
-    fn choose_whole(&self, ask: &Ask<'_>, read: &Read<'_>, most_ms: f64, now: Time) -> Option<Step> {
-        let pause_ms = self.bearable_pause_ms(ask.service);
+    /// The engine that reads and answers a prompt. One with long answers under way reads no longer
+    /// than their pause allows; with `spare_short` one with short answers neither.
+    fn choose_whole(&self, ask: &Ask<'_>, read: &Read<'_>, spare_short: bool, now: Time) -> Option<Step> {
+        let pause_ms = self.bearable_pause_ms(ask.service, &read.engine);
         let engines = self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill);
         lowest(engines.filter_map(|(key, replica)| {
             let step = self.reading_step((key, replica), ask, read, now);
             let over = slot_wait_ms(replica, read.long);
             let step = Step { wait_ms: step.wait_ms + over, long: read.long, ..step };
-            let most_ms = match (replica.streams(), replica.active()) {
-                (0, 0) => f64::INFINITY,
-                (0, _) => most_ms,
-                (_, _) => pause_ms,
-            };
-            if step.wait_ms + step.work_ms > most_ms {
+            let is_bound = replica.streams() > 0 || (spare_short && replica.active() > 0);
+            if is_bound && step.wait_ms + step.work_ms > pause_ms {
                 return None;
             }
             let disturbs = replica.streams() > 0 && step.work_ms > SHORT_READ_MS;
@@ -316,7 +323,8 @@
     }
 
     fn reading_step(&self, (key, replica): (ReplicaKey, &Replica), ask: &Ask<'_>, read: &Read<'_>, now: Time) -> Step {
-        let Read { prompt, holder, late, .. } = *read;
+        let Read { prompt, engine, holder, late, .. } = read;
+        let (holder, late) = (*holder, *late);
         let held = replica.cache.held_tokens(prompt);
         let (copy_from, copied) = match holder {
             Some((other, more)) if other != key && more >= held + WORTH_COPYING => (Some(other), more - held),
@@ -324,7 +332,6 @@
         };
         let held = held + copied;
         let reading = Reading { uncached: prompt.tokens.saturating_sub(held).max(1), held };
-        let engine = self.engine(ask.service);
         let copy_ms = copy_from.map_or(0.0, |holder| {
             let across = self.replicas.get(holder).is_none_or(|holder| holder.facts.hall != replica.facts.hall);
             engine.hand_over.work_ms(Moved { tokens: copied, across })
@@ -368,10 +375,10 @@
     }
 
     /// Milliseconds of reading at once that do not hold up the streams beside it for too long.
-    fn bearable_pause_ms(&self, service: &str) -> f64 {
+    fn bearable_pause_ms(&self, service: &str, engine: &EngineModel) -> f64 {
         let pause = self.services.get(service).and_then(|state| state.pause);
-        let pause_ms = pause.map_or(self.policy.pause_ms, |pause| pause.as_seconds() * 1_000.0);
-        let room = pause_ms - self.engine(service).pace.interval_ms();
+        let pause_ms = pause.map_or(self.policy.pause_ms, Span::in_millis);
+        let room = pause_ms - engine.pace.interval_ms();
         (room * self.policy.pause_share).max(SHORT_READ_MS)
     }
 
@@ -444,7 +451,7 @@
 /// The plan, or a refusal if it is predicted to take longer than `limit`.
 fn within(limit: Span, plan: Plan, ask: &Ask<'_>) -> Result<Plan, NoPlan> {
     let predicted_ms = plan.predicted_ms();
-    let over_ms = predicted_ms - limit.as_seconds() * 1_000.0;
+    let over_ms = predicted_ms - limit.in_millis();
     if ask.may_refuse && over_ms > 0.0 {
         let come_back = come_back(ask, over_ms);
         return Err(NoPlan::TooLate { plan: Box::new(plan), predicted_ms: predicted_ms as u64, come_back });
--- a/crates/core/src/fleet/engine/event_pace.rs
+++ b/crates/core/src/fleet/engine/event_pace.rs
@@ -1,6 +1,6 @@
 //! How far apart the events of a stream usually come, learned from streams that were passed on.
 
-use crate::{fleet::engine::read_time::millis, time::Span};
+use crate::{fleet::engine::running_mean::RunningMean, time::Span};
 
 /// Milliseconds between two events before anything is learned.
 const GUESS_MS: f64 = 40.0;
@@ -12,13 +12,12 @@
 /// The learned interval between two events, for the engines of one service.
 #[derive(Clone, Copy, Debug)]
 pub struct EventPace {
-    interval_ms: f64,
-    seen: u32,
+    interval_ms: RunningMean,
 }
 
 impl Default for EventPace {
     fn default() -> Self {
-        Self { interval_ms: GUESS_MS, seen: 0 }
+        Self { interval_ms: RunningMean::new(GUESS_MS, LEARN) }
     }
 }
 
@@ -26,14 +25,11 @@
     /// Usual milliseconds between two events.
     #[must_use]
     pub const fn interval_ms(&self) -> f64 {
-        self.interval_ms
+        self.interval_ms.value()
     }
 
     /// Learn from the time between two events.
     pub fn learn(&mut self, interval: Span) {
-        self.seen = self.seen.saturating_add(1);
-        let weight = LEARN.max(1.0 / f64::from(self.seen + 1));
-        let seen = millis(interval).min(self.interval_ms * LONGEST);
-        self.interval_ms += weight * (seen - self.interval_ms);
+        self.interval_ms.learn(interval.in_millis().min(self.interval_ms() * LONGEST));
     }
 }
--- a/crates/core/src/fleet/engine/hand_over.rs
+++ b/crates/core/src/fleet/engine/hand_over.rs
@@ -1,10 +1,7 @@
 //! What it takes to bring a prompt's memory from one engine to another, learned from what
 //! hand-overs took until the first event.
 
-use crate::{
-    fleet::engine::{least_squares::LeastSquares, read_time::millis},
-    time::Span,
-};
+use crate::{fleet::engine::least_squares::LeastSquares, time::Span};
 
 /// Milliseconds of each hand-over and of each thousand tokens, before anything is learned.
 const GUESS: [f64; 2] = [8.0, 0.5];
@@ -12,19 +9,16 @@
 const GUESS_WIDTH: [f64; 2] = [8.0, 1.5];
 /// How many times as long the links between halls take.
 const OTHER_HALL: f64 = 2.0;
-/// Observations after which what others have learned is not needed.
-const ENOUGH: u32 = 30;
 
 /// The learned time to hand over, for the engines of one service.
 #[derive(Clone, Copy, Debug)]
 pub struct HandOverTime {
     fit: LeastSquares<2>,
-    seen: u32,
 }
 
 impl Default for HandOverTime {
     fn default() -> Self {
-        Self { fit: LeastSquares::new(GUESS, GUESS_WIDTH), seen: 0 }
+        Self { fit: LeastSquares::new(GUESS, GUESS_WIDTH) }
     }
 }
 
@@ -59,27 +53,23 @@
 
     /// Learn from a hand-over.
     pub fn learn(&mut self, moved: Moved, took: Span) {
-        self.seen = self.seen.saturating_add(1);
-        self.fit.learn(&moved.terms(), millis(took));
+        self.fit.learn(&moved.terms(), took.in_millis());
     }
 
     /// Observations.
     #[must_use]
     pub const fn seen(&self) -> u32 {
-        self.seen
+        self.fit.seen()
     }
 
     /// The learned terms.
     #[must_use]
     pub fn terms(&self) -> [f32; 2] {
-        self.fit.weights().map(|weight| weight as f32)
+        self.fit.told()
     }
 
     /// Take over what a daemon with more observations learned.
-    pub const fn adopt(&mut self, seen: u32, terms: [f32; 2]) {
-        if self.seen >= ENOUGH || seen <= self.seen.saturating_mul(2) {
-            return;
-        }
-        self.fit.set_weights([terms[0] as f64, terms[1] as f64]);
+    pub fn adopt(&mut self, seen: u32, terms: [f32; 2]) {
+        self.fit.adopt(seen, terms);
     }
 }
--- a/crates/core/src/fleet/engine/least_squares.rs
+++ b/crates/core/src/fleet/engine/least_squares.rs
@@ -20,6 +20,9 @@
 /// Error of one observation beside that, in milliseconds: the way there and timers.
 const NOISE_MS: f64 = 2.0;
 
+/// Observations after which what others have learned is not needed.
+const ENOUGH: u32 = 30;
+
 /// Weights of `N` terms.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LeastSquares<const N: usize> {
@@ -27,6 +30,7 @@
     /// Spread of the first guess, which bounds the uncertainty.
     widths: [f64; N],
     covariance: [[f64; N]; N],
+    seen: u32,
 }
 
 impl<const N: usize> LeastSquares<N> {
@@ -36,16 +40,26 @@
         for (i, width) in widths.iter().enumerate() {
             covariance[i][i] = width * width;
         }
-        Self { weights, widths, covariance }
+        Self { weights, widths, covariance, seen: 0 }
+    }
+
+    /// Observations so far.
+    pub(super) const fn seen(&self) -> u32 {
+        self.seen
     }
 
-    pub(super) const fn weights(&self) -> [f64; N] {
-        self.weights
+    /// The weights, as they are told.
+    pub(super) fn told(&self) -> [f32; N] {
+        self.weights.map(|weight| weight as f32)
     }
 
-    /// Take over weights that were learned elsewhere.
-    pub(super) const fn set_weights(&mut self, weights: [f64; N]) {
-        self.weights = weights;
+    /// Take over weights that rest on more observations, while this has few; returns whether it did.
+    pub(super) fn adopt(&mut self, seen: u32, weights: [f32; N]) -> bool {
+        if self.seen >= ENOUGH || seen <= self.seen.saturating_mul(2) {
+            return false;
+        }
+        self.weights = weights.map(f64::from);
+        true
     }
 
     /// The weighted sum.
@@ -55,6 +69,7 @@
 
     /// Learn from one observation.
     pub(super) fn learn(&mut self, terms: &[f64; N], seen: f64) {
+        self.seen = self.seen.saturating_add(1);
         let expected = self.expect(terms);
         let spread: [f64; N] = std::array::from_fn(|i| dot(&self.covariance[i], terms));
         let error = seen - expected;
--- a/crates/core/src/fleet/engine/mod.rs
+++ b/crates/core/src/fleet/engine/mod.rs
@@ -13,6 +13,7 @@
 pub mod hand_over;
 mod least_squares;
 pub mod read_time;
+pub(super) mod running_mean;
 
 /// The learned model of the engines of one service.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/core/src/fleet/engine/read_time.rs
+++ b/crates/core/src/fleet/engine/read_time.rs
@@ -4,7 +4,10 @@
 //! one before it, since each attends to all before. A decode engine reads in smaller pieces
 //! between the steps of its answers; how many times as long that takes is learned apart.
 
-use crate::{fleet::engine::least_squares::LeastSquares, time::Span};
+use crate::{
+    fleet::engine::{least_squares::LeastSquares, running_mean::RunningMean},
+    time::Span,
+};
 
 /// Milliseconds of each reading, of each thousand tokens, and of each million pairs, before
 /// anything is learned.
@@ -19,8 +22,6 @@
 const DECODE_LEARN: f64 = 0.03;
 /// Readings of a decode engine shorter than this say little about how it reads, in milliseconds.
 const DECODE_TELLING_MS: f64 = 10.0;
-/// Observations after which what others have learned is not needed.
-const ENOUGH: u32 = 30;
 
 /// A prompt's reading: the tokens that are read, and those before them that are held.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -43,15 +44,13 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ReadTime {
     fit: LeastSquares<3>,
-    seen: u32,
-    decode_factor: f64,
-    decode_seen: u32,
+    decode_factor: RunningMean,
 }
 
 impl Default for ReadTime {
     fn default() -> Self {
         let fit = LeastSquares::new(GUESS, GUESS_WIDTH);
-        Self { fit, seen: 0, decode_factor: DECODE_GUESS, decode_seen: 0 }
+        Self { fit, decode_factor: RunningMean::new(DECODE_GUESS, DECODE_LEARN) }
     }
 }
 
@@ -65,13 +64,12 @@
     /// How many times as long a decode engine needs.
     #[must_use]
     pub const fn decode_factor(&self) -> f64 {
-        self.decode_factor
+        self.decode_factor.value()
     }
 
     /// Learn from a reading by a prefill engine that had nothing else to read.
     pub fn learn(&mut self, reading: Reading, took: Span) {
-        self.seen = self.seen.saturating_add(1);
-        self.fit.learn(&reading.terms(), millis(took));
+        self.fit.learn(&reading.terms(), took.in_millis());
     }
 
     /// Learn from a reading by a decode engine that had nothing else to read.
@@ -80,38 +78,27 @@
         if usual < DECODE_TELLING_MS {
             return;
         }
-        self.decode_seen = self.decode_seen.saturating_add(1);
-        let weight = DECODE_LEARN.max(1.0 / f64::from(self.decode_seen + 1));
-        let seen = (millis(took) / usual).clamp(DECODE_BOUNDS.0, self.decode_factor * 2.0);
-        let next = self.decode_factor + weight * (seen - self.decode_factor);
-        self.decode_factor = next.clamp(DECODE_BOUNDS.0, DECODE_BOUNDS.1);
+        let most = self.decode_factor() * 2.0;
+        self.decode_factor.learn((took.in_millis() / usual).clamp(DECODE_BOUNDS.0, most));
+        self.decode_factor.clamp(DECODE_BOUNDS);
     }
 
     /// Observations of prefill engines.
     #[must_use]
     pub const fn seen(&self) -> u32 {
-        self.seen
+        self.fit.seen()
     }
 
     /// The learned terms.
     #[must_use]
     pub fn terms(&self) -> [f32; 3] {
-        self.fit.weights().map(|weight| weight as f32)
+        self.fit.told()
     }
 
     /// Take over what a daemon with more observations learned.
     pub fn adopt(&mut self, seen: u32, terms: [f32; 3], decode_factor: f32) {
-        if self.seen >= ENOUGH || seen <= self.seen.saturating_mul(2) {
-            return;
-        }
-        self.fit.set_weights(terms.map(f64::from));
-        if self.decode_seen == 0 {
-            self.decode_factor = f64::from(decode_factor).clamp(DECODE_BOUNDS.0, DECODE_BOUNDS.1);
+        if self.fit.adopt(seen, terms) {
+            self.decode_factor.guess(f64::from(decode_factor).clamp(DECODE_BOUNDS.0, DECODE_BOUNDS.1));
         }
     }
 }
-
-/// A span in milliseconds.
-pub(super) fn millis(span: Span) -> f64 {
-    span.as_seconds() * 1e3
-}
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -249,7 +249,7 @@
         replica.learn_slowness(sent.expected_ms, took, now);
         let service = Arc::clone(&replica.facts.service);
         let state = self.service_mut(&service);
-        state.plain_ms += LEARN_PLAIN * (took.as_seconds() * 1_000.0 - state.plain_ms);
+        state.plain_ms += LEARN_PLAIN * (took.in_millis() - state.plain_ms);
     }
 
     /// Note a new request for a service.
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -256,6 +256,9 @@
     }
 
     fn hear_learned(&mut self, all: &[ServiceLearned]) {
+        if all.is_empty() {
+            return;
+        }
         for (name, state) in &mut self.services {
             let service = short_id(name);
             for told in all.iter().filter(|told| told.service == service) {
--- a/crates/core/src/fleet/split.rs
+++ b/crates/core/src/fleet/split.rs
@@ -9,6 +9,7 @@
     endpoint::Role,
     fleet::{
         Fleet,
+        engine::running_mean::RunningMean,
         replica::{Replica, ReplicaKey},
     },
     time::{Span, Time},
@@ -104,13 +105,12 @@
 struct AnswerMeter {
     begun: Fading,
     tokens: Fading,
-    seconds: f64,
-    seen: u32,
+    seconds: RunningMean,
 }
 
 impl AnswerMeter {
     fn new(seconds: f64) -> Self {
-        Self { begun: Fading::default(), tokens: Fading::default(), seconds, seen: 0 }
+        Self { begun: Fading::default(), tokens: Fading::default(), seconds: RunningMean::new(seconds, LEARN) }
     }
 
     fn offered(&mut self, tokens: u32, now: Time) {
@@ -119,19 +119,17 @@
     }
 
     fn answered(&mut self, took: Span) {
-        self.seen = self.seen.saturating_add(1);
-        let weight = LEARN.max(1.0 / f64::from(self.seen + 1));
-        self.seconds += weight * (took.as_seconds() - self.seconds);
+        self.seconds.learn(took.as_seconds());
     }
 
     /// Slots that are taken on average.
     fn slots(&self, now: Time) -> f64 {
-        self.begun.rate(now) * self.seconds
+        self.begun.rate(now) * self.seconds.value()
     }
 
     /// Tokens of memory that are held on average.
     fn held(&self, now: Time) -> f64 {
-        self.tokens.rate(now) * self.seconds
+        self.tokens.rate(now) * self.seconds.value()
     }
 }
 
@@ -314,7 +312,9 @@
     /// How long a long answer of a service usually takes.
     #[must_use]
     pub fn usual_answer(&self, service: &str) -> Span {
-        self.services.get(service).map_or(Span::seconds(LONG_GUESS), |state| Span::seconds(state.meter.long.seconds))
+        self.services
+            .get(service)
+            .map_or(Span::seconds(LONG_GUESS), |state| Span::seconds(state.meter.long.seconds.value()))
     }
 
     /// The demand that this daemon and its peers see for a service.
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -56,6 +56,12 @@
         self.0 as f64 / MICROS_PER_SECOND
     }
 
+    /// This span in milliseconds, with fractions.
+    #[must_use]
+    pub fn in_millis(self) -> f64 {
+        self.as_seconds() * 1_000.0
+    }
+
     /// This span in whole milliseconds.
     #[must_use]
     pub const fn as_millis(self) -> u64 {
