Reading for another engine has a file of its own

A prompt that was read always has a handle, so the branch for one without is gone; what is asked of a replica is one value instead of three arguments through four functions. Behaviour is unchanged.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -1,10 +1,10 @@
 //! One try at replicas: a call that serves a request, or one that reads its prompt and one that
 //! answers it.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use dahliaseam_border::dialect::{Forward, Handle, Run, Task};
+use dahliaseam_border::dialect::{Forward, Run, Task};
 use dahliaseam_core::{
     fleet::{
         StepEnd,
@@ -13,14 +13,13 @@
     },
     time::{Span, Time},
 };
-use http::{StatusCode, response};
+use http::response;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use crate::{
     emit,
     gateway::{
-        orders,
         request::Job,
         state::Gateway,
         upstream::{Conn, SendError},
@@ -28,27 +27,15 @@
     },
 };
 
-/// How many times as long as predicted a prompt's reading may take before its engine is asked
-/// whether it is there at all. Breaking it off then cost 0.2 of a day's worth on engines that were
-/// slower than predicted: 460 readings were begun again from nothing, each slowing the others.
-const READ_PATIENCE: f64 = 2.0;
-/// What is added to that: the way there, and a prediction that is far off.
-const READ_SLACK: Span = Span::millis(150);
-/// Time between two questions to an engine whose reading takes longer than predicted.
-const ASK_AGAIN: Duration = Duration::from_millis(250);
 /// Wait for an answer after which a replica counts as silent; a caller's own deadline may be shorter.
-const SILENT: Span = Span::millis(150);
-/// What is added for each daemon: what they send in the meantime is heard of later, the more there are.
-const UNSEEN_EACH: Span = Span::millis(3);
+pub(super) const SILENT: Span = Span::millis(150);
 /// Bytes of a short answer that is read to its end at once.
-const SHORT_ANSWER: usize = 64 << 10;
+pub(super) const SHORT_ANSWER: usize = 64 << 10;
 /// Time for the rest of a short answer whose head came.
-const SHORT_ANSWER_TIME: Duration = Duration::from_millis(100);
+pub(super) const SHORT_ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Engines that are asked to answer a prompt that was read, after the first one refused. Reading
 /// it again costs an engine some hundred milliseconds, asking costs the way there.
 const MORE_WRITERS: usize = 2;
-/// Time to free memory at an engine.
-const FREE: Duration = Duration::from_secs(1);
 /// Rank of what is known to be late: behind all that can still be in time.
 const LATE_PRIORITY: u8 = u8::MAX;
 /// Least time left for which it is worth to send anything.
@@ -119,6 +106,15 @@
     pub(super) work: Work,
 }
 
+/// What is asked of one replica.
+#[derive(Clone, Copy)]
+pub(super) struct Call<'a> {
+    pub(super) replica: &'a ReplicaFacts,
+    pub(super) task: &'a Task,
+    /// Rank at the replica, 0 the most urgent.
+    pub(super) priority: u8,
+}
+
 /// How a try failed.
 #[derive(Debug)]
 pub(super) struct Failed {
@@ -129,40 +125,6 @@
     pub(super) at: ReplicaKey,
 }
 
-/// Memory at an engine that is freed unless it was used.
-struct KeptPrompt {
-    gw: Arc<Gateway>,
-    replica: ReplicaFacts,
-    handle: Option<Handle>,
-}
-
-impl Drop for KeptPrompt {
-    fn drop(&mut self) {
-        if let Some(handle) = self.handle.take() {
-            tokio::spawn(free(Arc::clone(&self.gw), self.replica.clone(), handle.name));
-        }
-    }
-}
-
-async fn free(gw: Arc<Gateway>, replica: ReplicaFacts, handle: String) {
-    let req = match gw.outside.dialect.free_handle(&replica, &handle) {
-        Ok(req) => req,
-        Err(e) => {
-            emit!(warn, HANDLE_KEPT, replica = %replica.id, handle, why = %e);
-            return;
-        }
-    };
-    match tokio::time::timeout(FREE, gw.upstream.send(replica.address, req)).await {
-        Ok(Ok((resp, conn))) => {
-            if resp.into_body().collect().await.is_ok() {
-                gw.upstream.keep(replica.address, conn);
-            }
-        }
-        Ok(Err(e)) => emit!(info, HANDLE_KEPT, replica = %replica.id, handle, why = ?e),
-        Err(_) => emit!(info, HANDLE_KEPT, replica = %replica.id, handle, why = "no answer in time"),
-    }
-}
-
 impl Job {
     /// Try a plan; the answer's head has come when this returns one.
     pub(super) async fn attempt(&self, plan: &Plan) -> Result<Answer, Failed> {
@@ -177,17 +139,13 @@
 
     async fn two_steps(&self, read: &Step, write: &Step) -> Result<Answer, Failed> {
         let mut kept = self.read(read).await.map_err(|why| Failed { why, reading: true, at: read.key })?;
-        let Some(handle) = &kept.handle else {
-            let why = CallFailure::Lost("no handle".to_owned());
-            return Err(Failed { why, reading: true, at: read.key });
-        };
-        let task = Task::Continue { reader: kept.replica.address, handle: handle.name.clone() };
+        let task = Task::Continue { reader: kept.replica.address, handle: kept.handle.name.clone() };
         let mut refused = Vec::new();
         loop {
             let write = self.writer(read, write, &refused);
             match self.serve(&write, &task).await {
                 Ok(answer) => {
-                    kept.handle = None;
+                    kept.taken = true;
                     return Ok(answer);
                 }
                 Err(why) if refused.len() < MORE_WRITERS && self.may_hand_on(&why) => refused.push(write.key),
@@ -215,102 +173,12 @@
         !why.arrived() || self.gw.fleet().take_repeats(1, &self.service, &self.gw.budget(), now)
     }
 
-    /// Have a prompt read.
-    async fn read(&self, step: &Step) -> Result<KeptPrompt, CallFailure> {
-        let predicted = Span::seconds((step.wait_ms + step.work_ms) / 1_000.0 * READ_PATIENCE);
-        let unseen = Span(UNSEEN_EACH.0 * self.gw.fleet().daemons() as u64);
-        let overdue = self.deadline.min(self.gw.now() + predicted + READ_SLACK + unseen);
-        let (replica, mut work) = self.begin(step)?;
-        let task = Task::Read { copy_from: self.copy_from(step) };
-        let read = self.read_patiently(&replica, &task, self.priority(step), overdue).await;
-        match read {
-            Ok(handle) => {
-                self.gw.metrics.reading(work.age().as_seconds());
-                emit!(
-                    debug,
-                    PROMPT_READ,
-                    request = self.caller.id,
-                    replica = %replica.id,
-                    hall = %replica.hall,
-                    uncached = step.reading.uncached,
-                    held = step.reading.held,
-                    copied = step.copy_from.is_some(),
-                    alone = work.was_alone(),
-                    expected_ms = (step.wait_ms + step.work_ms) as u64,
-                    took_us = work.age().0
-                );
-                work.reading_over(StepEnd::Done);
-                work.ended(StepEnd::Done);
-                Ok(KeptPrompt { gw: Arc::clone(&self.gw), replica, handle: Some(handle) })
-            }
-            Err(why) => {
-                self.note_failure(&replica, &mut work, &why, "read");
-                Err(why)
-            }
-        }
-    }
-
-    /// Wait for a reading as long as its engine answers at all.
-    ///
-    /// A reading that is broken off is begun again from nothing elsewhere, where it costs as much
-    /// once more; so a busy engine keeps it, and only one that is gone or unreachable loses it.
-    async fn read_patiently(
-        &self,
-        replica: &ReplicaFacts,
-        task: &Task,
-        priority: u8,
-        overdue: Time,
-    ) -> Result<Handle, CallFailure> {
-        let mut reading = std::pin::pin!(self.read_at(replica, task, priority, self.deadline));
-        let in_time = tokio::time::timeout(duration(overdue.since(self.gw.now())), &mut reading);
-        if let Ok(read) = in_time.await {
-            return read;
-        }
-        tokio::select! {
-            read = &mut reading => read.map_err(|why| match why {
-                CallFailure::TimedOut => CallFailure::Overdue,
-                other => other,
-            }),
-            () = self.until_silent(replica) => Err(CallFailure::TimedOut),
-        }
-    }
-
-    /// Return once the engine does not answer a question that costs it nothing.
-    async fn until_silent(&self, replica: &ReplicaFacts) {
-        loop {
-            let asked = tokio::time::timeout(duration(SILENT), orders::report(&self.gw, replica)).await;
-            if !matches!(asked, Ok(Ok(_))) {
-                return;
-            }
-            emit!(debug, READ_OVERDUE, request = self.caller.id, replica = %replica.id);
-            tokio::time::sleep(ASK_AGAIN).await;
-        }
-    }
-
-    async fn read_at(
-        &self,
-        replica: &ReplicaFacts,
-        task: &Task,
-        priority: u8,
-        limit: Time,
-    ) -> Result<Handle, CallFailure> {
-        let (head, body, conn) = self.call(replica, task, priority, limit).await?;
-        let text = Limited::new(body, SHORT_ANSWER).collect();
-        let text = tokio::time::timeout(SHORT_ANSWER_TIME, text).await.map_err(|_| CallFailure::TimedOut)?;
-        let text = text.map_err(|e| CallFailure::Lost(e.to_string()))?.to_bytes();
-        if head.status != StatusCode::OK {
-            return Err(CallFailure::Lost(format!("status {}", head.status)));
-        }
-        let handle = self.gw.outside.dialect.handle(&text).map_err(|e| CallFailure::Lost(e.to_string()))?;
-        self.gw.upstream.keep(replica.address, conn);
-        Ok(handle)
-    }
-
     /// Have a request answered.
     async fn serve(&self, step: &Step, task: &Task) -> Result<Answer, CallFailure> {
         let limit = self.try_limit(step);
         let (replica, mut work) = self.begin(step)?;
-        match self.call(&replica, task, self.priority(step), limit).await {
+        let call = Call { replica: &replica, task, priority: self.priority(step) };
+        match self.call(&call, limit).await {
             Ok((head, body, conn)) => Ok(Answer { head, body, conn: Some(conn), replica, work }),
             Err(why) => {
                 self.note_failure(&replica, &mut work, &why, "serve");
@@ -319,16 +187,16 @@
         }
     }
 
-    fn priority(&self, step: &Step) -> u8 {
+    pub(super) fn priority(&self, step: &Step) -> u8 {
         if step.late { LATE_PRIORITY } else { self.route.priority }
     }
 
-    fn copy_from(&self, step: &Step) -> Option<SocketAddr> {
+    pub(super) fn copy_from(&self, step: &Step) -> Option<SocketAddr> {
         let key = step.copy_from?;
         self.gw.fleet().get(key).map(|replica| replica.facts.address)
     }
 
-    fn begin(&self, step: &Step) -> Result<(ReplicaFacts, Work), CallFailure> {
+    pub(super) fn begin(&self, step: &Step) -> Result<(ReplicaFacts, Work), CallFailure> {
         let gone = || CallFailure::NotTried("the replica is gone");
         let replica = self.gw.fleet().get(step.key).map(|replica| replica.facts.clone()).ok_or_else(gone)?;
         let work = Work::begin(&self.gw, step, self.caller.prompt.as_ref()).ok_or_else(gone)?;
@@ -336,11 +204,9 @@
     }
 
     /// Send to one replica, and check that the answer is this request's and what it says of a run.
-    async fn call(
+    pub(super) async fn call(
         &self,
-        replica: &ReplicaFacts,
-        task: &Task,
-        priority: u8,
+        &Call { replica, task, priority }: &Call<'_>,
         limit: Time,
     ) -> Result<(response::Parts, Incoming, Conn), CallFailure> {
         let now = self.gw.now();
@@ -392,7 +258,7 @@
         }
     }
 
-    fn note_failure(&self, replica: &ReplicaFacts, work: &mut Work, why: &CallFailure, step: &'static str) {
+    pub(super) fn note_failure(&self, replica: &ReplicaFacts, work: &mut Work, why: &CallFailure, step: &'static str) {
         work.ended(why.step_end(work.age()));
         if *why == CallFailure::OtherReplica {
             work.replica_replaced();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,11 +1,12 @@
 //! Serving by routes: callers' requests go to the replicas that discovery knows.
 //!
 //! A request's way is [`listener`] (connections), [`request`] (from head to outcome, told by
-//! [`ending`]), [`attempt`] (one try), [`upstream`] (connections to replicas) and [`relay`] (the
-//! answer as it arrives). Beside it run [`follow`] (configuration and replicas from the store),
-//! [`borrow`] (the same from another daemon while the store is out of reach), [`peers`] (what
-//! daemons tell each other, with [`peer_table`]), [`orders`] (roles of engines) and [`pages`] (readiness, metrics).
-//! [`state`] is what they share, and [`controller`] starts and stops them.
+//! [`ending`]), [`attempt`] (one try), [`reading`] (a prompt read for another engine), [`upstream`]
+//! (connections to replicas) and [`relay`] (the answer as it arrives). Beside it run [`follow`]
+//! (configuration and replicas from the store), [`borrow`] (the same from another daemon while the
+//! store is out of reach), [`peers`] (what daemons tell each other, with [`peer_table`]), [`orders`]
+//! (roles of engines) and [`pages`] (readiness, metrics). [`state`] is what they share, and
+//! [`controller`] starts and stops them.
 
 mod answer;
 mod attempt;
@@ -21,6 +22,7 @@
 mod pages;
 mod peer_table;
 mod peers;
+mod reading;
 mod relay;
 mod request;
 mod sse;
