Two daemons a hall follow the store, the others learn from any mate

Cause: on a quiet store a follower's call waits for 0.6 of the contact time, its mates believed it for one second only, so all 295 daemons followed by turns. Each that saw the holder of the orders go tried to get that right, and each that lost the store called it every 0.8 s. Behind that, a daemon that leaves following to others never borrowed its first configuration: it counted as one that reads for itself.

Calls are counted by cause.

--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -424,7 +424,8 @@
     }
 
     /// Whether this daemon has not heard for long enough what its peers do.
-    fn is_blind(&self, now: Time) -> bool {
+    #[must_use]
+    pub fn is_blind(&self, now: Time) -> bool {
         !self.sees_from.is_past(now)
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod eject;
 pub mod endpoint;
 pub mod fleet;
+pub mod follower;
 pub mod frame;
 pub mod freshness;
 pub mod hash;
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -76,6 +76,13 @@
     }
 }
 
+impl Add for Span {
+    type Output = Self;
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
 impl Sub<Span> for Time {
     type Output = Self;
     fn sub(self, rhs: Span) -> Self {
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -60,7 +60,7 @@
     STORE_LOST = 312, "The store does not answer; the daemon goes on with what it knows.";
     STORE_BACK = 313, "The store answers again; entries that lapsed meanwhile get a short time to come back.";
     HISTORY_GONE = 314, "The store forgot the changes since the last one followed; everything is read anew.";
-    BORROWED = 315, "The store is out of reach; a newer copy of what lies there was taken from another daemon.";
+    BORROWED = 315, "A newer copy of what lies in the store was taken from another daemon: others follow it, or it is out of reach.";
     NOT_BORROWED = 316, "Another daemon could not be asked for its copy of the store.";
     FOLLOWING = 317, "This daemon begins to follow the store itself, or leaves that to others of its hall.";
     REPLICA_KNOWN = 320, "A replica was discovered, or what it says of itself changed.";
--- a/crates/daemon/src/gateway/borrow.rs
+++ b/crates/daemon/src/gateway/borrow.rs
@@ -5,7 +5,8 @@
 //!
 //! The store may turn some VMs away and serve the others, and where there are many daemons only
 //! a few follow it. Daemons tell each other in their messages how far they have followed it; one
-//! that is cut off, or leaves it to others, asks another that is ahead.
+//! that is cut off, or leaves it to others, asks another that is ahead. One whose link is busy with
+//! other copies says so, and the asker goes to another: with each round more daemons have the copy.
 
 use std::{
     io::{BufReader, Read},
@@ -28,7 +29,7 @@
 
 use crate::{
     emit,
-    gateway::{follow, state::Gateway},
+    gateway::{attempt::duration, follow, state::Gateway},
 };
 
 /// Path of the copy on a daemon's peer address.
@@ -41,6 +42,11 @@
 /// Time for another daemon's answer. A large configuration takes a small link some hundred
 /// milliseconds, and others of the hall ask at the same time.
 const ANSWER: Duration = Duration::from_secs(1);
+/// Shortest time until another daemon is asked where one did not answer.
+const ELSEWHERE: Span = Span::millis(50);
+/// Time between two questions to seeds while no daemon is known to be ahead. The store may not hold
+/// a configuration yet, and then all of them ask.
+const ASK_SEED: Duration = Duration::from_millis(500);
 /// Bytes of an unpacked copy at most: the largest value of the store a few times over.
 const MAX_COPY: u64 = 8 << 20;
 
@@ -114,27 +120,44 @@
         if !is_needed(gw) {
             continue;
         }
-        if let Some(from) = whom_to_ask(gw) {
-            ask(gw, &client, from).await;
+        match whom_to_ask(gw) {
+            Some(Whom::Ahead(from)) if !ask(gw, &client, from).await => {
+                // Others ask it too, or it is gone; by now more daemons may have the copy.
+                gw.peer_ahead.notify_one();
+                tokio::time::sleep(duration(ELSEWHERE) + duration(Span(gw.draw() % ELSEWHERE.0))).await;
+            }
+            Some(Whom::Seed(from)) => {
+                let _ = ask(gw, &client, from).await;
+                tokio::time::sleep(ASK_SEED).await;
+            }
+            Some(Whom::Ahead(_)) | None => {}
         }
     }
 }
 
+/// Which daemon to ask.
+#[derive(Clone, Copy, Debug)]
+enum Whom {
+    /// One that has followed the store further.
+    Ahead(SocketAddr),
+    /// Any of those in the settings, while none is known to be ahead.
+    Seed(SocketAddr),
+}
+
 fn is_needed(gw: &Gateway) -> bool {
     let now = gw.now();
     let copies = gw.copies();
-    let follows = copies.following || !copies.is_complete();
-    !follows || copies.lost_for(now).is_some_and(|silent| silent > PATIENCE)
+    !copies.following || copies.lost_for(now).is_some_and(|silent| silent > PATIENCE)
 }
 
 /// A daemon that is ahead; any seed while nothing is known at all.
-fn whom_to_ask(gw: &Gateway) -> Option<SocketAddr> {
+fn whom_to_ask(gw: &Gateway) -> Option<Whom> {
     let (revision, complete) = {
         let copies = gw.copies();
         (copies.revision, copies.is_complete())
     };
-    if let Some(ahead) = gw.peers.ahead_of(revision, gw.hall) {
-        return Some(ahead);
+    if let Some(ahead) = gw.peers.ahead_of(revision, gw.hall, gw.draw()) {
+        return Some(Whom::Ahead(ahead));
     }
     if complete {
         return None;
@@ -142,7 +165,7 @@
     let own = gw.settings.peer_address;
     let seeds: Vec<SocketAddr> = gw.seeds().into_iter().filter(|seed| *seed != own).collect();
     let at = gw.draw() as usize % seeds.len().max(1);
-    seeds.get(at).copied()
+    seeds.get(at).copied().map(Whom::Seed)
 }
 
 fn take_over(gw: &Arc<Gateway>, copy: StoreCopy) {
@@ -161,16 +184,21 @@
     gw.copies().advance(copy.revision);
 }
 
-async fn ask(gw: &Arc<Gateway>, client: &HttpClient, from: SocketAddr) {
+/// Ask one daemon; returns whether it answered.
+async fn ask(gw: &Arc<Gateway>, client: &HttpClient, from: SocketAddr) -> bool {
     let after = gw.copies().revision;
     match fetch(client, from, after).await {
         Ok(copy) if copy.revision > gw.copies().revision => {
             let (revision, whole) = (copy.revision, copy.whole);
             emit!(info, BORROWED, peer = %from, after, revision, whole, entries = copy.entries.len());
             take_over(gw, copy);
+            true
+        }
+        Ok(_) => true,
+        Err(e) => {
+            emit!(info, NOT_BORROWED, peer = %from, why = %e);
+            false
         }
-        Ok(_) => {}
-        Err(e) => emit!(info, NOT_BORROWED, peer = %from, why = %e),
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/gateway/copies.rs
@@ -0,0 +1,119 @@
+//! What was last read from the store, and the copies of it for other daemons.
+
+use std::collections::{HashMap, VecDeque};
+
+use bytes::Bytes;
+use dahliaseam_border::{error::CallError, kv::Entry};
+use dahliaseam_core::time::{Span, Time};
+
+use crate::gateway::borrow::{CopiedEntry, StoreCopy};
+
+/// Removed keys that are remembered for daemons that ask for what changed.
+const MAX_REMOVED: usize = 512;
+
+/// What was last read from the store, as it lay there.
+#[derive(Debug, Default)]
+pub(super) struct Copies {
+    /// The configuration.
+    pub(super) configuration: Option<Entry>,
+    /// The replicas' entries, by key.
+    pub(super) replicas: HashMap<String, Entry>,
+    /// The daemons' entries, by key.
+    pub(super) daemons: HashMap<String, Entry>,
+    /// The store's revision up to which nothing is missing.
+    pub(super) revision: i64,
+    /// When the store last answered.
+    pub(super) heard: Time,
+    /// Whether this daemon follows the store itself.
+    pub(super) following: bool,
+    /// The latest keys that were removed, with the revisions at which they were.
+    pub(super) removed: VecDeque<(String, i64)>,
+    /// Revision from which on all removals are among those.
+    pub(super) removed_since: i64,
+    /// Until when entries that lapsed while the store was away may come back.
+    pub(super) grace_until: Time,
+    /// Removals up to this revision may be such lapses; later ones are meant.
+    pub(super) lapsed_up_to: i64,
+    /// Until when removals that the store reports may still be lapses of the time before.
+    pub(super) settled_at: Time,
+    pub(super) lost: bool,
+    /// The copy that was last packed.
+    packed: Option<PackedCopy>,
+}
+
+/// A copy as it was sent, for others that ask for the same: packing one takes a small VM tens of
+/// milliseconds of its processor, and all of a hall ask for each change.
+#[derive(Debug)]
+struct PackedCopy {
+    after: i64,
+    revision: i64,
+    bytes: Bytes,
+}
+
+impl Copies {
+    /// Whether the store does not answer, and for how long that has been known.
+    pub(super) fn lost_for(&self, now: Time) -> Option<Span> {
+        self.lost.then(|| now.since(self.heard))
+    }
+
+    /// What changed after a revision, for another daemon; all of it if that is not known.
+    fn copy(&self, after: i64, now: Time) -> StoreCopy {
+        let entries = self.configuration.iter().chain(self.replicas.values()).chain(self.daemons.values());
+        let whole = after < self.removed_since;
+        let newer = entries.filter(|entry| whole || entry.revision > after);
+        StoreCopy {
+            revision: self.revision,
+            whole,
+            entries: newer.map(CopiedEntry::from).collect(),
+            removed: self.removed.iter().filter(|(_, revision)| *revision > after).cloned().collect(),
+            grace_ms: self.grace_until.since(now).as_millis(),
+            lapsed_up_to: self.lapsed_up_to,
+        }
+    }
+
+    /// The same as it is sent.
+    pub(super) fn packed(&mut self, after: i64, now: Time) -> Result<Bytes, CallError> {
+        let in_grace = !self.grace_until.is_past(now);
+        if let Some(packed) = &self.packed
+            && (packed.after, packed.revision) == (after, self.revision)
+            && !in_grace
+        {
+            return Ok(packed.bytes.clone());
+        }
+        let bytes = Bytes::from(self.copy(after, now).pack()?);
+        // While entries may come back a copy tells how much longer, and is another one each time.
+        self.packed = (!in_grace).then(|| PackedCopy { after, revision: self.revision, bytes: bytes.clone() });
+        Ok(bytes)
+    }
+
+    /// Note a removed key, for daemons that ask for what changed.
+    pub(super) fn note_removed(&mut self, key: String, revision: i64) {
+        self.removed.push_back((key, revision));
+        while self.removed.len() > MAX_REMOVED {
+            if let Some((_, dropped)) = self.removed.pop_front() {
+                self.removed_since = dropped;
+            }
+        }
+    }
+
+    /// Give entries that were removed up to a revision this long to come back.
+    pub(super) fn set_grace(&mut self, until: Time, lapsed_up_to: i64) {
+        self.grace_until = self.grace_until.max(until);
+        self.lapsed_up_to = self.lapsed_up_to.max(lapsed_up_to);
+    }
+
+    /// When a replica whose entry was removed at a revision counts as gone.
+    pub(super) fn gone_at(&self, revision: i64, now: Time) -> Time {
+        if revision <= self.lapsed_up_to { now.max(self.grace_until) } else { now }
+    }
+
+    /// Go on from a revision that another daemon has followed the store to.
+    pub(super) fn advance(&mut self, revision: i64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Whether everything was read once.
+    pub(super) const fn is_complete(&self) -> bool {
+        self.configuration.is_some() && self.revision > 0
+    }
+}
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -1,30 +1,21 @@
 //! Following the store: the configuration in force, and the replicas that there are.
 //!
 //! The first read takes everything; after that a waiting call brings each change. While the store
-//! is away the daemon goes on with what it knows. Entries that lapsed meanwhile get a short time
+//! is away the daemon goes on with what it knows, and asks at the lowest cost whether it is back. Entries that lapsed meanwhile get a short time
 //! to come back, since their replicas could not renew them.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    sync::Arc,
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use dahliaseam_border::{
     error::CallError,
     feed::{Change, Changes, Snapshot},
     kv::Entry,
 };
-use dahliaseam_core::time::{Span, Time};
+use dahliaseam_core::{follower::Turn, time::Span};
 
 use crate::{
     emit,
-    gateway::{
-        attempt::duration,
-        borrow::{CopiedEntry, StoreCopy},
-        peers::rank,
-        state::Gateway,
-    },
+    gateway::{attempt::duration, metrics::StoreCall, peers::rank, state::Gateway},
 };
 
 /// Time that a lapsed entry gets to come back after the store did. Replicas that live write
@@ -33,102 +24,14 @@
 /// Time after the store's return in which entries may still lapse because of it. A later removal is
 /// one that its replica meant, and a daemon that was cut off alone must not think otherwise.
 const SETTLE: Span = Span::millis(300);
-/// Waits between calls that fail, doubling from the first to the last.
-const RETRY: (Span, Span) = (Span::millis(50), Span::millis(800));
-/// Part of the time allowed for following again that one waiting call may take. A call on a
-/// connection that silently died is noticed only at its end.
-const WAIT_SHARE: f64 = 0.6;
 /// Time between two calls of a watch, so that changes that come together take one call. It is
 /// small against the seconds in which a change must be in force.
 const BETWEEN: Duration = Duration::from_millis(250);
 /// Time between two looks whether others still follow the store.
-const REST: Duration = Duration::from_millis(200);
-/// Removed keys that are remembered for daemons that ask for what changed.
-const MAX_REMOVED: usize = 512;
+const REST: Duration = Duration::from_millis(100);
 /// Time between two looks for replicas that are gone and connections that are old.
 const SWEEP: Duration = Duration::from_millis(500);
 
-/// What was last read from the store, as it lay there.
-#[derive(Debug, Default)]
-pub(super) struct Copies {
-    /// The configuration.
-    pub(super) configuration: Option<Entry>,
-    /// The replicas' entries, by key.
-    pub(super) replicas: HashMap<String, Entry>,
-    /// The daemons' entries, by key.
-    pub(super) daemons: HashMap<String, Entry>,
-    /// The store's revision up to which nothing is missing.
-    pub(super) revision: i64,
-    /// When the store last answered.
-    pub(super) heard: Time,
-    /// Whether this daemon follows the store itself.
-    pub(super) following: bool,
-    /// The latest keys that were removed, with the revisions at which they were.
-    removed: VecDeque<(String, i64)>,
-    /// Revision from which on all removals are among those.
-    removed_since: i64,
-    /// Until when entries that lapsed while the store was away may come back.
-    grace_until: Time,
-    /// Removals up to this revision may be such lapses; later ones are meant.
-    lapsed_up_to: i64,
-    /// Until when removals that the store reports may still be lapses of the time before.
-    settled_at: Time,
-    lost: bool,
-}
-
-impl Copies {
-    /// Whether the store does not answer, and for how long that has been known.
-    pub(super) fn lost_for(&self, now: Time) -> Option<Span> {
-        self.lost.then(|| now.since(self.heard))
-    }
-
-    /// What changed after a revision, for another daemon; all of it if that is not known.
-    pub(super) fn copy(&self, after: i64, now: Time) -> StoreCopy {
-        let entries = self.configuration.iter().chain(self.replicas.values()).chain(self.daemons.values());
-        let whole = after < self.removed_since;
-        let newer = entries.filter(|entry| whole || entry.revision > after);
-        StoreCopy {
-            revision: self.revision,
-            whole,
-            entries: newer.map(CopiedEntry::from).collect(),
-            removed: self.removed.iter().filter(|(_, revision)| *revision > after).cloned().collect(),
-            grace_ms: self.grace_until.since(now).as_millis(),
-            lapsed_up_to: self.lapsed_up_to,
-        }
-    }
-
-    /// Note a removed key, for daemons that ask for what changed.
-    fn note_removed(&mut self, key: String, revision: i64) {
-        self.removed.push_back((key, revision));
-        while self.removed.len() > MAX_REMOVED {
-            if let Some((_, dropped)) = self.removed.pop_front() {
-                self.removed_since = dropped;
-            }
-        }
-    }
-
-    /// Give entries that were removed up to a revision this long to come back.
-    pub(super) fn set_grace(&mut self, until: Time, lapsed_up_to: i64) {
-        self.grace_until = self.grace_until.max(until);
-        self.lapsed_up_to = self.lapsed_up_to.max(lapsed_up_to);
-    }
-
-    /// When a replica whose entry was removed at a revision counts as gone.
-    fn gone_at(&self, revision: i64, now: Time) -> Time {
-        if revision <= self.lapsed_up_to { now.max(self.grace_until) } else { now }
-    }
-
-    /// Go on from a revision that another daemon has followed the store to.
-    pub(super) fn advance(&mut self, revision: i64) {
-        self.revision = self.revision.max(revision);
-    }
-
-    /// Whether everything was read once.
-    pub(super) const fn is_complete(&self) -> bool {
-        self.configuration.is_some() && self.revision > 0
-    }
-}
-
 /// Follow the store until the daemon is over.
 pub(super) async fn run(gw: Arc<Gateway>) {
     let over = gw.stop.over.clone();
@@ -140,30 +43,51 @@
 }
 
 async fn follow(gw: &Arc<Gateway>) {
-    let mut retry = RETRY.0;
+    let mut turn = Turn::default();
+    let terms = gw.turn_terms();
     loop {
         let read = gw.copies().revision > 0;
-        if read && gw.peers.followed(rank(gw), gw.hall, gw.now()) {
+        if read && !is_my_turn(gw, &mut turn) {
             rest(gw).await;
             continue;
         }
         set_following(gw, true);
-        let step = if read { next(gw).await } else { read_all(gw).await };
-        match step {
+        match step(gw, read, turn.next_wait(terms)).await {
             Ok(()) => {
-                retry = RETRY.0;
+                if turn.answered() {
+                    gw.load_changed.notify_one();
+                }
                 tokio::time::sleep(BETWEEN).await;
             }
             Err(e) => {
                 store_failed(gw, &e);
-                let spread = Span(gw.draw() % retry.0.max(1));
-                tokio::time::sleep(duration(retry) + duration(spread)).await;
-                retry = Span(retry.0 * 2).min(RETRY.1);
+                let wait = turn.failed(terms);
+                let spread = Span(gw.draw() % wait.0.max(1));
+                tokio::time::sleep(duration(wait) + duration(spread)).await;
             }
         }
     }
 }
 
+fn is_my_turn(gw: &Gateway, turn: &mut Turn) -> bool {
+    let now = gw.now();
+    if gw.peers.has_mates(gw.hall) && gw.fleet().is_blind(now) {
+        // It has just begun to hear its mates, and cannot know which of them follow.
+        return false;
+    }
+    let following = gw.copies().following;
+    turn.is_due(following, rank(gw), gw.peers.mates(gw.hall).into_iter(), gw.turn_terms(), now)
+}
+
+/// One call, or two while the store is away: the first costs little and only asks whether it is back.
+async fn step(gw: &Arc<Gateway>, read: bool, wait: Span) -> Result<(), CallError> {
+    if gw.copies().lost {
+        gw.metrics.store_call(StoreCall::Probe);
+        gw.outside.feed.probe().await?;
+    }
+    if read { next(gw, wait).await } else { read_all(gw, true).await }
+}
+
 /// Leave it to others to follow the store, and look again later.
 async fn rest(gw: &Arc<Gateway>) {
     set_following(gw, false);
@@ -178,20 +102,22 @@
     }
 }
 
-async fn read_all(gw: &Arc<Gateway>) -> Result<(), CallError> {
-    let snapshot = gw.outside.feed.snapshot("").await?;
+/// Read everything; `may_be_old` where the changes since are followed right after.
+async fn read_all(gw: &Arc<Gateway>, may_be_old: bool) -> Result<(), CallError> {
+    gw.metrics.store_call(StoreCall::ReadAll);
+    let snapshot = gw.outside.feed.snapshot("", may_be_old).await?;
     store_answered(gw, snapshot.revision);
     apply_snapshot(gw, snapshot);
     Ok(())
 }
 
-async fn next(gw: &Arc<Gateway>) -> Result<(), CallError> {
+async fn next(gw: &Arc<Gateway>, wait: Span) -> Result<(), CallError> {
     let revision = gw.copies().revision;
-    let wait = Span::millis((gw.settings.timing.contact_ms as f64 * WAIT_SHARE) as u64);
+    gw.metrics.store_call(StoreCall::Follow);
     match gw.outside.feed.changes("", revision, wait).await? {
         Changes::HistoryGone => {
             emit!(info, HISTORY_GONE, revision);
-            read_all(gw).await
+            read_all(gw, false).await
         }
         Changes::Next { changes, revision } => {
             store_answered(gw, revision);
@@ -206,7 +132,7 @@
 
 /// The store answered, with what it has up to a revision.
 fn store_answered(gw: &Gateway, revision: i64) {
-    gw.metrics.store_call("answered");
+    gw.metrics.store_answer("answered");
     let now = gw.now();
     let mut copies = gw.copies();
     copies.heard = now;
@@ -221,7 +147,7 @@
 }
 
 fn store_failed(gw: &Gateway, e: &CallError) {
-    gw.metrics.store_call("failed");
+    gw.metrics.store_answer("failed");
     let now = gw.now();
     let mut copies = gw.copies();
     if !std::mem::replace(&mut copies.lost, true) {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -13,6 +13,33 @@
 /// Bounds of the histograms of seconds.
 const SECONDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.5, 1.0, 2.5, 10.0];
 
+/// What a call to the store is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StoreCall {
+    /// Ask whether it is back.
+    Probe,
+    /// Read everything.
+    ReadAll,
+    /// Wait for changes.
+    Follow,
+    /// List this daemon, or renew that.
+    List,
+    /// Hold the right to give orders, and check it.
+    Orders,
+}
+
+impl StoreCall {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Probe => "probe",
+            Self::ReadAll => "read_all",
+            Self::Follow => "follow",
+            Self::List => "list",
+            Self::Orders => "orders",
+        }
+    }
+}
+
 /// The instruments.
 #[derive(Debug)]
 pub(super) struct GatewayMetrics {
@@ -21,6 +48,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     store_calls: Counter<u64>,
+    store_answers: Counter<u64>,
     peer_messages: Counter<u64>,
     first_byte: Histogram<f64>,
     reading: Histogram<f64>,
@@ -50,7 +78,8 @@
         Ok(Self {
             requests: counter("dahliaseam_route_requests", "Requests that are over, by route and outcome"),
             attempts: counter("dahliaseam_route_attempts", "Tries at replicas that are over, by end"),
-            store_calls: counter("dahliaseam_store_calls", "Calls to the key-value service, by end"),
+            store_calls: counter("dahliaseam_store_requests", "Calls to the key-value service, by what they are for"),
+            store_answers: counter("dahliaseam_store_calls", "Calls that follow the key-value service, by end"),
             peer_messages: counter("dahliaseam_peer_messages", "Messages to and from other daemons"),
             first_byte: histogram("dahliaseam_first_byte_seconds", "Seconds from a request to its answer's first byte"),
             reading: histogram("dahliaseam_reading_seconds", "Seconds that an engine took to read a prompt"),
@@ -69,9 +98,14 @@
         self.attempts.add(1, &[KeyValue::new("end", end)]);
     }
 
-    /// A call to the store is over.
-    pub(super) fn store_call(&self, end: &'static str) {
-        self.store_calls.add(1, &[KeyValue::new("end", end)]);
+    /// A call to the store is made.
+    pub(super) fn store_call(&self, what: StoreCall) {
+        self.store_calls.add(1, &[KeyValue::new("what", what.name())]);
+    }
+
+    /// A call that follows the store is over.
+    pub(super) fn store_answer(&self, end: &'static str) {
+        self.store_answers.add(1, &[KeyValue::new("end", end)]);
     }
 
     /// A message to or from another daemon.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,13 +5,14 @@
 //! (connections to replicas) and [`relay`] (the answer as it arrives). Beside it run [`follow`]
 //! (configuration and replicas from the store), [`borrow`] (the same from another daemon while the
 //! store is out of reach), [`peers`] (what daemons tell each other, with [`peer_table`]), [`orders`]
-//! (roles of engines) and [`pages`] (readiness, metrics). [`state`] is what they share, and
+//! (roles of engines) and [`pages`] (readiness, metrics). [`copies`] is what was read from the store, [`state`] is what they share, and
 //! [`controller`] starts and stops them.
 
 mod answer;
 mod attempt;
 mod borrow;
 pub mod controller;
+mod copies;
 mod ending;
 mod follow;
 mod link;
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     emit,
-    gateway::{attempt::duration, state::Gateway, upstream::SendError},
+    gateway::{attempt::duration, metrics::StoreCall, state::Gateway, upstream::SendError},
 };
 
 /// Time between two looks at the roles.
@@ -102,7 +102,9 @@
     let key = key(gw);
     let free = {
         let copies = gw.copies();
-        copies.is_complete() && !copies.daemons.contains_key(&key)
+        // Only those that follow the store try: with three hundred daemons each loss of the holder
+        // cost some six hundred calls, and each second without the store as many.
+        copies.following && !copies.lost && copies.is_complete() && !copies.daemons.contains_key(&key)
     };
     if !free || !gw.fleet().has_split_engines() {
         return None;
@@ -123,9 +125,12 @@
 
 async fn try_acquire(gw: &Gateway, key: &str) -> Result<Option<Holding>, CallError> {
     let sent = gw.now();
+    gw.metrics.store_call(StoreCall::Orders);
     let lease = gw.outside.kv.grant(LEASE_S).await?;
     let swap = Swap { key: key.to_owned(), expect: 0, value: Some(gw.settings.vm.clone()), lease: Some(lease) };
+    gw.metrics.store_call(StoreCall::Orders);
     let Some(Swapped::Done(revision)) = gw.outside.kv.swap_each(vec![swap]).await?.pop() else {
+        gw.metrics.store_call(StoreCall::Orders);
         gw.outside.kv.revoke(lease).await?;
         return Ok(None);
     };
@@ -141,6 +146,7 @@
     let ttl = Span::seconds(LEASE_S as f64);
     let now = gw.now();
     if held.renew_at.is_past(now) {
+        gw.metrics.store_call(StoreCall::Orders);
         match gw.outside.kv.keep_alive(held.lease).await {
             Ok(true) => {
                 held.authority.renewed(now, ttl);
@@ -244,6 +250,7 @@
     };
     let req = gw.outside.dialect.order_role(replica, &order).map_err(|e| CallError::NotSent(e.to_string()))?;
     // The key is read last: while it is there and the lease holds, nobody else gives orders.
+    gw.metrics.store_call(StoreCall::Orders);
     let present = gw.outside.kv.read(&key(gw)).await?;
     let mine = present.is_some_and(|entry| entry.revision as u64 == held.authority.epoch());
     if !mine || !held.authority.holds(gw.now()) || gw.stop.begun.is_cancelled() {
--- a/crates/daemon/src/gateway/pages.rs
+++ b/crates/daemon/src/gateway/pages.rs
@@ -15,6 +15,9 @@
 
 /// Media type of a packed copy.
 const PACKED: &str = "application/octet-stream";
+/// Milliseconds for which the link may be taken by what waits on it when a copy is asked for. A copy
+/// behind that would come later than one of a daemon that gets its own meanwhile.
+const LINK_BUSY_MS: f64 = 100.0;
 /// Media type of Prometheus text.
 const PROMETHEUS: &str = "text/plain; version=0.0.4";
 
@@ -44,9 +47,15 @@
 
 async fn copy(State(gw): State<Arc<Gateway>>, Query(query): Query<CopyQuery>) -> Response {
     let now = gw.now();
-    let copy = gw.copies().copy(query.after, now);
-    match copy.pack() {
-        Ok(packed) => ([(CONTENT_TYPE, PACKED)], packed).into_response(),
+    if gw.link.wait_ms(now) > LINK_BUSY_MS {
+        return (StatusCode::SERVICE_UNAVAILABLE, "other copies are under way\n").into_response();
+    }
+    let packed = gw.copies().packed(query.after, now);
+    match packed {
+        Ok(packed) => {
+            gw.link.send(packed.len(), now);
+            ([(CONTENT_TYPE, PACKED)], packed).into_response()
+        }
         Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()).into_response(),
     }
 }
--- a/crates/daemon/src/gateway/peer_table.rs
+++ b/crates/daemon/src/gateway/peer_table.rs
@@ -8,16 +8,12 @@
 };
 
 use dahliaseam_border::kv::Entry;
-use dahliaseam_core::time::{Span, Time};
+use dahliaseam_core::{
+    follower::{MATE_SILENT, Mate, Rank},
+    time::{Span, Time},
+};
 use serde::{Deserialize, Serialize};
 
-/// Daemons of a hall that follow the store; the others learn from them. Each call counts, and
-/// one of them may be gone at any time.
-const FOLLOWERS: usize = 2;
-/// Silence, of a daemon or of the store to it, after which it no longer counts as one that follows.
-const FOLLOWER_SILENT: Span = Span::millis(1_000);
-/// Silence of the daemon that sums a hall up, after which another one of the hall does.
-const SUM_SILENT: Span = Span::millis(1_000);
 /// Time after which a daemon that is neither listed nor heard is no longer told anything.
 const FORGET: Span = Span::millis(5_000);
 
@@ -32,14 +28,6 @@
     pub(super) link_mbps: u32,
 }
 
-/// Order of the daemons of a hall: those with better links do what is done for the hall.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Rank {
-    pub(super) link_mbps: u32,
-    /// The run, so that no two are equal.
-    pub(super) run: u64,
-}
-
 /// What another daemon last said of itself.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Seen {
@@ -70,27 +58,55 @@
     seen: Mutex<HashMap<SocketAddr, Seen>>,
     /// Those that are listed in the store, by key.
     listed: Mutex<HashMap<String, Listing>>,
+    /// The daemon that last summed each other hall up, by the hall's hash.
+    speakers: Mutex<HashMap<u32, Speaker>>,
+}
+
+/// A daemon of another hall, known only from what was passed on.
+#[derive(Clone, Copy, Debug)]
+struct Speaker {
+    /// Where its state can be read.
+    state: SocketAddr,
+    /// Revision up to which it has followed the store.
+    revision: i64,
 }
 
 impl Peers {
-    /// Where the state of a daemon can be read that has followed the store beyond `revision`,
-    /// best one in the same hall.
-    pub(super) fn ahead_of(&self, revision: i64, hall: u32) -> Option<SocketAddr> {
+    /// Where the state of a daemon can be read that has followed the store beyond `revision`.
+    ///
+    /// It is drawn among those of the hall, so that what a few have learned spreads to all in a few
+    /// rounds instead of being asked of one. Another hall is asked only if no mate is ahead: both
+    /// followers of a hall may be cut off at once.
+    pub(super) fn ahead_of(&self, revision: i64, hall: u32, draw: u64) -> Option<SocketAddr> {
         let seen = self.lock();
-        let ahead = seen.values().filter(|peer| peer.revision > revision);
-        ahead.max_by_key(|peer| (peer.hall == hall, peer.revision, peer.link_mbps)).map(|peer| peer.state)
+        let (mates, others): (Vec<&Seen>, Vec<&Seen>) =
+            seen.values().filter(|peer| peer.revision > revision).partition(|peer| peer.hall == hall);
+        let pick = |peers: &[&Seen]| peers.get(draw as usize % peers.len().max(1)).map(|peer| peer.state);
+        pick(&mates).or_else(|| pick(&others)).or_else(|| self.speaker_ahead_of(revision))
     }
 
-    /// Whether enough other daemons of the hall, with better links, follow the store, so that this
-    /// one need not. A large configuration goes out to all of the hall from those that do.
-    pub(super) fn followed(&self, own: Rank, hall: u32, now: Time) -> bool {
-        let fresh = |at: Time| now.since(at) < FOLLOWER_SILENT;
+    fn speaker_ahead_of(&self, revision: i64) -> Option<SocketAddr> {
+        let speakers = self.speakers();
+        let ahead = speakers.values().filter(|speaker| speaker.revision > revision);
+        ahead.max_by_key(|speaker| speaker.revision).map(|speaker| speaker.state)
+    }
+
+    /// Note which daemon summed a hall up.
+    pub(super) fn hear_speaker(&self, said: Seen) {
+        self.speakers().insert(said.hall, Speaker { state: said.state, revision: said.revision });
+    }
+
+    /// Whether other daemons of a hall are listed.
+    pub(super) fn has_mates(&self, hall: u32) -> bool {
+        // One listing is this daemon's own.
+        self.listed().values().filter(|listing| listing.hall == hall).nth(1).is_some()
+    }
+
+    /// The other daemons of a hall that were heard.
+    pub(super) fn mates(&self, hall: u32) -> Vec<Mate> {
         let seen = self.lock();
-        let followers = seen.values().filter(|peer| {
-            let following = peer.followed_at.is_some_and(fresh) && fresh(peer.at);
-            following && peer.hall == hall && peer.rank() > own
-        });
-        followers.count() >= FOLLOWERS
+        let mates = seen.values().filter(|peer| peer.hall == hall);
+        mates.map(|peer| Mate { rank: peer.rank(), heard_at: peer.at, followed_at: peer.followed_at }).collect()
     }
 
     /// Note what a daemon said of itself; returns whether it is the first time.
@@ -131,7 +147,7 @@
     /// Whether no other daemon of the hall that is heard has a better link.
     pub(super) fn sums_up(&self, own: Rank, hall: u32, now: Time) -> bool {
         let seen = self.lock();
-        let mut mates = seen.values().filter(|peer| peer.hall == hall && now.since(peer.at) < SUM_SILENT);
+        let mut mates = seen.values().filter(|peer| peer.hall == hall && now.since(peer.at) < MATE_SILENT);
         mates.all(|mate| mate.rank() < own)
     }
 
@@ -149,6 +165,10 @@
         drawn.collect()
     }
 
+    fn speakers(&self) -> MutexGuard<'_, HashMap<u32, Speaker>> {
+        self.speakers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn listed(&self) -> MutexGuard<'_, HashMap<String, Listing>> {
         self.listed.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -14,6 +14,7 @@
 };
 use dahliaseam_core::{
     fleet::peers::{News, NewsId, Source},
+    follower::Rank,
     time::{Span, Time},
 };
 use serde::{Deserialize, Serialize};
@@ -23,7 +24,8 @@
     emit,
     gateway::{
         attempt::duration,
-        peer_table::{Listing, Rank, Seen},
+        metrics::StoreCall,
+        peer_table::{Listing, Seen},
         state::Gateway,
     },
 };
@@ -201,7 +203,9 @@
 
 fn take_in(gw: &Gateway, from: SocketAddr, message: &Message) {
     let now = gw.now();
-    if !message.passed_on && gw.peers.hear(from, message.seen(now)) {
+    if message.passed_on {
+        gw.peers.hear_speaker(message.seen(now));
+    } else if gw.peers.hear(from, message.seen(now)) {
         emit!(info, PEER_HEARD, peer = %from, sender = message.sender, revision = message.revision);
     }
     if message.revision > gw.copies().revision {
@@ -237,15 +241,21 @@
     }
 }
 
+async fn keep(gw: &Gateway, lease: LeaseId) -> Result<bool, CallError> {
+    gw.metrics.store_call(StoreCall::List);
+    gw.outside.kv.keep_alive(lease).await
+}
+
 async fn list_once(gw: &Gateway, key: &str, lease: Option<LeaseId>) -> Result<LeaseId, CallError> {
     let kv = &gw.outside.kv;
     let present = gw.copies().daemons.get(key).cloned();
     if let Some(lease) = lease
         && present.is_some()
-        && kv.keep_alive(lease).await?
+        && keep(gw, lease).await?
     {
         return Ok(lease);
     }
+    gw.metrics.store_call(StoreCall::List);
     let lease = kv.grant(LISTED_S).await?;
     let Rank { link_mbps, .. } = rank(gw);
     let listing = Listing { load: gw.settings.load_address, hall: gw.hall, link_mbps };
@@ -253,6 +263,7 @@
     let mut expect = present.map_or(0, |entry| entry.revision);
     loop {
         let swap = Swap { key: key.to_owned(), expect, value: Some(value.clone()), lease: Some(lease) };
+        gw.metrics.store_call(StoreCall::List);
         match kv.swap_each(vec![swap]).await?.pop() {
             Some(Swapped::Differs(other)) => expect = other.map_or(0, |entry| entry.revision),
             Some(Swapped::Done(_)) | None => return Ok(lease),
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use dahliaseam_border::{dialect::SharedDialect, feed::ChangeFeed, kv::KeyValue};
 use dahliaseam_core::{
     fleet::{Fleet, budget::BudgetTerms, short_id},
+    follower::Terms,
     route::RouteTable,
     time::{Span, Time},
 };
@@ -21,7 +22,7 @@
 
 use crate::{
     clock::Clock,
-    gateway::{follow::Copies, link::Link, metrics::GatewayMetrics, peer_table::Peers, upstream::Upstream},
+    gateway::{copies::Copies, link::Link, metrics::GatewayMetrics, peer_table::Peers, upstream::Upstream},
 };
 
 /// What a daemon meets outside, so that tests can put fakes there.
@@ -169,6 +170,11 @@
         self.retries.lock().unwrap_or_else(PoisonError::into_inner).terms()
     }
 
+    /// Times that the turns at following the store go by.
+    pub(super) fn turn_terms(&self) -> Terms {
+        Terms { contact: Span::millis(self.settings.timing.contact_ms) }
+    }
+
     /// A few daemons that may be asked for what they know.
     pub(super) fn seeds(&self) -> Vec<SocketAddr> {
         self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone()
