Sum a hall up whenever one of its daemons tells something

Cause: the daemon that sums a hall up did so after its own messages only, and those follow its own work: a few a second where it has four requests a second. Other halls heard of four fifths of the engines' load that much later.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -41,7 +41,7 @@
 /// Daemons up to which all tell all; with more, news would be older than a read takes.
 const ALL_TELL_ALL: usize = 24;
 /// Time between two messages that sum up a hall. They cross halls, where bytes cost.
-const SUM_UP: Span = Span::millis(20);
+const SUM_UP: Duration = Duration::from_millis(20);
 /// Largest message that is read; a datagram is never larger. What is told stays far below it.
 const MAX_MESSAGE: usize = 64 << 10;
 /// Life of the lease under which a daemon is listed, in seconds. It must bridge a few lost calls.
@@ -98,6 +98,7 @@
     let over = gw.stop.over.clone();
     tokio::select! {
         () = tell(&gw, &socket) => {}
+        () = sum_up(&gw, &socket) => {}
         () = hear(&gw, &socket) => {}
         () = be_listed(&gw) => {}
         () = over.cancelled() => {}
@@ -106,7 +107,6 @@
 
 async fn tell(gw: &Gateway, socket: &UdpSocket) {
     let mut number = 0;
-    let mut sum_up_at = Time(0);
     loop {
         let _ = tokio::time::timeout(LONGEST, gw.load_changed.notified()).await;
         number += 1;
@@ -116,13 +116,27 @@
         let told = whom_to_tell(gw, &all);
         let news = gw.fleet().own_news(now);
         tell_of(gw, socket, message(gw, number, None, news), &told).await;
-        if told.len() < all.len() && sum_up_at.is_past(now) && gw.peers.sums_up(rank(gw), gw.hall, now) {
-            sum_up_at = now + SUM_UP;
+        gw.hall_changed.notify_one();
+        tokio::time::sleep(SHORTEST.max(EACH * told.len() as u32)).await;
+    }
+}
+
+/// Sum the hall up for the others, whenever one of its daemons has told something new: if only this
+/// daemon's own work set the pace, others would hear of the hall some four times less often.
+async fn sum_up(gw: &Gateway, socket: &UdpSocket) {
+    let mut number = 0;
+    loop {
+        let _ = tokio::time::timeout(LONGEST, gw.hall_changed.notified()).await;
+        let now = gw.now();
+        let all = gw.peers.all(gw.settings.load_address, now);
+        let is_large = whom_to_tell(gw, &all).len() < all.len();
+        if is_large && gw.peers.sums_up(rank(gw), gw.hall, now) {
+            number += 1;
             let (news, daemons) = gw.fleet().hall_news(now);
             let others = gw.peers.one_of_each_hall(gw.hall, gw.draw());
             tell_of(gw, socket, message(gw, number, Some(daemons), news), &others).await;
         }
-        tokio::time::sleep(SHORTEST.max(EACH * told.len() as u32)).await;
+        tokio::time::sleep(SUM_UP).await;
     }
 }
 
@@ -211,6 +225,9 @@
     if message.revision > gw.copies().revision {
         gw.peer_ahead.notify_one();
     }
+    if message.sums_up.is_none() && message.hall == gw.hall {
+        gw.hall_changed.notify_one();
+    }
     let source = message.sums_up.map_or(Source::Daemon(message.sender), |_| Source::Hall(message.hall));
     let daemons = message.sums_up.unwrap_or(1);
     let id = NewsId { source, sender: message.sender, number: message.number, hall: message.hall, daemons };
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -56,6 +56,8 @@
     pub(super) stop: Stop,
     /// Wakes the task that tells peers of changed load.
     pub(super) load_changed: Notify,
+    /// Wakes the task that sums the hall up, when a daemon of it has told something.
+    pub(super) hall_changed: Notify,
     /// Wakes the task that asks peers, when one has followed the store further.
     pub(super) peer_ahead: Notify,
     /// Hash of this daemon's hall.
@@ -123,6 +125,7 @@
             metrics,
             stop: Stop::default(),
             load_changed: Notify::new(),
+            hall_changed: Notify::new(),
             peer_ahead: Notify::new(),
             hall: short_id(&settings.hall),
             seeds: Mutex::new(settings.seeds.clone()),
