--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -71,8 +71,10 @@
 
 fn is_my_turn(gw: &Gateway, turn: &mut Turn) -> bool {
     let now = gw.now();
-    if gw.peers.has_mates(gw.hall) && gw.fleet().is_blind(now) {
-        // It has just begun to hear its mates, and cannot know which of them follow.
+    let is_alone = gw.seeds().is_empty() && !gw.peers.has_mates(gw.hall);
+    if !is_alone && gw.fleet().is_blind(now) {
+        // It has just begun to hear its mates, and cannot know which of them follow. Three hundred
+        // daemons that start together would call the store as many times.
         return false;
     }
     let following = gw.copies().following;
