Copies of the store go over links that have room for them

Cause: any mate that is ahead is asked now, also those with small links, and a copy was refused only for what waited on the link, not for its own length. A large configuration would hold up callers' prompts there for as long as it takes, as it once did. Now a daemon gives a copy only if the link has sent it within 100 ms, and the asker takes the better link of two that it draws.

--- a/crates/daemon/src/gateway/pages.rs
+++ b/crates/daemon/src/gateway/pages.rs
@@ -15,8 +15,8 @@
 
 /// Media type of a packed copy.
 const PACKED: &str = "application/octet-stream";
-/// Milliseconds for which the link may be taken by what waits on it when a copy is asked for. A copy
-/// behind that would come later than one of a daemon that gets its own meanwhile.
+/// Milliseconds that a copy may take on the link, behind what waits there. Callers' prompts wait as
+/// long at most, and the asker gets it sooner from a daemon that has it meanwhile or whose link is better.
 const LINK_BUSY_MS: f64 = 100.0;
 /// Media type of Prometheus text.
 const PROMETHEUS: &str = "text/plain; version=0.0.4";
@@ -47,11 +47,11 @@
 
 async fn copy(State(gw): State<Arc<Gateway>>, Query(query): Query<CopyQuery>) -> Response {
     let now = gw.now();
-    if gw.link.wait_ms(now) > LINK_BUSY_MS {
-        return (StatusCode::SERVICE_UNAVAILABLE, "other copies are under way\n").into_response();
-    }
     let packed = gw.copies().packed(query.after, now);
     match packed {
+        Ok(packed) if gw.link.wait_ms(now) + gw.link.send_ms(packed.len()) > LINK_BUSY_MS => {
+            (StatusCode::SERVICE_UNAVAILABLE, "the link is busy\n").into_response()
+        }
         Ok(packed) => {
             gw.link.send(packed.len(), now);
             ([(CONTENT_TYPE, PACKED)], packed).into_response()
--- a/crates/daemon/src/gateway/peer_table.rs
+++ b/crates/daemon/src/gateway/peer_table.rs
@@ -83,7 +83,12 @@
         let seen = self.lock();
         let (mates, others): (Vec<&Seen>, Vec<&Seen>) =
             seen.values().filter(|peer| peer.revision > revision).partition(|peer| peer.hall == hall);
-        let pick = |peers: &[&Seen]| peers.get(draw as usize % peers.len().max(1)).map(|peer| peer.state);
+        // The better link of two that are drawn: small ones are seldom asked, but good ones not by all.
+        let pick = |peers: &[&Seen]| {
+            let drawn = |draw: u64| peers.get(draw as usize % peers.len().max(1));
+            let best = [drawn(draw), drawn(draw >> 32)].into_iter().flatten().max_by_key(|peer| peer.link_mbps);
+            best.map(|peer| peer.state)
+        };
         pick(&mates).or_else(|| pick(&others)).or_else(|| self.speaker_ahead_of(revision, now))
     }
 
