--- a/crates/core/src/follower.rs
+++ b/crates/core/src/follower.rs
@@ -6,7 +6,7 @@
 //! waiting call, so that a follower is believed for longer than such a call may take. Daemons that
 //! all see the same lack take their turns one after the other, best rank first; the first of them
 //! ends the lack for the rest. With three hundred daemons that followed by turns, calls to the store
-//! cost 0.07 of a quiet day's worth and 0.19 of one on which the store turned machines away; with two
+//! cost 0.07 of a quiet day's worth and 0.26 of one on which the store turned machines away; with two
 //! a hall 0.02 and 0.03.
 
 use crate::time::{Span, Time};
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -102,8 +102,8 @@
     let key = key(gw);
     let free = {
         let copies = gw.copies();
-        // Only those that follow the store try: with three hundred daemons each loss of the holder
-        // cost some six hundred calls, and each second without the store as many.
+        // Only those that follow the store try: else each of three hundred daemons would ask for a
+        // lease, try, and give it back whenever the holder is lost, or again and again without a store.
         copies.following && !copies.lost && copies.is_complete() && !copies.daemons.contains_key(&key)
     };
     if !free || !gw.fleet().has_split_engines() {
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -121,8 +121,9 @@
     }
 }
 
-/// Sum the hall up for the others, whenever one of its daemons has told something new: if only this
-/// daemon's own work set the pace, others would hear of the hall some four times less often.
+/// Sum the hall up for the others, whenever one of its daemons has told something new. This daemon's
+/// own work alone sets a pace of a few times a second where there are many: with three hundred daemons
+/// 0.02 to 0.03 of a day's worth less, and a quarter more of shared parts were read again.
 async fn sum_up(gw: &Gateway, socket: &UdpSocket) {
     let mut number = 0;
     loop {
