--- a/crates/core/src/follower.rs
+++ b/crates/core/src/follower.rs
@@ -92,22 +92,14 @@
 
 impl Turn {
     /// Whether it is this daemon's turn; `following` if it follows at present.
-    pub fn is_due(
-        &mut self,
-        following: bool,
-        own: Rank,
-        mates: impl Iterator<Item = Mate>,
-        terms: Terms,
-        now: Time,
-    ) -> bool {
-        let better = mates.filter(|mate| mate.rank > own && now.since(mate.heard_at) < MATE_SILENT);
-        let is_follower = |mate: &Mate| mate.followed_at.is_some_and(|at| now.since(at) < terms.believed());
-        let (followers, others): (Vec<Mate>, Vec<Mate>) = better.partition(is_follower);
-        self.ahead = followers.len() + others.len();
+    pub fn is_due(&mut self, following: bool, own: Rank, mates: &[Mate], terms: Terms, now: Time) -> bool {
+        let better = mates.iter().filter(|mate| mate.rank > own && now.since(mate.heard_at) < MATE_SILENT);
+        let is_follower = |mate: &&Mate| mate.followed_at.is_some_and(|at| now.since(at) < terms.believed());
+        self.ahead = better.clone().count();
         if !following {
             self.is_served = false;
         }
-        if followers.len() >= FOLLOWERS {
+        if better.filter(is_follower).count() >= FOLLOWERS {
             self.lacking_from = None;
             return false;
         }
--- a/crates/core/tests/follower.rs
+++ b/crates/core/tests/follower.rs
@@ -102,7 +102,7 @@
         if !due_now {
             return;
         }
-        let due = daemon.turn.is_due(daemon.following, daemon.rank, mates.into_iter(), TERMS, now);
+        let due = daemon.turn.is_due(daemon.following, daemon.rank, &mates, TERMS, now);
         daemon.following = due;
         if due {
             self.calls += 1;
--- a/crates/daemon/src/gateway/copies.rs
+++ b/crates/daemon/src/gateway/copies.rs
@@ -27,9 +27,9 @@
     /// Whether this daemon follows the store itself.
     pub(super) following: bool,
     /// The latest keys that were removed, with the revisions at which they were.
-    pub(super) removed: VecDeque<(String, i64)>,
+    removed: VecDeque<(String, i64)>,
     /// Revision from which on all removals are among those.
-    pub(super) removed_since: i64,
+    removed_since: i64,
     /// Until when entries that lapsed while the store was away may come back.
     pub(super) grace_until: Time,
     /// Removals up to this revision may be such lapses; later ones are meant.
@@ -97,6 +97,12 @@
         }
     }
 
+    /// Note that everything was read at a revision: removals before it are not known one by one.
+    pub(super) fn forget_removed(&mut self, revision: i64) {
+        self.removed_since = revision;
+        self.removed.clear();
+    }
+
     /// Give entries that were removed up to a revision this long to come back.
     pub(super) fn set_grace(&mut self, until: Time, lapsed_up_to: i64) {
         self.grace_until = self.grace_until.max(until);
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -12,7 +12,10 @@
     feed::{Change, Changes, Snapshot},
     kv::Entry,
 };
-use dahliaseam_core::{follower::Turn, time::Span};
+use dahliaseam_core::{
+    follower::{Terms, Turn},
+    time::Span,
+};
 
 use crate::{
     emit,
@@ -45,10 +48,10 @@
 
 async fn follow(gw: &Arc<Gateway>) {
     let mut turn = Turn::default();
-    let terms = gw.turn_terms();
+    let terms = Terms { contact: Span::millis(gw.settings.timing.contact_ms) };
     loop {
         let read = gw.copies().revision > 0;
-        if read && !is_my_turn(gw, &mut turn) {
+        if read && !is_my_turn(gw, &mut turn, terms) {
             rest(gw).await;
             continue;
         }
@@ -70,7 +73,7 @@
     }
 }
 
-fn is_my_turn(gw: &Gateway, turn: &mut Turn) -> bool {
+fn is_my_turn(gw: &Gateway, turn: &mut Turn, terms: Terms) -> bool {
     let now = gw.now();
     let is_alone = gw.seeds().is_empty() && !gw.peers.has_mates(gw.hall);
     if !is_alone && gw.fleet().is_blind(now) {
@@ -79,7 +82,7 @@
         return false;
     }
     let following = gw.copies().following;
-    turn.is_due(following, rank(gw), gw.peers.mates(gw.hall).into_iter(), gw.turn_terms(), now)
+    turn.is_due(following, rank(gw), &gw.peers.mates(gw.hall), terms, now)
 }
 
 /// One call, or two while the store is away: the first costs little and only asks whether it is back.
@@ -179,9 +182,7 @@
     }
     let mut copies = gw.copies();
     copies.advance(revision);
-    // Removals between what was known before and this are not known one by one.
-    copies.removed_since = revision;
-    copies.removed.clear();
+    copies.forget_removed(revision);
     emit!(info, STORE_READ, revision, replicas);
 }
 
--- a/crates/daemon/src/gateway/pages.rs
+++ b/crates/daemon/src/gateway/pages.rs
@@ -47,11 +47,13 @@
 
 async fn copy(State(gw): State<Arc<Gateway>>, Query(query): Query<CopyQuery>) -> Response {
     let now = gw.now();
+    let wait_ms = gw.link.wait_ms(now);
+    if wait_ms > LINK_BUSY_MS {
+        return link_busy();
+    }
     let packed = gw.copies().packed(query.after, now);
     match packed {
-        Ok(packed) if gw.link.wait_ms(now) + gw.link.send_ms(packed.len()) > LINK_BUSY_MS => {
-            (StatusCode::SERVICE_UNAVAILABLE, "the link is busy\n").into_response()
-        }
+        Ok(packed) if wait_ms + gw.link.send_ms(packed.len()) > LINK_BUSY_MS => link_busy(),
         Ok(packed) => {
             gw.link.send(packed.len(), now);
             ([(CONTENT_TYPE, PACKED)], packed).into_response()
@@ -60,6 +62,10 @@
     }
 }
 
+fn link_busy() -> Response {
+    (StatusCode::SERVICE_UNAVAILABLE, "the link is busy\n").into_response()
+}
+
 async fn is_ready(State(gw): State<Arc<Gateway>>) -> Response {
     if gw.is_ready() {
         return "ready\n".into_response();
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -129,22 +129,37 @@
     loop {
         let _ = tokio::time::timeout(LONGEST, gw.hall_changed.notified()).await;
         let now = gw.now();
-        let all = gw.peers.all(gw.settings.load_address, now);
-        let is_large = whom_to_tell(gw, &all).len() < all.len();
-        if is_large && gw.peers.sums_up(rank(gw), gw.hall, now) {
+        // Asked first: it is false on all but one of a hall, and the list of all daemons is long.
+        if gw.peers.sums_up(rank(gw), gw.hall, now) && !are_few(&gw.peers.all(gw.settings.load_address, now)) {
             number += 1;
-            let (news, daemons) = gw.fleet().hall_news(now);
-            let others = gw.peers.one_of_each_hall(gw.hall, gw.draw());
-            tell_of(gw, socket, message(gw, number, Some(daemons), news), &others).await;
+            tell_other_halls(gw, socket, number).await;
         }
         tokio::time::sleep(SUM_UP).await;
     }
 }
 
+async fn tell_other_halls(gw: &Gateway, socket: &UdpSocket, number: u64) {
+    let others = gw.peers.one_of_each_hall(gw.hall, gw.draw());
+    if others.is_empty() {
+        return;
+    }
+    let (news, daemons) = gw.fleet().hall_news(gw.now());
+    tell_of(gw, socket, message(gw, number, Some(daemons), news), &others).await;
+}
+
 /// All daemons where they are few; else those of the same hall.
 fn whom_to_tell(gw: &Gateway, all: &[(SocketAddr, u32)]) -> Vec<SocketAddr> {
-    let few = all.len() < ALL_TELL_ALL;
-    all.iter().filter(|(_, hall)| few || *hall == gw.hall).map(|(address, _)| *address).collect()
+    if are_few(all) { all.iter().map(|(address, _)| *address).collect() } else { mates(gw, all) }
+}
+
+/// Whether all daemons tell all.
+const fn are_few(all: &[(SocketAddr, u32)]) -> bool {
+    all.len() < ALL_TELL_ALL
+}
+
+/// The daemons of this hall.
+fn mates(gw: &Gateway, all: &[(SocketAddr, u32)]) -> Vec<SocketAddr> {
+    all.iter().filter(|(_, hall)| *hall == gw.hall).map(|(address, _)| *address).collect()
 }
 
 /// This daemon's rank.
@@ -238,9 +253,7 @@
 /// Tell this hall what another one does.
 async fn pass_on(gw: &Gateway, socket: &UdpSocket, message: Message) {
     let all = gw.peers.all(gw.settings.load_address, gw.now());
-    let mates: Vec<SocketAddr> =
-        all.into_iter().filter(|(_, hall)| *hall == gw.hall).map(|(address, _)| address).collect();
-    tell_of(gw, socket, Message { passed_on: true, ..message }, &mates).await;
+    tell_of(gw, socket, Message { passed_on: true, ..message }, &mates(gw, &all)).await;
 }
 
 /// Keep this daemon listed in the store.
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -11,7 +11,6 @@
 use dahliaseam_border::{dialect::SharedDialect, feed::ChangeFeed, kv::KeyValue};
 use dahliaseam_core::{
     fleet::{Fleet, budget::BudgetTerms, short_id},
-    follower::Terms,
     route::RouteTable,
     time::{Span, Time},
 };
@@ -173,11 +172,6 @@
         self.retries.lock().unwrap_or_else(PoisonError::into_inner).terms()
     }
 
-    /// Times that the turns at following the store go by.
-    pub(super) fn turn_terms(&self) -> Terms {
-        Terms { contact: Span::millis(self.settings.timing.contact_ms) }
-    }
-
     /// A few daemons that may be asked for what they know.
     pub(super) fn seeds(&self) -> Vec<SocketAddr> {
         self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone()
