The end of a stream tells who answered, beside how many others, and at what pace

Cause: the logs could not say whether long answers that run into their limit are slow all along, or stop now and then, nor what their engine had beside them.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -101,6 +101,8 @@
     pub link: Span,
     /// Whether the replica had nothing else to read.
     pub alone: bool,
+    /// Long answers that were known to be there.
+    pub beside: u32,
     /// When it was sent.
     pub at: Time,
 }
@@ -191,6 +193,7 @@
     pub fn begin(&mut self, key: ReplicaKey, step: &choose::Step, prompt: Option<&Prompt>, now: Time) -> Option<Sent> {
         let replica = self.replicas.get_mut(key)?;
         let alone = replica.own.reading_ms + replica.peers.reading_ms <= 0.0;
+        let beside = replica.streams();
         let load = Load {
             reading_ms: step.work_ms,
             late_ms: if step.late { step.work_ms } else { 0.0 },
@@ -206,7 +209,7 @@
         let expected_ms = step.wait_ms + step.work_ms;
         let link = Span::seconds(step.link_ms / 1_000.0);
         let (reading, moved) = (step.reading, step.moved);
-        Some(Sent { key, load, reading, moved, expected_ms, link, alone, at: now })
+        Some(Sent { key, load, reading, moved, expected_ms, link, alone, beside, at: now })
     }
 
     /// Note that reading is over while the request goes on; returns the work that remains counted.
--- a/crates/daemon/src/gateway/ending.rs
+++ b/crates/daemon/src/gateway/ending.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use dahliaseam_core::time::Time;
+use dahliaseam_core::time::{Span, Time};
 
 use crate::{
     emit,
-    gateway::{request::Job, state::Gateway},
+    gateway::{attempt::Answer, passed::Passed, request::Job, state::Gateway},
 };
 
 /// Writes the line that says how a request ended, also when its caller leaves.
@@ -22,6 +22,17 @@
     pub(super) tries: usize,
     /// When the answer's first byte was there.
     first_at: Option<Time>,
+    stream: Option<StreamEnding>,
+}
+
+/// What is told of an answer that came as a stream.
+#[derive(Debug)]
+struct StreamEnding {
+    /// The replica that answered last.
+    replica: Arc<str>,
+    /// Long answers that were known there when it was asked.
+    beside: u32,
+    passed: Passed,
 }
 
 impl Ending {
@@ -36,6 +47,7 @@
             status: 0,
             tries: 0,
             first_at: None,
+            stream: None,
         }
     }
 
@@ -46,6 +58,26 @@
         self.gw.metrics.first_byte(&self.route, now.since(self.arrived).as_seconds());
     }
 
+    /// A stream is passed on from this answer, after its first event or from where it broke.
+    pub(super) fn stream(&mut self, answer: &Answer) {
+        let passed = self.stream.as_ref().map_or_else(|| Passed::new(self.gw.now()), |stream| stream.passed);
+        let replica = Arc::clone(&answer.replica.id);
+        self.stream = Some(StreamEnding { replica, beside: answer.work.beside(), passed });
+    }
+
+    /// Another event of the stream was passed on.
+    pub(super) fn event_passed(&mut self) {
+        let now = self.gw.now();
+        if let Some(stream) = &mut self.stream {
+            stream.passed.note(now);
+        }
+    }
+
+    /// The mean time between the events that were passed on.
+    pub(super) fn interval(&self) -> Option<Span> {
+        self.stream.as_ref()?.passed.interval()
+    }
+
     pub(super) const fn set(&mut self, outcome: &'static str, status: u16) {
         self.outcome = outcome;
         self.status = status;
@@ -55,6 +87,11 @@
 impl Drop for Ending {
     fn drop(&mut self) {
         self.gw.metrics.request(&self.route, self.outcome);
+        let interval = self.interval();
+        if let Some(interval) = interval {
+            self.gw.metrics.event_interval(&self.route, interval.as_seconds());
+        }
+        let stream = self.stream.as_ref();
         emit!(
             info,
             ROUTED_OVER,
@@ -65,7 +102,12 @@
             status = self.status,
             tries = self.tries,
             first_ms = self.first_at.map(|at| at.since(self.arrived).as_millis()),
-            took_ms = self.gw.now().since(self.arrived).as_millis()
+            took_ms = self.gw.now().since(self.arrived).as_millis(),
+            replica = stream.map(|stream| &*stream.replica),
+            beside = stream.map(|stream| stream.beside),
+            events = stream.map(|stream| stream.passed.count() + 1),
+            interval_us = interval.map(|interval| interval.0),
+            pause_ms = stream.map(|stream| stream.passed.longest().as_millis())
         );
     }
 }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -52,6 +52,7 @@
     peer_messages: Counter<u64>,
     first_byte: Histogram<f64>,
     reading: Histogram<f64>,
+    event_interval: Histogram<f64>,
 }
 
 impl GatewayMetrics {
@@ -83,6 +84,10 @@
             peer_messages: counter("dahliaseam_peer_messages", "Messages to and from other daemons"),
             first_byte: histogram("dahliaseam_first_byte_seconds", "Seconds from a request to its answer's first byte"),
             reading: histogram("dahliaseam_reading_seconds", "Seconds that an engine took to read a prompt"),
+            event_interval: histogram(
+                "dahliaseam_event_interval_seconds",
+                "Mean seconds between two events of a stream that is over",
+            ),
             registry,
             _provider: provider,
         })
@@ -123,6 +128,11 @@
         self.reading.record(seconds, &[]);
     }
 
+    /// The events of a stream that is over came so far apart.
+    pub(super) fn event_interval(&self, route: &str, seconds: f64) {
+        self.event_interval.record(seconds, &[KeyValue::new("route", route.to_owned())]);
+    }
+
     /// All of it as Prometheus text.
     pub(super) fn text(&self) -> Result<String, prometheus::Error> {
         let mut buf = Vec::new();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,7 +5,8 @@
 //! (connections to replicas) and [`relay`] (the answer as it arrives). Beside it run [`follow`]
 //! (configuration and replicas from the store), [`borrow`] (the same from another daemon while the
 //! store is out of reach), [`peers`] (what daemons tell each other, with [`peer_table`]), [`orders`]
-//! (roles of engines) and [`pages`] (readiness, metrics). [`copies`] is what was read from the store, [`state`] is what they share, and
+//! (roles of engines) and [`pages`] (readiness, metrics). [`copies`] is what was read from the
+//! store, [`passed`] what is noted of a stream's events, [`state`] what they share, and
 //! [`controller`] starts and stops them.
 
 mod answer;
@@ -21,6 +22,7 @@
 mod metrics;
 mod orders;
 mod pages;
+mod passed;
 mod peer_table;
 mod peers;
 mod reading;
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -7,11 +7,7 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use dahliaseam_core::{
-    fleet::StepEnd,
-    route::Repeat,
-    time::{Span, Time},
-};
+use dahliaseam_core::{fleet::StepEnd, route::Repeat};
 use futures_util::stream;
 use http::{Response, header, response};
 use http_body_util::{BodyExt, StreamBody};
@@ -143,10 +139,10 @@
                 head.headers.remove(header::CONTENT_LENGTH);
             }
             ending.set("caller_left", head.status.as_u16());
+            ending.stream(&answer);
             let relay = Relay {
                 resumable: job.route.stream && job.route.repeat == Repeat::Allowed,
                 last_id: sse::last_id(&first),
-                passed: Passed::new(job.gw.now()),
                 job,
                 answer,
                 events,
@@ -175,36 +171,11 @@
     events: Events,
     next: Option<Bytes>,
     last_id: Option<String>,
-    passed: Passed,
     resumable: bool,
     over: bool,
     ending: Ending,
 }
 
-/// What was passed on after the first event, for how far apart events come.
-#[derive(Clone, Copy, Debug)]
-struct Passed {
-    first_at: Time,
-    last_at: Time,
-    count: u64,
-}
-
-impl Passed {
-    const fn new(now: Time) -> Self {
-        Self { first_at: now, last_at: now, count: 0 }
-    }
-
-    const fn note(&mut self, now: Time) {
-        self.last_at = now;
-        self.count += 1;
-    }
-
-    /// The mean time between two of them.
-    fn interval(&self) -> Option<Span> {
-        self.last_at.since(self.first_at).0.checked_div(self.count).map(Span)
-    }
-}
-
 type Item = Result<Frame<Bytes>, RelayError>;
 
 impl Relay {
@@ -225,7 +196,7 @@
                 },
                 Ok(Some(Ok(frame))) => match frame.into_data().ok().and_then(|data| self.take(data)) {
                     Some(bytes) => {
-                        self.passed.note(self.job.gw.now());
+                        self.ending.event_passed();
                         return Some(Ok(Frame::data(bytes)));
                     }
                     None => continue,
@@ -268,7 +239,7 @@
         if self.job.caller.prompt.is_some() {
             fleet.answered(&self.job.service, self.answer.work.age(), self.answer.work.is_long());
         }
-        if let Some(interval) = self.passed.interval() {
+        if let Some(interval) = self.ending.interval() {
             fleet.learn_pace(&self.job.service, interval);
         }
         drop(fleet);
@@ -306,6 +277,7 @@
         }
         emit!(info, STREAM_RESUMED, request = self.job.caller.id, replica = %answer.replica.id);
         *self.answer = answer;
+        self.ending.stream(&self.answer);
         Ok(())
     }
 
