--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -107,6 +107,23 @@
     pub at: Time,
 }
 
+/// A part of a stream, as it was passed on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StreamPart {
+    /// Its events.
+    pub events: u64,
+    /// What they took.
+    pub took: Span,
+}
+
+impl StreamPart {
+    /// The mean time between two events; absent if there were none.
+    #[must_use]
+    pub fn interval(&self) -> Option<Span> {
+        self.took.0.checked_div(self.events).map(Span)
+    }
+}
+
 /// The replicas of all services, as this daemon sees them.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -169,9 +186,15 @@
         self.service_mut(service).pause = pause;
     }
 
-    /// Learn from the usual time between two events of a stream that was passed on.
-    pub fn learn_pace(&mut self, service: &Arc<str>, interval: Span) {
-        self.service_mut(service).engine.pace.learn(interval);
+    /// Learn from a part of a stream that was passed on.
+    pub fn learn_stream(&mut self, sent: &Sent, part: &StreamPart) {
+        let Some(replica) = self.replicas.get(sent.key) else {
+            return;
+        };
+        let service = Arc::clone(&replica.facts.service);
+        if let Some(interval) = part.interval() {
+            self.service_mut(&service).engine.pace.learn(interval);
+        }
     }
 
     /// Note a new request, and what it would ask of engines.
--- a/crates/daemon/src/gateway/ending.rs
+++ b/crates/daemon/src/gateway/ending.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dahliaseam_core::time::{Span, Time};
+use dahliaseam_core::{fleet::StreamPart, time::Time};
 
 use crate::{
     emit,
@@ -73,9 +73,9 @@
         }
     }
 
-    /// The mean time between the events that were passed on.
-    pub(super) fn interval(&self) -> Option<Span> {
-        self.stream.as_ref()?.passed.interval()
+    /// What was passed on after the first event.
+    pub(super) fn passed(&self) -> StreamPart {
+        self.stream.as_ref().map(|stream| stream.passed.whole()).unwrap_or_default()
     }
 
     pub(super) const fn set(&mut self, outcome: &'static str, status: u16) {
@@ -87,7 +87,7 @@
 impl Drop for Ending {
     fn drop(&mut self) {
         self.gw.metrics.request(&self.route, self.outcome);
-        let interval = self.interval();
+        let interval = self.passed().interval();
         if let Some(interval) = interval {
             self.gw.metrics.event_interval(&self.route, interval.as_seconds());
         }
--- a/crates/daemon/src/gateway/passed.rs
+++ b/crates/daemon/src/gateway/passed.rs
@@ -1,6 +1,9 @@
 //! The events of a stream that were passed on, and how far apart they came.
 
-use dahliaseam_core::time::{Span, Time};
+use dahliaseam_core::{
+    fleet::StreamPart,
+    time::{Span, Time},
+};
 
 /// What was passed on after a stream's first event.
 #[derive(Clone, Copy, Debug)]
@@ -29,9 +32,9 @@
         self.count
     }
 
-    /// The mean time between two events; absent if there was only one.
-    pub(super) fn interval(&self) -> Option<Span> {
-        self.last_at.since(self.first_at).0.checked_div(self.count).map(Span)
+    /// All of it.
+    pub(super) fn whole(&self) -> StreamPart {
+        StreamPart { events: self.count, took: self.last_at.since(self.first_at) }
     }
 
     /// The longest time between two events.
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -239,9 +239,7 @@
         if self.job.caller.prompt.is_some() {
             fleet.answered(&self.job.service, self.answer.work.age(), self.answer.work.is_long());
         }
-        if let Some(interval) = self.ending.interval() {
-            fleet.learn_pace(&self.job.service, interval);
-        }
+        fleet.learn_stream(self.answer.work.sent(), &self.ending.passed());
         drop(fleet);
         self.ending.set("answered", self.answer.head.status.as_u16());
         Ok((!rest.is_empty()).then_some(rest))
--- a/crates/daemon/src/gateway/work.rs
+++ b/crates/daemon/src/gateway/work.rs
@@ -60,6 +60,11 @@
         self.sent.alone
     }
 
+    /// What was sent, as it is counted.
+    pub(super) const fn sent(&self) -> &Sent {
+        &self.sent
+    }
+
     /// Long answers that were known there when it was sent.
     pub(super) const fn beside(&self) -> u32 {
         self.sent.beside
