Long answers go where the longest of them end in time

Cause: engines were filled with long answers up to a share of their slots, whatever that made of their pace, and a slow engine looked like any other. Now daemons learn how far apart events come by the answers that an engine has and by the engine, and how many events an answer has at most; an engine has room while the longest end in time. Where nobody knows yet how long they are, they go where they go on fastest. Its emulation also tells the daemon when an answer ends, as the relay does.

--- a/crates/core/src/fleet/engine/mod.rs
+++ b/crates/core/src/fleet/engine/mod.rs
@@ -1,14 +1,16 @@
 //! What is learned of the engines of one service from the work that they do.
 //!
 //! Nothing here assumes how fast an engine is. [`read_time`] tells what a prompt's reading takes,
-//! [`hand_over`] what it takes to bring a prompt's memory to another engine. Each starts with a
+//! [`hand_over`] what it takes to bring a prompt's memory to another engine, [`answer_pace`] how fast
+//! long answers go on. Each starts with a
 //! guess that a few tens of observations replace. Engines that are busy look slow, so an
 //! observation far above what is expected counts little, and one far below counts in full.
 
 use serde::{Deserialize, Serialize};
 
-use self::{event_pace::EventPace, hand_over::HandOverTime, read_time::ReadTime};
+use self::{answer_pace::AnswerPace, event_pace::EventPace, hand_over::HandOverTime, read_time::ReadTime};
 
+pub mod answer_pace;
 pub mod event_pace;
 pub mod hand_over;
 mod least_squares;
@@ -24,6 +26,8 @@
     pub hand_over: HandOverTime,
     /// How far apart the events of streams come.
     pub pace: EventPace,
+    /// How fast long answers go on.
+    pub answers: AnswerPace,
 }
 
 /// What a daemon has learned, as it tells others.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -103,6 +103,8 @@
     pub alone: bool,
     /// Long answers that were known to be there.
     pub beside: u32,
+    /// Tokens of its answer at most.
+    pub output: u32,
     /// When it was sent.
     pub at: Time,
 }
@@ -112,6 +114,8 @@
 pub struct StreamPart {
     /// Its events.
     pub events: u64,
+    /// Events of the stream until the part's end, but for the first.
+    pub total: u64,
     /// What they took.
     pub took: Span,
 }
@@ -186,14 +190,25 @@
         self.service_mut(service).pause = pause;
     }
 
-    /// Learn from a part of a stream that was passed on.
+    /// Learn from a whole stream that was passed on.
+    pub fn learn_answer(&mut self, service: &Arc<str>, sent: &Sent, stream: &StreamPart) {
+        let engine = &mut self.service_mut(service).engine;
+        engine.answers.learn_ended(stream.total, sent.output);
+        if let Some(interval) = stream.interval() {
+            engine.pace.learn(interval);
+        }
+    }
+
+    /// Learn from a part of a stream that was passed on and may go on.
     pub fn learn_stream(&mut self, sent: &Sent, part: &StreamPart) {
-        let Some(replica) = self.replicas.get(sent.key) else {
+        let (Some(replica), Some(interval)) = (self.replicas.get_mut(sent.key), part.interval()) else {
             return;
         };
-        let service = Arc::clone(&replica.facts.service);
-        if let Some(interval) = part.interval() {
-            self.service_mut(&service).engine.pace.learn(interval);
+        let engine = &mut self.services.entry(Arc::clone(&replica.facts.service)).or_default().engine;
+        if sent.load.streams > 0 {
+            let slowness = engine.answers.learn(interval, replica.streams(), replica.answer_slowness.value());
+            replica.answer_slowness.learn(slowness);
+            engine.answers.learn_passed(part.total, sent.output);
         }
     }
 
@@ -217,6 +232,7 @@
         let replica = self.replicas.get_mut(key)?;
         let alone = replica.own.reading_ms + replica.peers.reading_ms <= 0.0;
         let beside = replica.streams();
+        let output = prompt.map_or(0, |prompt| prompt.output);
         let load = Load {
             reading_ms: step.work_ms,
             late_ms: if step.late { step.work_ms } else { 0.0 },
@@ -232,7 +248,7 @@
         let expected_ms = step.wait_ms + step.work_ms;
         let link = Span::seconds(step.link_ms / 1_000.0);
         let (reading, moved) = (step.reading, step.moved);
-        Some(Sent { key, load, reading, moved, expected_ms, link, alone, beside, at: now })
+        Some(Sent { key, load, reading, moved, expected_ms, link, alone, beside, output, at: now })
     }
 
     /// Note that reading is over while the request goes on; returns the work that remains counted.
--- a/crates/core/src/fleet/policy.rs
+++ b/crates/core/src/fleet/policy.rs
@@ -24,6 +24,10 @@
     pub other_hall_ms: f64,
     /// Share of an engine's slots that long answers may take before another engine gets them.
     pub packed_share: f64,
+    /// Part of the time left in which the last event of the longest answers is to come, by the learned
+    /// pace; engines where it would not get no long answers while others have room. The rest is for
+    /// answers that come to an engine later and for prompts read beside them.
+    pub answer_share: f64,
     /// Milliseconds of a pause that streams can bear where the configuration names none.
     pub pause_ms: f64,
     /// Part of the pause that streams can bear, beyond their usual interval, that reading at once
@@ -49,6 +53,7 @@
             copy_cost_ms: 3.0,
             other_hall_ms: 5.0,
             packed_share: 0.8,
+            answer_share: 0.9,
             pause_ms: 150.0,
             pause_share: 0.27,
             first_read_share: 0.5,
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -7,7 +7,7 @@
 use crate::{
     eject::Health,
     endpoint::Role,
-    fleet::cache::Cache,
+    fleet::{cache::Cache, engine::running_mean::RunningMean},
     time::{Span, Time},
 };
 
@@ -76,6 +76,9 @@
 const LEARN_SLOWNESS: f64 = 0.15;
 /// Bounds of the slowness.
 const SLOWNESS: (f64, f64) = (0.7, 12.0);
+/// Least weight of a new observation of how fast its answers go on: each stream tells once a second, and
+/// an engine's speed is its own, so some seconds of a few streams count.
+const LEARN_ANSWERS: f64 = 0.03;
 /// Time after which a slow replica is believed half as slow, so that it is tried again.
 const FORGET: Span = Span::millis(3_000);
 
@@ -108,6 +111,8 @@
     pub ordered_in_hall: bool,
     /// From when on it may get an order; later than now while one may still take effect.
     pub orders_from: Time,
+    /// How many times as long as its service's usual it takes to the next event of long answers.
+    pub(super) answer_slowness: RunningMean,
     slowness: f64,
     slowness_at: Time,
 }
@@ -130,6 +135,7 @@
             ordered_here: false,
             ordered_in_hall: false,
             orders_from: Time(0),
+            answer_slowness: RunningMean::new(1.0, LEARN_ANSWERS),
             slowness: 1.0,
             slowness_at: Time(0),
         }
--- a/crates/core/tests/engine_model.rs
+++ b/crates/core/tests/engine_model.rs
@@ -3,6 +3,7 @@
 use dahliaseam_core::{
     fleet::engine::{
         EngineModel,
+        answer_pace::AnswerPace,
         event_pace::EventPace,
         hand_over::{HandOverTime, Moved},
         read_time::{ReadTime, Reading},
@@ -158,3 +159,42 @@
         }
     }
 }
+
+#[test]
+fn the_pace_of_answers_is_told_apart_by_load_and_by_engine() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut pace = AnswerPace::default();
+    // Two usual engines and one that takes 1.3 times as long, which has more answers than they.
+    let (speeds, most) = ([1.0, 1.0, 1.3], [60, 60, 90]);
+    let mut slowness = [1.0; 3];
+    for n in 0..2_000 {
+        let engine = n % 3;
+        let answers = rng.random_range(1..most[engine]);
+        let seen = speeds[engine] * (44.0 + 0.34 * f64::from(answers)) * rng.random_range(0.9..1.1);
+        let seen = Span::seconds(seen / 1e3);
+        slowness[engine] += 0.03 * (pace.learn(seen, answers, slowness[engine]) - slowness[engine]);
+    }
+    for (engine, speed) in speeds.iter().enumerate() {
+        for answers in [5.0, 30.0, 70.0] {
+            let takes = speed * (44.0 + 0.34 * answers);
+            let predicted = slowness[engine] * pace.interval_ms(answers);
+            assert!((predicted / takes - 1.0).abs() < 0.08, "engine {engine}, {answers}: {predicted} for {takes}");
+        }
+    }
+    let answers = pace.answers_within(pace.interval_ms(40.0));
+    assert!((answers - 40.0).abs() < 0.1, "{answers}");
+}
+
+#[test]
+fn how_long_answers_can_be_is_known_once_the_longest_have_ended() {
+    let most_events = |pace: &AnswerPace, tokens| pace.most_events(tokens).map(f64::round);
+    let mut pace = AnswerPace::default();
+    assert_eq!(most_events(&pace, 12_000), None);
+    pace.learn_ended(100, 12_000);
+    assert_eq!(most_events(&pace, 12_000), Some(100.0));
+    assert_eq!(most_events(&pace, 6_000), Some(50.0));
+    pace.learn_passed(200, 12_000);
+    assert_eq!(most_events(&pace, 12_000), None, "one goes on that is longer than any that ended");
+    pace.learn_ended(210, 12_000);
+    assert_eq!(most_events(&pace, 12_000), Some(210.0));
+}
--- a/crates/core/tests/fleet/long_answers.rs
+++ b/crates/core/tests/fleet/long_answers.rs
@@ -11,6 +11,8 @@
 //! bear at a pace of 60 ms. The engines' time for an event, by how many answers they have, and
 //! the sizes of answers (lognormal, cut at 214 events) are as they were measured there.
 
+use std::sync::Arc;
+
 use dahliaseam_core::{
     endpoint::Role,
     fleet::{
@@ -22,7 +24,7 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::{ask, facts, fleet, now};
+use crate::{SERVICE, ask, facts, fleet, now};
 
 /// Slots of each engine.
 const SLOTS: u32 = 96;
@@ -41,7 +43,7 @@
 /// How far the emulation goes at once.
 const TICK: Span = Span::millis(10);
 /// How often it is learned how far a stream has come.
-const PART: Span = Span::millis(1_000);
+const PART: Span = Span::millis(500);
 /// Seconds in which answers begin.
 const SECONDS: u64 = 60;
 
@@ -134,6 +136,11 @@
         self.running = running;
         for mut answer in over {
             answer.learn(&mut self.fleet, now);
+            if answer.done >= answer.events {
+                let events = answer.events as u64;
+                let whole = StreamPart { events, total: events, took: now.since(answer.sent.at) };
+                self.fleet.learn_answer(&Arc::from(SERVICE), &answer.sent, &whole);
+            }
             self.fleet.end(&answer.sent, StepEnd::Done, now);
             self.over.push(Over { events: answer.events, served: answer.done >= answer.events });
         }
@@ -152,7 +159,7 @@
         let (done, at) = self.learned;
         let events = (self.done - done) as u64;
         if events > 0 {
-            fleet.learn_stream(&self.sent, &StreamPart { events, took: now.since(at) });
+            fleet.learn_stream(&self.sent, &StreamPart { events, total: self.done as u64, took: now.since(at) });
             self.learned = (self.done, now);
         }
     }
--- a/crates/daemon/src/gateway/ending.rs
+++ b/crates/daemon/src/gateway/ending.rs
@@ -65,12 +65,12 @@
         self.stream = Some(StreamEnding { replica, beside: answer.work.beside(), passed });
     }
 
-    /// Another event of the stream was passed on.
-    pub(super) fn event_passed(&mut self) {
+    /// Another event of the stream was passed on; returns a part of it when there is one to learn from.
+    pub(super) fn event_passed(&mut self) -> Option<StreamPart> {
         let now = self.gw.now();
-        if let Some(stream) = &mut self.stream {
-            stream.passed.note(now);
-        }
+        let stream = self.stream.as_mut()?;
+        stream.passed.note(now);
+        stream.passed.part()
     }
 
     /// What was passed on after the first event.
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -196,7 +196,7 @@
                 },
                 Ok(Some(Ok(frame))) => match frame.into_data().ok().and_then(|data| self.take(data)) {
                     Some(bytes) => {
-                        self.ending.event_passed();
+                        self.learn();
                         return Some(Ok(Frame::data(bytes)));
                     }
                     None => continue,
@@ -239,7 +239,7 @@
         if self.job.caller.prompt.is_some() {
             fleet.answered(&self.job.service, self.answer.work.age(), self.answer.work.is_long());
         }
-        fleet.learn_stream(self.answer.work.sent(), &self.ending.passed());
+        fleet.learn_answer(&self.job.service, self.answer.work.sent(), &self.ending.passed());
         drop(fleet);
         self.ending.set("answered", self.answer.head.status.as_u16());
         Ok((!rest.is_empty()).then_some(rest))
@@ -279,6 +279,13 @@
         Ok(())
     }
 
+    /// Another event was passed on; learn from the stream now and then.
+    fn learn(&mut self) {
+        if let Some(part) = self.ending.event_passed() {
+            self.job.gw.fleet().learn_stream(self.answer.work.sent(), &part);
+        }
+    }
+
     fn fail(&mut self, e: RelayError) -> RelayError {
         self.over = true;
         self.ending.set(if e == RelayError::TimedOut { "timed_out" } else { "broke_off" }, 0);
