--- a/crates/cli/src/bin/dahliaseam/app.rs
+++ b/crates/cli/src/bin/dahliaseam/app.rs
@@ -99,6 +99,13 @@
             .descr("Show where a request went, why, and what happened to it")
             .command("explain")
     };
+    let streams = {
+        let log = long("log").help("the logs in FILE, or of standard input for -").argument::<PathBuf>("FILE");
+        construct!(Command::Streams { log })
+            .to_options()
+            .descr("Show how streams ended and at what pace, by replica")
+            .command("streams")
+    };
     let drain = {
         let undo = long("undo").help("put the endpoint back into service").switch();
         let wait_seconds = long("wait-seconds").help("how long to wait").argument::<u64>("N").fallback(60);
@@ -116,5 +123,5 @@
             .command("check")
     };
     let status = bpaf::pure(Command::Status).to_options().descr("Show the state of every daemon").command("status");
-    construct!([get, apply, edit, delete, watch, explain, drain, check, status])
+    construct!([get, apply, edit, delete, watch, explain, streams, drain, check, status])
 }
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -20,7 +20,7 @@
     error::CommandError,
     log,
     output::Output,
-    patch,
+    patch, streams,
 };
 
 /// Time between two looks at a drain.
@@ -71,6 +71,11 @@
         /// Logs to read it from, instead of asking a daemon.
         log: Option<PathBuf>,
     },
+    /// Show how streams ended, by replica.
+    Streams {
+        /// Logs to read it from.
+        log: PathBuf,
+    },
     /// Take an endpoint out of service and wait until nothing runs there.
     Drain {
         /// The endpoint.
@@ -116,6 +121,7 @@
         Command::Explain { request, log: None } => {
             output.text(&client.get::<RequestRecord>(&format!("/v1/requests/{request}")).await?)
         }
+        Command::Streams { log } => streams::streams(&log)?,
         Command::Drain { endpoint, undo, wait_seconds } => drain(&client, &endpoint, undo, wait_seconds).await?,
         Command::Check { file } => check(&file)?,
         Command::Status => output.text(&client.get::<StatusReport>("/v1/status").await?),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod log;
 pub mod output;
 pub mod patch;
+pub mod streams;
--- a/crates/cli/src/log.rs
+++ b/crates/cli/src/log.rs
@@ -1,4 +1,4 @@
-//! What a daemon's log says of one request.
+//! What daemons' logs say of one request.
 
 use std::{
     fs::File,
@@ -19,26 +19,38 @@
 /// # Errors
 /// The file cannot be read, or no line names the request.
 pub fn explain(file: &Path, request: &str) -> Result<String, CommandError> {
-    let open = |e| CommandError::Open(file.to_owned(), e);
-    let input: Box<dyn Read> =
-        if file == Path::new("-") { Box::new(stdin()) } else { Box::new(File::open(file).map_err(open)?) };
     let mut text = String::new();
-    for line in BufReader::new(input).lines() {
-        let line = line.map_err(open)?;
-        if let Some(shown) = shown(&line, request) {
+    each_line(file, |json| {
+        if let Some(shown) = shown(json, request) {
             text.push_str(&shown);
         }
-    }
+    })?;
     if text.is_empty() {
         return Err(CommandError::Answer(format!("no line of {} names the request {request}", file.display())));
     }
     Ok(text)
 }
 
-/// A line that names the request, as it is shown. Other lines, and what is no JSON, are passed over:
-/// logs of several processes often stand in one file behind a name and a time.
-fn shown(line: &str, request: &str) -> Option<String> {
-    let json = &line[line.find('{')?..];
+/// Pass each line of the logs in `file`, or of standard input for `-`, to `seen`, from where its JSON
+/// begins: logs of several processes often stand in one file behind a name and a time.
+///
+/// # Errors
+/// The file cannot be read.
+pub(crate) fn each_line(file: &Path, mut seen: impl FnMut(&str)) -> Result<(), CommandError> {
+    let open = |e| CommandError::Open(file.to_owned(), e);
+    let input: Box<dyn Read> =
+        if file == Path::new("-") { Box::new(stdin()) } else { Box::new(File::open(file).map_err(open)?) };
+    for line in BufReader::new(input).lines() {
+        let line = line.map_err(open)?;
+        if let Some(begin) = line.find('{') {
+            seen(&line[begin..]);
+        }
+    }
+    Ok(())
+}
+
+/// A line that names the request, as it is shown. Other lines, and what is no JSON, are passed over.
+fn shown(json: &str, request: &str) -> Option<String> {
     let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
     if fields.get("request")?.as_str()? != request {
         return None;
--- /dev/null
+++ b/crates/cli/src/streams.rs
@@ -0,0 +1,89 @@
+//! What daemons' logs say of the streams that are over, by the replica that answered.
+//!
+//! A stream that ends unfinished long after its first event was too slow all along, or stopped. The
+//! time between two events by how many long answers the replica had tells which: it grows with them
+//! where an engine has too many, and is longer throughout where the engine is slow.
+
+use std::{collections::BTreeMap, path::Path};
+
+use serde::Deserialize;
+
+use crate::{error::CommandError, log};
+
+/// The event of a request that is over.
+const OVER: &str = "ROUTED_OVER";
+/// How it ends if the caller got all of it.
+const ANSWERED: &str = "answered";
+/// Long answers beside a stream at which each column begins.
+const BESIDE: [u32; 5] = [0, 20, 40, 60, 80];
+
+/// A line of the log that tells of a stream.
+#[derive(Debug, Deserialize)]
+struct Line {
+    event: String,
+    outcome: String,
+    replica: String,
+    beside: u32,
+    events: u64,
+    interval_us: Option<u64>,
+}
+
+/// The streams of one replica.
+#[derive(Debug, Default)]
+struct Streams {
+    all: usize,
+    unfinished: usize,
+    most_events: u64,
+    /// Microseconds between two events, by [`BESIDE`].
+    intervals: [Vec<u64>; BESIDE.len()],
+}
+
+impl Streams {
+    fn add(&mut self, line: &Line) {
+        self.all += 1;
+        self.unfinished += usize::from(line.outcome != ANSWERED);
+        self.most_events = self.most_events.max(line.events);
+        let column = BESIDE.iter().rposition(|from| line.beside >= *from).unwrap_or(0);
+        self.intervals[column].extend(line.interval_us);
+    }
+
+    fn row(&mut self, replica: &str) -> String {
+        let mut row = format!("{replica:<20} {:>7} {:>10} {:>6}", self.all, self.unfinished, self.most_events);
+        for column in &mut self.intervals {
+            row.push_str(&median(column).map_or_else(|| format!("{:>7}", "-"), |us| format!("{:>7}", us / 1_000)));
+        }
+        row.push('\n');
+        row
+    }
+}
+
+/// A table of the streams in the logs in `file`, or of standard input for `-`: how many, how many of them
+/// unfinished, the most events of one, and the median milliseconds between two events by how many long
+/// answers the replica had.
+///
+/// # Errors
+/// The file cannot be read, or tells of no stream.
+pub fn streams(file: &Path) -> Result<String, CommandError> {
+    let mut replicas: BTreeMap<String, Streams> = BTreeMap::new();
+    log::each_line(file, |json| {
+        let line: Option<Line> = serde_json::from_str(json).ok();
+        if let Some(line) = line.filter(|line| line.event == OVER) {
+            replicas.entry(line.replica.clone()).or_default().add(&line);
+        }
+    })?;
+    if replicas.is_empty() {
+        return Err(CommandError::Answer(format!("no line of {} tells of a stream", file.display())));
+    }
+    let mut text = format!("{:<20} {:>7} {:>10} {:>6}", "REPLICA", "STREAMS", "UNFINISHED", "EVENTS");
+    text.extend(BESIDE.map(|from| format!("{:>7}", format!("MS@{from}"))));
+    text.push('\n');
+    for (replica, streams) in &mut replicas {
+        text.push_str(&streams.row(replica));
+    }
+    Ok(text)
+}
+
+fn median(values: &mut [u64]) -> Option<u64> {
+    values.sort_unstable();
+    values.get(values.len() / 2).copied()
+}
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -117,3 +117,32 @@
     assert!(dahliaseam::patch::set(&mut spec, "c").is_err());
     assert!(dahliaseam::patch::set(&mut spec, "c.x=1").is_err());
 }
+
+#[test]
+fn streams_are_summed_up_by_replica_from_the_logs_of_all_daemons() {
+    let over = |replica: &str, outcome: &str, beside: u32, events: u64, interval_us: u64| {
+        format!(
+            r#"12.1 entry-1 {{"event":"ROUTED_OVER","request":"r","outcome":"{outcome}","replica":"{replica}","beside":{beside},"events":{events},"interval_us":{interval_us}}}"#
+        )
+    };
+    let lines = [
+        over("i-slow", "answered", 3, 40, 57_000),
+        over("i-slow", "timed_out", 76, 176, 81_000),
+        over("i-slow", "timed_out", 70, 180, 83_000),
+        over("i-usual", "answered", 30, 214, 54_000),
+        "12.2 entry-1 a line of something else".to_owned(),
+        r#"12.3 entry-1 {"event":"ROUTED_OVER","request":"plain","outcome":"answered"}"#.to_owned(),
+    ];
+    let log = file("streams.log", &lines.join("\n"));
+    check(
+        &["streams", "--log", &log],
+        &expect![[r#"
+        exit 0
+        REPLICA              STREAMS UNFINISHED EVENTS   MS@0  MS@20  MS@40  MS@60  MS@80
+        i-slow                     3          2    180     57      -      -     83      -
+        i-usual                    1          0    214      -     54      -      -      -
+    "#]],
+    );
+    let none = run(&["streams", "--log", &file("no-streams.log", "")]);
+    assert!(none.starts_with("exit 3") && none.contains("tells of a stream"), "{none}");
+}
--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -263,7 +263,8 @@
     }
 
     /// The engine that reads and answers a prompt. One with long answers under way reads no longer
-    /// than their pause allows; with `spare_short` one with short answers neither.
+    /// than their pause allows; with `spare_short` one with short answers neither, and nothing larger at
+    /// all where the long ones would end too late.
     fn choose_whole(&self, ask: &Ask<'_>, read: &Read<'_>, spare_short: bool, now: Time) -> Option<Step> {
         let pause_ms = self.bearable_pause_ms(ask.service, &read.engine);
         let engines = self.open(ask, now).filter(|(_, replica)| replica.facts.role != Role::Prefill);
@@ -273,8 +274,8 @@
             let step = Step { wait_ms: step.wait_ms + over, long: read.long, ..step };
             let is_bound = replica.streams() > 0 || (spare_short && replica.active() > 0);
             let disturbs = replica.streams() > 0 && step.work_ms > SHORT_READ_MS;
-            let halts = disturbs && spare_short && !self.has_time_to_spare(replica, now);
-            if halts || (is_bound && step.wait_ms + step.work_ms > pause_ms) {
+            let delays = disturbs && spare_short && !self.has_time_to_spare(replica, now);
+            if delays || (is_bound && step.wait_ms + step.work_ms > pause_ms) {
                 return None;
             }
             let disturbed = if disturbs { f64::from(replica.streams()) * DISTURBED_MS } else { 0.0 };
--- a/crates/core/src/fleet/engine/answer_pace.rs
+++ b/crates/core/src/fleet/engine/answer_pace.rs
@@ -1,4 +1,4 @@
-//! How fast long answers go on, by how many an engine has, and how many events they have.
+//! How fast long answers go on, by how many an engine has, and how many events they have at most.
 //!
 //! An engine computes its answers together, so each event takes longer the more of them run. What
 //! an answer needs until its last event follows from that and from its events at most.
@@ -63,30 +63,21 @@
         self.fit.expect(&terms(answers))
     }
 
-    /// Long answers that a usual engine can have with events no further apart than this; less than none
-    /// if one alone is slower.
+    /// Events of an answer at most that can have so many tokens. Unless the longest must have shown by now
+    /// how long they are (`lengths_known`), absent while one is under way that is longer than any that
+    /// has ended.
     #[must_use]
-    pub fn answers_within(&self, interval_ms: f64) -> f64 {
-        let alone = self.interval_ms(0.0);
-        let each = self.interval_ms(1.0) - alone;
-        if each > 0.0 { (interval_ms - alone) / each } else { f64::INFINITY }
-    }
-
-    /// Events of an answer at most that can have so many tokens. Until they were seen for as long as an
-    /// answer may take, so that the longest have shown how long they are (`all_seen`), this is absent
-    /// while longer ones are under way than have ever ended.
-    #[must_use]
-    pub fn most_events(&self, tokens: u32, all_seen: bool) -> Option<f64> {
+    pub fn most_events(&self, tokens: u32, lengths_known: bool) -> Option<f64> {
         let most = self.passed_per_token.max(self.ended_per_token);
-        let is_known = all_seen || self.ended_per_token >= self.passed_per_token * NEAR;
+        let is_known = lengths_known || self.ended_per_token >= self.passed_per_token * NEAR;
         (is_known && most > 0.0).then_some(most * f64::from(tokens))
     }
 
     /// Events that nine of ten such answers have at most, by their caller's guess if there is one; absent
     /// while that is not known.
     #[must_use]
-    pub fn likely_events(&self, prompt: &Prompt, all_seen: bool) -> Option<f64> {
-        let most = self.most_events(prompt.output, all_seen)?;
+    pub fn likely_events(&self, prompt: &Prompt, lengths_known: bool) -> Option<f64> {
+        let most = self.most_events(prompt.output, lengths_known)?;
         let likely = prompt.guess.map(|guess| self.guessed_events(guess) * self.over_guess.value());
         Some(likely.unwrap_or(most).min(most).max(1.0))
     }
@@ -118,8 +109,9 @@
         counted_ms / usual_ms
     }
 
-    /// Learn from an answer that can have so many tokens and has had so many events after its first so
-    /// far. The last may have few tokens, so leaving one out never takes answers for longer than they are.
+    /// Learn from an answer under way that can have so many tokens and has had so many events after its
+    /// first. The last one may have few tokens, so leaving one out never takes answers for longer than
+    /// they are.
     pub fn learn_passed(&mut self, events: u64, tokens: u32) {
         self.passed_per_token = self.passed_per_token.max(events as f64 / f64::from(tokens.max(1)));
     }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! [`replica`] is a row of the table. Discovery changes which rows there are ([`discovery`]);
 //! daemons tell each other what they have under way ([`peers`]); [`choose`] picks replicas for a
-//! request from that view, or says that it cannot be in time, [`packing`] where long answers go. [`cache`] and [`engine`] are
-//! estimates that this needs, [`budget`] bounds repeated sends, and [`split`] decides which role
-//! an engine should play.
+//! request from that view, or says that it cannot be in time, and [`packing`] says where long answers
+//! go. [`cache`] and [`engine`] are estimates that this needs, [`budget`] bounds repeated sends, and
+//! [`split`] decides which role an engine should play.
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -66,7 +66,8 @@
     limit: Span,
     /// Tokens of that answer at most.
     tokens: u32,
-    /// From when on those that end tell how long they are, since the longest can have ended too.
+    /// When the first of them must be over: until then only the shorter have ended, and do not tell how
+    /// long the longest are.
     lengths_from: Time,
 }
 
@@ -214,7 +215,6 @@
         };
         let state = self.services.entry(Arc::clone(&replica.facts.service)).or_default();
         let long = state.long.filter(|_| sent.load.streams > 0);
-        // At first only the shorter of the long answers have ended.
         if long.is_none_or(|long| long.lengths_from.is_past(now)) {
             state.engine.answers.learn_ended(stream.total, sent.output);
         }
--- a/crates/core/src/fleet/packing.rs
+++ b/crates/core/src/fleet/packing.rs
@@ -12,9 +12,9 @@
 
 /// Milliseconds that an engine counts more at most for a long answer that ends there in time.
 const PACKING_MS: f64 = 40.0;
-/// How many times that for each time by which the last event would come too late there, as a share of the
-/// time left. A tenth over counts as much as an engine that is empty, so that answers go where all of
-/// them go on fastest once no engine has room.
+/// How many times that an engine counts more where the last event would come too late by the whole time left.
+/// A tenth of that time counts as much as opening an empty engine, so that answers go where all of them
+/// go on fastest once no engine has room.
 const OVER_TIME: f64 = 10.0;
 
 /// How a long answer would go on at a replica.
@@ -30,7 +30,10 @@
 }
 
 impl Fleet {
-    /// Milliseconds that a replica counts more or less for a long answer.
+    /// Milliseconds that a replica counts more for a long answer; nothing for any other.
+    ///
+    /// The fewest where the answer ends in time and others go on slowest already; the most where it would
+    /// end latest. While nothing is known, engines are filled one after the other.
     pub(super) fn packing_ms(&self, replica: &Replica, ask: &Ask<'_>, long: bool, now: Time) -> f64 {
         if !long || self.is_blind(now) {
             return 0.0;
@@ -47,17 +50,17 @@
         PACKING_MS * (1.0 + crowded + course.over_time.max(0.0) * OVER_TIME)
     }
 
-    /// How a long answer would go on at a replica that is to have so many; absent while nothing is known
-    /// of them. Without it the longest tenth was served less than half as often as all, since engines
-    /// were filled up to where none of these can end.
+    /// How a long answer would go on at a replica that has at most `slots` of them; absent while nothing
+    /// is known of their pace. Without it the longest tenth was served less than half as often as all,
+    /// since engines were filled up to where none of these can end.
     fn course(&self, replica: &Replica, ask: &Ask<'_>, slots: f64, now: Time) -> Option<Course> {
         let state = self.services.get(ask.service)?;
         let pace = &state.engine.answers;
         if !pace.is_known() {
             return None;
         }
-        let all_seen = state.long.is_some_and(|long| long.lengths_from.is_past(now));
-        let bearable_ms = match pace.likely_events(ask.prompt?, all_seen) {
+        let lengths_known = state.long.is_some_and(|long| long.lengths_from.is_past(now));
+        let bearable_ms = match pace.likely_events(ask.prompt?, lengths_known) {
             Some(events) => ask.time_left.in_millis() * self.policy.answer_share / events,
             // However long they are, they end soonest where they go on fastest.
             None => pace.interval_ms(0.0).max(f64::MIN_POSITIVE),
--- a/crates/core/tests/engine_model.rs
+++ b/crates/core/tests/engine_model.rs
@@ -182,8 +182,6 @@
             assert!((predicted / takes - 1.0).abs() < 0.08, "engine {engine}, {answers}: {predicted} for {takes}");
         }
     }
-    let answers = pace.answers_within(pace.interval_ms(40.0));
-    assert!((answers - 40.0).abs() < 0.1, "{answers}");
 }
 
 #[test]
--- a/crates/core/tests/fleet/long_answers.rs
+++ b/crates/core/tests/fleet/long_answers.rs
@@ -201,7 +201,7 @@
     }
 }
 
-/// More answers than the engines can bear at the pace of the longest, by half: where callers guess how long
+/// Twice the answers that the engines can bear at the pace of the longest: where callers guess how long
 /// theirs will be, the likely short ones fill the slow engines and leave the others to the long. Without
 /// guesses 0.33 to 0.48 of the longest tenth are served here, with them 0.6 to 0.8.
 #[test]
