Catch signals before the settings are read

Cause: until a daemon caught them, which came after its settings were read and its log was opened, a signal ended it at once. Ruled out: anything of the planned stop, as neither life had written a line. The same order in both ways to run.

--- a/crates/daemon/src/bin/dahliaseamd/main.rs
+++ b/crates/daemon/src/bin/dahliaseamd/main.rs
@@ -26,19 +26,20 @@
 }
 
 fn run(app: &app::App) -> Result<(), StartError> {
-    let settings = Settings::load(&app.settings)?;
     if app.check {
+        Settings::load(&app.settings)?;
         println!("{}: the settings are good", app.settings.display());
         return Ok(());
     }
     let runtime = tokio::runtime::Runtime::new().map_err(|e| StartError::Telemetry(e.to_string()))?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(app))
 }
 
-async fn serve(settings: Settings) -> Result<(), StartError> {
+async fn serve(app: &app::App) -> Result<(), StartError> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| StartError::Telemetry(e.to_string()))?;
+    let settings = Settings::load(&app.settings)?;
     let telemetry = Telemetry::start(&settings)?;
     let outside = Outside::real(&settings);
-    let mut term = signal(SignalKind::terminate()).map_err(|e| StartError::Telemetry(e.to_string()))?;
     let daemon = Controller::start(settings, outside).await?;
     tokio::select! {
         _ = term.recv() => {}
--- a/crates/daemon/src/bin/dahliaseamd/routes.rs
+++ b/crates/daemon/src/bin/dahliaseamd/routes.rs
@@ -26,8 +26,8 @@
 /// # Errors
 /// Why it does not start.
 pub(crate) fn run(app: &App) -> Result<(), StartError> {
-    let settings = GatewaySettings::load(&app.settings)?;
     if app.check {
+        GatewaySettings::load(&app.settings)?;
         println!("{}: the settings are good", app.settings.display());
         return Ok(());
     }
@@ -36,14 +36,16 @@
         .enable_all()
         .build()
         .map_err(|e| StartError::Telemetry(e.to_string()))?;
-    runtime.block_on(serve(app, settings))
+    runtime.block_on(serve(app))
 }
 
-async fn serve(app: &App, settings: GatewaySettings) -> Result<(), StartError> {
-    let log = Log::start(&settings.log)?;
+async fn serve(app: &App) -> Result<(), StartError> {
+    // First of all, since a signal that is not caught ends the process.
     let listen = |kind| signal(kind).map_err(|e| StartError::Telemetry(e.to_string()));
     let mut term = listen(SignalKind::terminate())?;
     let mut hangup = listen(SignalKind::hangup())?;
+    let settings = GatewaySettings::load(&app.settings)?;
+    let log = Log::start(&settings.log)?;
     let store = Arc::new(Store::new(&settings.store_address.to_string()));
     let outside = Outside {
         clock: Arc::new(BootClock),
