One look-up of a replica's pace and of an answer's events, and no copy of a name for each request

What the change had written twice: the pace of a replica with so many answers, and the events that tokens are at most; an accessor beside the one that holds the same; a name that was copied for each request.

--- a/crates/core/src/fleet/engine/answer_pace.rs
+++ b/crates/core/src/fleet/engine/answer_pace.rs
@@ -68,9 +68,9 @@
     /// has ended.
     #[must_use]
     pub fn most_events(&self, tokens: u32, lengths_known: bool) -> Option<f64> {
-        let most = self.passed_per_token.max(self.ended_per_token);
+        let most = self.events_of(tokens);
         let is_known = lengths_known || self.ended_per_token >= self.passed_per_token * NEAR;
-        (is_known && most > 0.0).then_some(most * f64::from(tokens))
+        (is_known && most > 0.0).then_some(most)
     }
 
     /// Events that nine of ten such answers have at most, by their caller's guess if there is one; absent
@@ -78,20 +78,20 @@
     #[must_use]
     pub fn likely_events(&self, prompt: &Prompt, lengths_known: bool) -> Option<f64> {
         let most = self.most_events(prompt.output, lengths_known)?;
-        let likely = prompt.guess.map(|guess| self.guessed_events(guess) * self.over_guess.value());
+        let likely = prompt.guess.map(|guess| self.events_of(guess) * self.over_guess.value());
         Some(likely.unwrap_or(most).min(most).max(1.0))
     }
 
     /// Learn how far off a caller's guess was, from an answer that has ended.
     pub fn learn_guess(&mut self, events: u64, guess: Option<u32>) {
-        let Some(guessed) = guess.map(|guess| self.guessed_events(guess)).filter(|guessed| *guessed >= 1.0) else {
+        let Some(guessed) = guess.map(|guess| self.events_of(guess)).filter(|guessed| *guessed >= 1.0) else {
             return;
         };
         self.over_guess.learn(events as f64 / guessed);
     }
 
-    /// The events that so many tokens are.
-    fn guessed_events(&self, tokens: u32) -> f64 {
+    /// The events that so many tokens are at most.
+    fn events_of(&self, tokens: u32) -> f64 {
         self.passed_per_token.max(self.ended_per_token) * f64::from(tokens)
     }
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -238,8 +238,8 @@
     }
 
     /// Note a new request, and what it would ask of engines.
-    pub fn offered(&mut self, ask: &Ask<'_>, plan: &Plan, now: Time) {
-        let state = self.service_mut(&Arc::from(ask.service));
+    pub fn offered(&mut self, service: &Arc<str>, ask: &Ask<'_>, plan: &Plan, now: Time) {
+        let state = self.service_mut(service);
         if plan.is_long() && !ask.returned {
             let lengths_from = state.long.map_or(now + ask.time_left, |long| long.lengths_from);
             let tokens = ask.prompt.map_or(0, |prompt| prompt.output);
--- a/crates/core/src/fleet/packing.rs
+++ b/crates/core/src/fleet/packing.rs
@@ -65,7 +65,7 @@
             // However long they are, they end soonest where they go on fastest.
             None => pace.interval_ms(0.0).max(f64::MIN_POSITIVE),
         };
-        let interval_ms = pace.interval_ms(f64::from(replica.streams() + 1)) * replica.answer_slowness.value();
+        let interval_ms = replica.interval_ms(pace, replica.streams() + 1);
         Some(Course { interval_ms, slowest_ms: pace.interval_ms(slots), over_time: interval_ms / bearable_ms - 1.0 })
     }
 
@@ -83,7 +83,6 @@
         let Some(events) = pace.most_events(long.tokens, long.lengths_from.is_past(now)) else {
             return true;
         };
-        let interval_ms = pace.interval_ms(f64::from(replica.streams())) * replica.answer_slowness.value();
-        interval_ms * events <= long.limit.in_millis() * self.policy.answer_share
+        replica.interval_ms(pace, replica.streams()) * events <= long.limit.in_millis() * self.policy.answer_share
     }
 }
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -7,7 +7,10 @@
 use crate::{
     eject::Health,
     endpoint::Role,
-    fleet::{cache::Cache, engine::running_mean::RunningMean},
+    fleet::{
+        cache::Cache,
+        engine::{answer_pace::AnswerPace, running_mean::RunningMean},
+    },
     time::{Span, Time},
 };
 
@@ -188,6 +191,11 @@
         1.0 + (self.slowness - 1.0) * 0.5_f64.powf(halvings)
     }
 
+    /// Milliseconds between two events of long answers if it has so many of them.
+    pub(super) fn interval_ms(&self, pace: &AnswerPace, answers: u32) -> f64 {
+        pace.interval_ms(f64::from(answers)) * self.answer_slowness.value()
+    }
+
     /// Learn from a part of a long answer that took so many times as long as the usual replica's.
     pub(super) fn learn_answers(&mut self, slowness: f64) {
         self.answer_slowness.learn(slowness + USUAL_PULL * (1.0 - slowness));
--- a/crates/core/tests/fleet/long_answers.rs
+++ b/crates/core/tests/fleet/long_answers.rs
@@ -11,6 +11,8 @@
 //! bear at a pace of 60 ms. The engines' time for an event, by how many answers they have, and
 //! the sizes of answers (lognormal, cut at 214 events) are as they were measured there.
 
+use std::sync::Arc;
+
 use dahliaseam_core::{
     endpoint::Role,
     fleet::{
@@ -22,7 +24,7 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::{ask, facts, fleet, now};
+use crate::{SERVICE, ask, facts, fleet, now};
 
 /// Slots of each engine.
 const SLOTS: u32 = 96;
@@ -119,7 +121,7 @@
         let Ok(Plan::Whole(step)) = self.fleet.choose(&ask, now) else {
             panic!("one engine does it all");
         };
-        self.fleet.offered(&ask, &Plan::Whole(step), now);
+        self.fleet.offered(&Arc::from(SERVICE), &ask, &Plan::Whole(step), now);
         let mut sent = self.fleet.begin(step.key, &step, Some(&prompt), now).expect("it is known");
         self.fleet.reading_over(&mut sent, StepEnd::Done, now);
         let engine = self.fleet.get(step.key).expect("it is known").facts.id[1..].parse().expect("its number");
--- a/crates/daemon/src/gateway/work.rs
+++ b/crates/daemon/src/gateway/work.rs
@@ -65,11 +65,6 @@
         &self.sent
     }
 
-    /// Long answers that were known there when it was sent.
-    pub(super) const fn beside(&self) -> u32 {
-        self.sent.beside
-    }
-
     /// Time since it was sent.
     pub(super) fn age(&self) -> Span {
         self.gw.now().since(self.sent.at)
