Lines of a request tell its content, which stays when its caller asks again

Cause: two requests of equal sizes could not be told from one that comes again. Logs only; no decision changed. One place writes TRY_FAILED now.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod bucket;
 pub mod choose;
 pub mod claim;
+pub mod content;
 pub mod custody;
 pub mod dispatch;
 pub mod eject;
--- /dev/null
+++ b/crates/core/tests/content.rs
@@ -0,0 +1,19 @@
+//! What makes two requests the same.
+
+use dahliaseam_core::content::ContentHash;
+
+#[test]
+fn the_same_request_has_the_same_content_and_any_other_differs() {
+    let of = |method, host, path, body: &str| ContentHash::of(method, host, path, body.as_bytes());
+    let one = of("POST", "shop.example", "/match/7?a=1", "a worn hub");
+    assert_eq!(one, of("POST", "shop.example", "/match/7?a=1", "a worn hub"));
+    for other in [
+        of("PUT", "shop.example", "/match/7?a=1", "a worn hub"),
+        of("POST", "shop2.example", "/match/7?a=1", "a worn hub"),
+        of("POST", "shop.example", "/match/7?a=2", "a worn hub"),
+        of("POST", "shop.example", "/match/7?a=1", "a worn hub."),
+        of("POST", "shop.example", "/match/7?a=", "1a worn hub"),
+    ] {
+        assert_ne!(one, other);
+    }
+}
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -263,11 +263,17 @@
         if *why == CallFailure::OtherReplica {
             work.replica_replaced();
         }
+        self.log_failure(replica, work, why, step);
+    }
+
+    /// Count and log a failed try.
+    pub(super) fn log_failure(&self, replica: &ReplicaFacts, work: &Work, why: &CallFailure, step: &'static str) {
         self.gw.metrics.attempt(why.name());
         emit!(
             info,
             TRY_FAILED,
             request = self.caller.id,
+            content = %self.content,
             replica = %replica.id,
             hall = %replica.hall,
             step,
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -73,18 +73,7 @@
         Err(_) => CallFailure::TimedOut,
     };
     answer.work.ended(StepEnd::Failed);
-    job.gw.metrics.attempt(failure.name());
-    emit!(
-        info,
-        TRY_FAILED,
-        request = job.caller.id,
-        replica = %answer.replica.id,
-        hall = %answer.replica.hall,
-        step = "begin",
-        end = failure.name(),
-        why = ?failure,
-        after_ms = answer.work.age().as_millis()
-    );
+    job.log_failure(&answer.replica, &answer.work, &failure, "begin");
     Err(failure)
 }
 
@@ -252,6 +241,7 @@
             info,
             STREAM_BROKE,
             request = self.job.caller.id,
+            content = %self.job.content,
             replica = %self.answer.replica.id,
             last_event = self.last_id.as_deref().unwrap_or(""),
             why,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use dahliaseam_border::dialect::CallerRequest;
 use dahliaseam_core::{
+    content::ContentHash,
     fleet::{
         Fleet, StepEnd,
         choose::{Ask, NoPlan, Plan, Step},
@@ -14,7 +15,7 @@
     route::{Repeat, Route, RouteTable},
     time::{Span, Time},
 };
-use http::{Request, Response, header, request};
+use http::{Request, Response, header, request, uri::PathAndQuery};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
@@ -47,6 +48,8 @@
     pub(super) head: request::Parts,
     pub(super) body: Bytes,
     pub(super) caller: CallerRequest,
+    /// What it asks for, the same when its caller asks again.
+    pub(super) content: ContentHash,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<str>,
     pub(super) version: u64,
@@ -92,8 +95,10 @@
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + patience;
     let body = read_body(gw, body, table.limits.body_bytes, deadline).await.map_err(refused)?;
+    let content = content(&head, &body);
     Ok(Job {
         gw: Arc::clone(gw),
+        content,
         head,
         body,
         route,
@@ -114,12 +119,21 @@
 }
 
 fn find(table: &RouteTable, head: &request::Parts, caller: &CallerRequest) -> Option<(Arc<Route>, Arc<str>)> {
-    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).or_else(|| head.uri.host())?;
-    let route = table.find(host, head.uri.path())?;
+    let route = table.find(host(head)?, head.uri.path())?;
     let service = Arc::clone(route.service(hash::bytes(caller.id.as_bytes()))?);
     Some((route, service))
 }
 
+/// The host that a request names.
+fn host(head: &request::Parts) -> Option<&str> {
+    head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).or_else(|| head.uri.host())
+}
+
+fn content(head: &request::Parts, body: &[u8]) -> ContentHash {
+    let path = head.uri.path_and_query().map_or("", PathAndQuery::as_str);
+    ContentHash::of(head.method.as_str(), host(head).unwrap_or_default(), path, body)
+}
+
 async fn read_body(gw: &Gateway, body: Incoming, limit: usize, deadline: Time) -> Result<Bytes, Refusal> {
     if body.is_end_stream() {
         return Ok(EMPTY);
@@ -293,6 +307,7 @@
             info,
             ROUTED,
             request = self.caller.id,
+            content = %self.content,
             route = %self.route.name,
             configuration = self.version,
             service = %self.service,
