Requests under which replicas end are known to all daemons, and refused

Cause: a daemon forgot a request with its answer and told others load alone, so a caller that came again under a new identifier was sent on at each. Ruled out: own repeats alone (each request has two tries at most), too much on the engines left (the first end came after 13 quiet seconds).

--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -8,11 +8,13 @@
 use slotmap::Key as _;
 
 use crate::{
+    content::ContentHash,
     endpoint::Role,
     fleet::{
         Fleet,
         engine::{EngineModel, hand_over::Moved, read_time::Reading},
         replica::{Replica, ReplicaKey},
+        short_id,
     },
     hash::rendezvous,
     prompt::Prompt,
@@ -49,6 +51,10 @@
 const SPREAD_MS_EACH: f64 = 0.15;
 /// See [`SPREAD_MS_EACH`].
 const SPREAD_MS_MOST: f64 = 25.0;
+/// Milliseconds by which the replicas that a request draws differ which is kept apart: more than anything else
+/// counts. It costs such a request the best place; drawn by chance, two of them would meet on one of
+/// twelve engines as often, but nobody would know what the others drew.
+const APART_MS: f64 = 10_000.0;
 /// Part of its remaining time after which a caller does not come back any more.
 const COME_BACK_SHARE: f64 = 0.33;
 /// Shortest time after which a caller is told to come back.
@@ -77,10 +83,21 @@
     pub link_ms: f64,
     /// Replicas that were tried.
     pub tried: &'a [ReplicaKey],
+    /// How it is kept apart from others, if it is.
+    pub apart: Option<Apart>,
     /// A number drawn for this request.
     pub draw: u64,
 }
 
+/// How a request is kept apart from others under which replicas ended as well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Apart {
+    /// The request; it draws the replica that answers it.
+    pub content: ContentHash,
+    /// Whether one replica is to do it all, so that it reaches no other.
+    pub whole: bool,
+}
+
 /// One replica's part in serving a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Step {
@@ -234,7 +251,7 @@
             let link_ms = ask.link_ms + ask.send_ms;
             let wait_ms = work_ms * over / f64::from(replica.facts.slots.max(1)) + crowd * CROWD_MS + link_ms;
             let step = Step { key, wait_ms, work_ms, link_ms, ..Step::at(key) };
-            (step.wait_ms + work_ms + self.way_ms(replica, now) + self.spread_ms(key, ask, now), step)
+            (step.wait_ms + work_ms + self.way_ms(replica, now) + self.place_ms(key, ask, now), step)
         });
         lowest(steps).map(Plan::Whole)
     }
@@ -250,6 +267,9 @@
     }
 
     fn choose_engines(&self, ask: &Ask<'_>, read: &Read<'_>, now: Time) -> Option<Plan> {
+        if ask.apart.is_some_and(|apart| apart.whole) {
+            return self.choose_whole(ask, read, false, now).map(Plan::Whole);
+        }
         let whole = self.choose_whole(ask, read, true, now).map(Plan::Whole);
         let two = self.choose_reader(ask, read, now).and_then(|reader| {
             let write = self.choose_writer(ask, &reader, read.long, now)?;
@@ -284,7 +304,7 @@
                 + self.way_ms(replica, now)
                 + disturbed
                 + self.packing_ms(replica, ask, read.long, now);
-            Some((cost + self.spread_ms(key, ask, now), step))
+            Some((cost + self.place_ms(key, ask, now), step))
         }))
     }
 
@@ -318,7 +338,7 @@
             let work_ms = engine.hand_over.work_ms(moved) + ask.send_ms * SECOND_SEND;
             let step = Step { wait_ms, work_ms, moved: Some(moved), long, ..Step::at(key) };
             let cost = wait_ms + work_ms + self.way_ms(replica, now) + f64::from(replica.active()) * ACTIVE_MS;
-            (cost + self.packing_ms(replica, ask, long, now) + self.spread_ms(key, ask, now), step)
+            (cost + self.packing_ms(replica, ask, long, now) + self.place_ms(key, ask, now), step)
         }))
     }
 
@@ -387,8 +407,16 @@
     fn spread_ms(&self, key: ReplicaKey, ask: &Ask<'_>, now: Time) -> f64 {
         let span = if self.is_blind(now) { SPREAD_MS_MOST } else { self.daemons() as f64 * SPREAD_MS_EACH };
         let span = span.min(SPREAD_MS_MOST);
-        let draw = rendezvous(ask.draw, key.data().as_ffi());
-        span * (draw as f64 / u64::MAX as f64)
+        span * share(rendezvous(ask.draw, key.data().as_ffi()))
+    }
+
+    /// What tells the replicas apart that may answer: some chance, or the draw of a request that is kept apart.
+    fn place_ms(&self, key: ReplicaKey, ask: &Ask<'_>, now: Time) -> f64 {
+        let Some(Apart { content, .. }) = ask.apart else {
+            return self.spread_ms(key, ask, now);
+        };
+        let id = self.replicas.get(key).map_or(0, |replica| short_id(&replica.facts.id));
+        APART_MS * share(rendezvous(content.0, u64::from(id)))
     }
 
     /// What copied tokens cost, since they push out others.
@@ -446,6 +474,11 @@
     Ok(plan)
 }
 
+/// A drawn number as a part of one.
+fn share(draw: u64) -> f64 {
+    draw as f64 / u64::MAX as f64
+}
+
 fn lowest(steps: impl Iterator<Item = (f64, Step)>) -> Option<Step> {
     steps.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, step)| step)
 }
--- /dev/null
+++ b/crates/core/src/fleet/endings/notes.rs
@@ -0,0 +1,160 @@
+//! What daemons tell each other of requests under which replicas ended.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    content::ContentHash,
+    fleet::endings::{
+        Endings, KEEP, KEEP_SOUND,
+        record::{End, KnownBy, Record, Refused, Schedule},
+    },
+    time::{Span, Time},
+};
+
+/// Notes in one message at most: some two kilobytes. What is not told is told with the next.
+const MAX_NOTES: usize = 64;
+/// Time between two messages that tell the same again, for daemons that started since or were cut off.
+const AGAIN: Span = Span::millis(500);
+/// What is added to that for each daemon, so that what one hears does not grow with their number: fifty
+/// messages a second.
+const AGAIN_EACH: Span = Span::millis(20);
+
+/// Two notes that a request was answered whole within this time are of the same answer, told again.
+const SAME_NEWS: Span = Span::millis(1_000);
+
+/// What is known of one request. Ages and times left are in milliseconds, as clocks differ.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestNote {
+    /// The request.
+    pub content: ContentHash,
+    /// Replicas that ended under it, by the hash of their identifiers, and how long ago.
+    pub ends: Vec<(u32, u32)>,
+    /// How long ago it was answered whole.
+    pub sound_ms: Option<u32>,
+    /// That it is refused.
+    pub refused: Option<RefusedNote>,
+}
+
+/// That a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusedNote {
+    /// Ends that were known.
+    pub ends: u32,
+    /// For how long.
+    pub since_ms: u32,
+    /// For how much longer.
+    pub left_ms: u32,
+}
+
+/// Whom a message goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listeners {
+    /// Those that this daemon tells of its own work.
+    Mates,
+    /// Daemons of other halls.
+    Halls,
+}
+
+impl Listeners {
+    const fn schedule(self, record: &Record) -> &Schedule {
+        match self {
+            Self::Mates => &record.to_mates,
+            Self::Halls => &record.to_halls,
+        }
+    }
+
+    const fn schedule_mut(self, record: &mut Record) -> &mut Schedule {
+        match self {
+            Self::Mates => &mut record.to_mates,
+            Self::Halls => &mut record.to_halls,
+        }
+    }
+}
+
+impl Endings {
+    /// What is to be told now, where there are so many daemons.
+    pub fn notes(&mut self, to: Listeners, daemons: usize, now: Time) -> Vec<RequestNote> {
+        let every = AGAIN.max(Span(AGAIN_EACH.0 * daemons as u64));
+        let is_due = |record: &Record| to.schedule(record).is_due(record.is_lasting(), now);
+        let due = self.records.iter().filter(|(_, record)| is_due(record));
+        let mut due: Vec<(usize, ContentHash)> = due.map(|(content, record)| (record.count(), *content)).collect();
+        due.sort_unstable_by(|a, b| b.cmp(a));
+        due.truncate(MAX_NOTES);
+        let mut notes = Vec::with_capacity(due.len());
+        for (_, content) in due {
+            if let Some(record) = self.records.get_mut(&content) {
+                to.schedule_mut(record).told(every, now);
+                notes.push(note(content, record, now));
+            }
+        }
+        notes
+    }
+
+    /// Take in what another daemon told; `from_mate` if it is one that this daemon's hall must tell on.
+    pub fn hear(&mut self, notes: &[RequestNote], from_mate: bool, now: Time) {
+        for note in notes {
+            let record = self.record(note.content, now);
+            let is_new = take_in(record, note, now);
+            if is_new && from_mate {
+                record.to_halls.start(now);
+            }
+            if is_new {
+                self.strike_explained(note.content);
+            }
+        }
+    }
+}
+
+/// Returns whether something is new.
+fn take_in(record: &mut Record, note: &RequestNote, now: Time) -> bool {
+    let before = (record.count(), record.sound_at, record.refused);
+    if let Some(sound_at) = note.sound_ms.map(|ms| ago(ms, now))
+        && record.sound_at.is_none_or(|known| known + SAME_NEWS < sound_at)
+    {
+        record.clear(sound_at);
+        if record.count() == 0 && record.refused.is_none() {
+            record.lapses_at = now + KEEP_SOUND;
+        }
+    }
+    for (replica, age_ms) in &note.ends {
+        let end = End { replica: *replica, at: ago(*age_ms, now) };
+        if record.add(end) {
+            record.lapses_at = record.lapses_at.max(now + KEEP);
+        }
+    }
+    if let Some(told) = note.refused {
+        let since = ago(told.since_ms, now);
+        let until = now + Span::millis(u64::from(told.left_ms));
+        let is_over = record.sound_at.is_some_and(|sound| sound >= since);
+        if is_over && !record.to_mates.is_running() {
+            // The sender was cut off when it was told.
+            record.to_mates.start(now);
+            record.to_halls.start(now);
+        } else if !is_over && record.refused.is_none() {
+            record.refused = Some(Refused { ends: told.ends, since, until, known_by: KnownBy::Peer });
+            record.lapses_at = record.lapses_at.max(until);
+        }
+    }
+    before != (record.count(), record.sound_at, record.refused)
+}
+
+fn note(content: ContentHash, record: &Record, now: Time) -> RequestNote {
+    RequestNote {
+        content,
+        ends: record.ends.iter().map(|end| (end.replica, millis(now.since(end.at)))).collect(),
+        sound_ms: record.sound_at.map(|at| millis(now.since(at))),
+        refused: record.refused.map(|refused| RefusedNote {
+            ends: refused.ends,
+            since_ms: millis(now.since(refused.since)),
+            left_ms: millis(refused.until.since(now)),
+        }),
+    }
+}
+
+fn ago(ms: u32, now: Time) -> Time {
+    now - Span::millis(u64::from(ms))
+}
+
+fn millis(span: Span) -> u32 {
+    span.as_millis().try_into().unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/core/src/fleet/endings/record.rs
@@ -0,0 +1,183 @@
+//! What is known of one request.
+
+use crate::time::{Span, Time};
+
+/// Two notes of the same replica within this time are of one end: a replica that ended is back after
+/// some seconds, also where it keeps its identifier.
+const SAME_END: Span = Span::millis(1_000);
+/// Ends that are kept of one request; more say nothing new.
+const MAX_ENDS: usize = 8;
+/// Times after a change at which it is told. A lost message is made good by the next: of one in three
+/// lost, one in eighty is lost four times.
+const TELL_AFTER: [Span; 4] = [Span(0), Span::millis(50), Span::millis(200), Span::millis(800)];
+
+/// A replica that ended while it had the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct End {
+    /// Hash of the replica's identifier.
+    pub(super) replica: u32,
+    /// When, as well as messages tell it.
+    pub(super) at: Time,
+}
+
+impl End {
+    pub(super) const fn is_same(&self, other: &Self) -> bool {
+        let apart = self.at.since(other.at).0 + other.at.since(self.at).0;
+        self.replica == other.replica && apart <= SAME_END.0
+    }
+}
+
+/// Why and for how long a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Ends that were known when it was decided.
+    pub ends: u32,
+    /// When that was.
+    pub since: Time,
+    /// Until when it holds.
+    pub until: Time,
+    /// How this daemon knows.
+    pub known_by: KnownBy,
+}
+
+/// How a daemon knows that a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KnownBy {
+    /// It decided so, and lost the request at a replica itself.
+    Own,
+    /// It decided so by what others told.
+    Told,
+    /// Another daemon decided so.
+    Peer,
+    /// It stands in the store.
+    Store,
+}
+
+impl KnownBy {
+    /// Its name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Told => "told",
+            Self::Peer => "peer",
+            Self::Store => "store",
+        }
+    }
+}
+
+/// When a record is told next.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Schedule {
+    changed_at: Time,
+    told: usize,
+    /// When it is told again though nothing changed.
+    again_at: Time,
+}
+
+impl Schedule {
+    /// Nothing is to be told.
+    pub(super) const IDLE: Self = Self { changed_at: Time(0), told: TELL_AFTER.len(), again_at: Time(0) };
+
+    /// Something changed, and is to be told.
+    pub(super) const fn start(&mut self, now: Time) {
+        *self = Self { changed_at: now, told: 0, again_at: now };
+    }
+
+    /// Whether a change is still being told.
+    pub(super) const fn is_running(&self) -> bool {
+        self.told < TELL_AFTER.len()
+    }
+
+    /// Whether it is to be told now; `repeat` holds for what is told for as long as it is known.
+    pub(super) fn is_due(&self, repeat: bool, now: Time) -> bool {
+        match TELL_AFTER.get(self.told) {
+            Some(after) => (self.changed_at + *after).is_past(now),
+            None => repeat && self.again_at.is_past(now),
+        }
+    }
+
+    /// It was told.
+    pub(super) fn told(&mut self, every: Span, now: Time) {
+        self.told = (self.told + 1).min(TELL_AFTER.len());
+        self.again_at = now + every;
+    }
+}
+
+/// One request under which replicas ended.
+#[derive(Clone, Debug)]
+pub(super) struct Record {
+    /// Replicas that ended under it, as far as no other request explains that.
+    pub(super) ends: Vec<End>,
+    /// Whether this daemon itself lost it so.
+    pub(super) own: bool,
+    /// When it was last answered whole, or let through again; ends before that do not count.
+    pub(super) sound_at: Option<Time>,
+    /// Whether it is refused.
+    pub(super) refused: Option<Refused>,
+    /// Until when a run is under way here that tells whether it is to blame.
+    pub(super) trial_until: Time,
+    /// When it is forgotten.
+    pub(super) lapses_at: Time,
+    /// When mates are told.
+    pub(super) to_mates: Schedule,
+    /// When other halls are told.
+    pub(super) to_halls: Schedule,
+}
+
+impl Record {
+    pub(super) const fn new(lapses_at: Time) -> Self {
+        Self {
+            ends: Vec::new(),
+            own: false,
+            sound_at: None,
+            refused: None,
+            trial_until: Time(0),
+            lapses_at,
+            to_mates: Schedule::IDLE,
+            to_halls: Schedule::IDLE,
+        }
+    }
+
+    /// Add an end; returns whether it is new.
+    pub(super) fn add(&mut self, end: End) -> bool {
+        let before = self.sound_at.is_some_and(|sound| sound >= end.at);
+        if before || self.ends.len() >= MAX_ENDS || self.was_at(&end) {
+            return false;
+        }
+        self.ends.push(end);
+        true
+    }
+
+    /// Whether it was at a replica that ended.
+    pub(super) fn was_at(&self, end: &End) -> bool {
+        self.ends.iter().any(|known| known.is_same(end))
+    }
+
+    pub(super) const fn count(&self) -> usize {
+        self.ends.len()
+    }
+
+    /// When the last of its replicas ended.
+    pub(super) fn last_end(&self) -> Time {
+        self.ends.iter().map(|end| end.at).max().unwrap_or_default()
+    }
+
+    /// Ends that it shares with another request.
+    pub(super) fn shared(&self, other: &Self) -> usize {
+        self.ends.iter().filter(|end| other.was_at(end)).count()
+    }
+
+    /// It was answered whole, or is let through again: what was known before does not count.
+    pub(super) fn clear(&mut self, at: Time) {
+        self.sound_at = Some(at);
+        self.ends.retain(|end| end.at > at);
+        self.refused = self.refused.filter(|refused| refused.since > at);
+        self.trial_until = Time(0);
+    }
+
+    /// Whether others must know it for as long as it is known.
+    pub(super) const fn is_lasting(&self) -> bool {
+        self.refused.is_some() || self.count() >= 2
+    }
+}
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -4,17 +4,19 @@
 //! daemons tell each other what they have under way ([`peers`]); [`choose`] picks replicas for a
 //! request from that view, or says that it cannot be in time, and [`packing`] says where long answers
 //! go. [`cache`] and [`engine`] are estimates that this needs, [`budget`] bounds repeated sends, and
-//! [`split`] decides which role an engine should play.
+//! [`split`] decides which role an engine should play. [`endings`] finds the requests that end replicas.
 
 use std::{collections::HashMap, sync::Arc};
 
 use slotmap::SlotMap;
 
 use crate::{
+    content::ContentHash,
     endpoint::Role,
     fleet::{
         budget::{Budget, BudgetTerms},
         choose::{Ask, Plan},
+        endings::{Endings, Standing},
         engine::{EngineModel, hand_over::Moved, read_time::Reading},
         peers::{PeerLoads, Source},
         policy::FleetPolicy,
@@ -29,6 +31,7 @@
 pub mod cache;
 pub mod choose;
 pub mod discovery;
+pub mod endings;
 pub mod engine;
 mod packing;
 pub mod peers;
@@ -167,6 +170,8 @@
     tell_learned_at: Time,
     /// Daemons that are listed, whether they are heard or not.
     listed: usize,
+    /// Requests under which replicas ended.
+    pub endings: Endings,
 }
 
 impl Fleet {
@@ -325,6 +330,13 @@
         state.plain_ms += LEARN_PLAIN * (took.in_millis() - state.plain_ms);
     }
 
+    /// How to treat a request, by the replicas that ended under it.
+    pub fn standing(&mut self, content: ContentHash, now: Time) -> Standing {
+        let daemons = self.daemons();
+        let alone = daemons == 1 && self.listed > 1;
+        self.endings.standing(content, daemons, alone, now)
+    }
+
     /// Note a new request for a service.
     pub fn request(&mut self, service: &Arc<str>, terms: &BudgetTerms, now: Time) {
         self.service_mut(service).budget.request(terms, now);
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -13,6 +13,7 @@
     endpoint::Role,
     fleet::{
         Fleet, ServiceState,
+        endings::{Listeners, RequestNote},
         engine::Learned,
         replica::{Load, Replica, ReplicaKey},
         short_id,
@@ -121,6 +122,8 @@
     pub changing: Vec<ChangingEngine>,
     /// What it has learned of engines, now and then.
     pub learned: Vec<ServiceLearned>,
+    /// Requests under which replicas ended.
+    pub requests: Vec<RequestNote>,
 }
 
 /// What a daemon has learned of the engines of one service.
@@ -165,6 +168,8 @@
     /// What this daemon has to say now.
     pub fn own_news(&mut self, now: Time) -> News {
         let learned = self.learned_news(now);
+        let daemons = self.daemons();
+        let requests = self.endings.notes(Listeners::Mates, daemons, now);
         let mut reads = std::mem::take(&mut self.notes);
         reads.truncate(MAX_NOTES);
         shorten(&mut reads);
@@ -179,6 +184,7 @@
             demands: demands.filter_map(told).collect(),
             changing: self.changing(now, |replica| replica.ordered_here),
             learned,
+            requests,
         }
     }
 
@@ -208,16 +214,18 @@
             demands: demands.into_iter().filter_map(told).collect(),
             changing: self.changing(now, |replica| replica.ordered_here || replica.ordered_in_hall),
             learned: Vec::new(),
+            requests: self.endings.notes(Listeners::Halls, daemons as usize, now),
         };
         (news, daemons)
     }
 
     /// Take in a message.
     pub fn peer_news(&mut self, id: NewsId, news: &News, now: Time) {
+        let in_hall = id.hall == self.hall_id;
+        self.endings.hear(&news.requests, in_hall, now);
         if self.is_covered(&id) {
             return;
         }
-        let in_hall = id.hall == self.hall_id;
         let overtaken = self.peers.get(&id.source).is_some_and(|peer| peer.id.overtakes(&id));
         if !overtaken {
             self.drop_covered(&id, now);
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -79,6 +79,7 @@
         send_ms: 0.1,
         link_ms: 0.0,
         tried,
+        apart: None,
         draw: 7,
     }
 }
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -50,6 +50,11 @@
     REFUSED_STOPPING = 230, "This daemon stops and would not finish the long answer; the request was refused before it was sent.";
     NOT_SENT_ON = 231, "A caller's head cannot be sent on to a replica.";
     READ_OVERDUE = 232, "A prompt's reading takes longer than predicted, and its engine answers; it is waited for. At debug level.";
+    REPLICA_ENDED = 233, "A replica ended while it had this request; `ends` of them are known under its content.";
+    REQUEST_BLAMED = 234, "Replicas end under requests of this content; they are refused from now on, for `left_ms`.";
+    REFUSED_BLAMED = 235, "A request under whose content replicas ended was refused; the fields say by whom that is known.";
+    BLAME_LIFTED = 236, "Requests of this content are no longer refused: the time is over, or an operator let them through.";
+    BLAME_NOT_STORED = 237, "That requests are refused could not be written to the store, or removed there; it is tried again.";
     CONFIG_IN_FORCE = 300, "A newer configuration is in force on this VM.";
     CONFIG_REJECTED = 301, "A stored configuration cannot be read; the present one stays in force.";
     CONFIG_ACCEPTED = 302, "An operator's change was accepted.";
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -32,6 +32,8 @@
     },
     /// This daemon stops, and the answer would take longer than it has.
     Stopping,
+    /// Replicas end under it. Its caller is not told when to come back.
+    ReplicasEnded,
     /// Replicas rejected it, and there is no other way.
     Rejected,
     /// It may have run, and its answer was lost.
@@ -57,6 +59,7 @@
             Self::NoReplica => "no_replica",
             Self::TooLate { .. } => "too_late",
             Self::Stopping => "stopping",
+            Self::ReplicasEnded => "replicas_ended",
             Self::Rejected => "rejected",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
@@ -70,9 +73,12 @@
             Self::BadHead(_) => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
-            Self::NoConfiguration | Self::NoReplica | Self::TooLate { .. } | Self::Stopping | Self::Rejected => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::NoReplica
+            | Self::TooLate { .. }
+            | Self::Stopping
+            | Self::ReplicasEnded
+            | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -52,7 +52,9 @@
     Rejected(u16),
     /// Another replica is at that address.
     OtherReplica,
-    /// It may have run.
+    /// It may have run; the connection ended before the answer did.
+    Broke(String),
+    /// It may have run; what came is not its answer.
     Lost(String),
     /// It may have run; no answer came in time.
     TimedOut,
@@ -67,7 +69,7 @@
             Self::NotSent(_) => "not_sent",
             Self::Rejected(_) => "rejected",
             Self::OtherReplica => "other_replica",
-            Self::Lost(_) => "lost",
+            Self::Broke(_) | Self::Lost(_) => "lost",
             Self::TimedOut => "timed_out",
             Self::Overdue => "overdue",
         }
@@ -80,7 +82,7 @@
 
     /// Whether the replica may have run the request.
     pub(super) const fn may_have_run(&self) -> bool {
-        matches!(self, Self::Lost(_) | Self::TimedOut | Self::Overdue)
+        matches!(self, Self::Broke(_) | Self::Lost(_) | Self::TimedOut | Self::Overdue)
     }
 
     /// What this says of the replica.
@@ -90,7 +92,7 @@
             Self::Rejected(_) => StepEnd::Rejected,
             Self::NotSent(_) => StepEnd::Silent,
             Self::TimedOut if waited >= SILENT => StepEnd::Silent,
-            Self::TimedOut | Self::OtherReplica | Self::Lost(_) => StepEnd::Failed,
+            Self::TimedOut | Self::OtherReplica | Self::Broke(_) | Self::Lost(_) => StepEnd::Failed,
         }
     }
 }
@@ -142,6 +144,10 @@
         let task = Task::Continue { reader: kept.replica.address, handle: kept.handle.name.clone() };
         let mut refused = Vec::new();
         loop {
+            if self.gw.fleet().endings.is_refused(self.content) {
+                let why = CallFailure::NotTried("replicas end under it");
+                return Err(Failed { why, reading: false, at: write.key });
+            }
             let write = self.writer(read, write, &refused);
             match self.serve(&write, &task).await {
                 Ok(answer) => {
@@ -234,6 +240,7 @@
         let (resp, conn) = match sent {
             Err(_) => return Err(CallFailure::TimedOut),
             Ok(Err(SendError::NotSent(why))) => return Err(CallFailure::NotSent(why)),
+            Ok(Err(SendError::Broke(why))) => return Err(CallFailure::Broke(why)),
             Ok(Err(SendError::Lost(why))) => return Err(CallFailure::Lost(why)),
             Ok(Ok(answer)) => answer,
         };
--- /dev/null
+++ b/crates/daemon/src/gateway/endings.rs
@@ -0,0 +1,85 @@
+//! Requests under which replicas end: seeing that one did, and how such a request is treated.
+
+use std::sync::Arc;
+
+use dahliaseam_core::{
+    content::ContentHash,
+    fleet::{
+        endings::{Refused, Standing},
+        replica::{ReplicaFacts, ReplicaKey},
+    },
+};
+
+use crate::{
+    emit,
+    gateway::{answer::Refusal, attempt::duration, request::Job, state::Gateway},
+};
+
+impl Job {
+    /// Its connection to a replica broke: find out whether the replica ended, and note that.
+    pub(super) async fn look_at_replica(&self, replica: ReplicaFacts) {
+        let noted = note_if_ended(Arc::clone(&self.gw), self.content, self.caller.id.clone(), replica);
+        // A task of its own, so that it is noted also if the caller leaves now.
+        if let Err(e) = tokio::spawn(noted).await {
+            emit!(error, REPLICA_ENDED, request = self.caller.id, content = %self.content, why = %e);
+        }
+    }
+
+    /// The same where only the replica's key is at hand.
+    pub(super) async fn look_at_replica_of(&self, key: ReplicaKey) {
+        let replica = self.gw.fleet().get(key).map(|replica| replica.facts.clone());
+        if let Some(replica) = replica {
+            self.look_at_replica(replica).await;
+        }
+    }
+
+    /// Find out whether it may be sent to a replica at all, and how.
+    ///
+    /// # Errors
+    /// The refusal, if replicas end under it.
+    pub(super) async fn look_at_standing(&mut self) -> Result<(), Refusal> {
+        loop {
+            let now = self.gw.now();
+            let standing = self.gw.fleet().standing(self.content, now);
+            match standing {
+                Standing::Clear => self.apart = None,
+                Standing::Apart(apart) => self.apart = Some(apart),
+                Standing::Unsettled(until) if !self.deadline.is_past(now) => {
+                    tokio::time::sleep(duration(until.min(self.deadline).since(now))).await;
+                    continue;
+                }
+                Standing::Unsettled(_) => return Err(self.last_word()),
+                Standing::Refused(refused) => return Err(self.refuse_blamed(&refused)),
+            }
+            return Ok(());
+        }
+    }
+
+    fn refuse_blamed(&self, refused: &Refused) -> Refusal {
+        let now = self.gw.now();
+        emit!(
+            info,
+            REFUSED_BLAMED,
+            request = self.caller.id,
+            content = %self.content,
+            route = %self.route.name,
+            ends = refused.ends,
+            known_by = refused.known_by.name(),
+            age_ms = now.since(refused.since).as_millis(),
+            left_ms = refused.until.since(now).as_millis(),
+            ran = self.has_run()
+        );
+        if self.has_run() { self.last_word() } else { Refusal::ReplicasEnded }
+    }
+}
+
+async fn note_if_ended(gw: Arc<Gateway>, content: ContentHash, request: String, replica: ReplicaFacts) {
+    let at = gw.now();
+    if !gw.upstream.is_gone(replica.address).await {
+        return;
+    }
+    let ends = gw.fleet().endings.ended(content, &replica.id, at);
+    gw.load_changed.notify_one();
+    gw.metrics.replica_ended();
+    emit!(info, REPLICA_ENDED, request, content = %content, replica = %replica.id, hall = %replica.hall, ends);
+}
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     emit,
-    gateway::{attempt::duration, metrics::StoreCall, peers::rank, state::Gateway},
+    gateway::{attempt::duration, metrics::StoreCall, peers::rank, refused, state::Gateway},
 };
 
 /// Time that a lapsed entry gets to come back after the store did. Replicas that live write
@@ -196,15 +196,23 @@
         Change::Put(entry) if entry.key == dialect.configuration_key() => put_configuration(gw, entry),
         Change::Put(entry) if entry.key.starts_with(dialect.replica_prefix()) => put_replica(gw, entry),
         Change::Put(entry) if entry.key.starts_with(&gw.settings.keyspace) => {
-            gw.peers.list(&entry);
+            if !refused::put(gw, &entry) {
+                gw.peers.list(&entry);
+            }
             gw.copies().daemons.insert(entry.key.clone(), entry);
         }
         Change::Removed { key, revision } if key.starts_with(dialect.replica_prefix()) => {
             remove_replica(gw, &key, revision);
         }
-        Change::Removed { key, .. } => {
+        Change::Removed { key, revision } => {
+            let newer = gw.copies().daemons.get(&key).is_some_and(|present| present.revision > revision);
+            if newer {
+                return;
+            }
             gw.peers.unlist(&key);
-            gw.copies().daemons.remove(&key);
+            if gw.copies().daemons.remove(&key).is_some() {
+                refused::removed(gw, &key);
+            }
         }
         Change::Put(_) => {}
     }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -26,6 +26,8 @@
     List,
     /// Hold the right to give orders, and check it.
     Orders,
+    /// Keep which requests are refused since replicas end under them.
+    Refused,
 }
 
 impl StoreCall {
@@ -36,6 +38,7 @@
             Self::Follow => "follow",
             Self::List => "list",
             Self::Orders => "orders",
+            Self::Refused => "refused",
         }
     }
 }
@@ -50,6 +53,7 @@
     store_calls: Counter<u64>,
     store_answers: Counter<u64>,
     peer_messages: Counter<u64>,
+    replica_ends: Counter<u64>,
     first_byte: Histogram<f64>,
     reading: Histogram<f64>,
     event_interval: Histogram<f64>,
@@ -82,6 +86,7 @@
             store_calls: counter("dahliaseam_store_requests", "Calls to the key-value service, by what they are for"),
             store_answers: counter("dahliaseam_store_calls", "Calls that follow the key-value service, by end"),
             peer_messages: counter("dahliaseam_peer_messages", "Messages to and from other daemons"),
+            replica_ends: counter("dahliaseam_replica_ends", "Requests that were lost since their replica ended"),
             first_byte: histogram("dahliaseam_first_byte_seconds", "Seconds from a request to its answer's first byte"),
             reading: histogram("dahliaseam_reading_seconds", "Seconds that an engine took to read a prompt"),
             event_interval: histogram(
@@ -118,6 +123,11 @@
         self.peer_messages.add(1, &[KeyValue::new("way", way)]);
     }
 
+    /// A replica ended while it had a request.
+    pub(super) fn replica_ended(&self) {
+        self.replica_ends.add(1, &[]);
+    }
+
     /// An answer's first byte came so long after the request.
     pub(super) fn first_byte(&self, route: &str, seconds: f64) {
         self.first_byte.record(seconds, &[KeyValue::new("route", route.to_owned())]);
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -278,7 +278,7 @@
     let answer = async {
         let (resp, conn) = gw.upstream.send(replica.address, req).await.map_err(|e| match e {
             SendError::NotSent(why) => CallError::NotSent(why),
-            SendError::Lost(why) => CallError::Lost(why),
+            SendError::Broke(why) | SendError::Lost(why) => CallError::Lost(why),
         })?;
         let status = resp.status();
         let body = Limited::new(resp.into_body(), ANSWER_BYTES).collect().await;
--- a/crates/daemon/src/gateway/reading.rs
+++ b/crates/daemon/src/gateway/reading.rs
@@ -140,7 +140,7 @@
         let (head, body, conn) = self.call(call, self.deadline).await?;
         let text = Limited::new(body, SHORT_ANSWER).collect();
         let text = tokio::time::timeout(SHORT_ANSWER_TIME, text).await.map_err(|_| CallFailure::TimedOut)?;
-        let text = text.map_err(|e| CallFailure::Lost(e.to_string()))?.to_bytes();
+        let text = text.map_err(|e| CallFailure::Broke(e.to_string()))?.to_bytes();
         if head.status != StatusCode::OK {
             return Err(CallFailure::Lost(format!("status {}", head.status)));
         }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -63,13 +63,14 @@
                 work.plain_over();
             }
             work.ended(StepEnd::Done);
+            job.answered();
             return Ok(Begun::Whole(head, bytes));
         }
         Ok(Ok(Beginning::Stream(events, bytes))) => {
             answer.work.reading_over(StepEnd::Done);
             return Ok(Begun::Stream(Box::new(answer), events, bytes));
         }
-        Ok(Err(why)) => CallFailure::Lost(why),
+        Ok(Err(why)) => CallFailure::Broke(why),
         Err(_) => CallFailure::TimedOut,
     };
     answer.work.ended(StepEnd::Failed);
@@ -224,6 +225,7 @@
         self.over = true;
         keep(&self.job, &mut self.answer);
         self.answer.work.ended(StepEnd::Done);
+        self.job.answered();
         let mut fleet = self.job.gw.fleet();
         if self.job.caller.prompt.is_some() {
             fleet.answered(&self.job.service, self.answer.work.age(), self.answer.work.is_long());
@@ -247,6 +249,7 @@
             why,
             resumable = self.resumable
         );
+        self.job.look_at_replica(self.answer.replica.clone()).await;
         if !self.resumable || !self.job.may_repeat() {
             return Err(RelayError::BrokeOff(why));
         }
@@ -257,7 +260,7 @@
         self.job.last_event = Some(id);
         self.job.stream_broke(&self.answer.replica.id);
         let broke_off = |_| RelayError::BrokeOff(why.clone());
-        let plan = self.job.next_plan().map_err(broke_off)?;
+        let plan = self.job.next_plan().await.map_err(broke_off)?;
         let answer =
             self.job.attempt(&plan).await.map_err(|failed| RelayError::BrokeOff(format!("{:?}", failed.why)))?;
         if !answer.head.status.is_success() {
@@ -285,6 +288,12 @@
 }
 
 impl Job {
+    /// A replica answered it to its end.
+    fn answered(&self) {
+        let now = self.gw.now();
+        self.gw.fleet().endings.answered(self.content, now);
+    }
+
     /// A stream broke at this replica after it had begun.
     fn stream_broke(&mut self, replica: &Arc<str>) {
         let key = self.gw.fleet().key(replica);
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -8,7 +8,7 @@
     content::ContentHash,
     fleet::{
         Fleet, StepEnd,
-        choose::{Ask, NoPlan, Plan, Step},
+        choose::{Apart, Ask, NoPlan, Plan, Step},
         replica::ReplicaKey,
     },
     hash,
@@ -58,6 +58,8 @@
     pub(super) deadline: Time,
     /// The last event that the caller has, where an answer goes on from there.
     pub(super) last_event: Option<String>,
+    /// How it is kept apart from others, if replicas ended under it.
+    pub(super) apart: Option<Apart>,
     /// Replicas that are not to be tried again.
     tried: Vec<ReplicaKey>,
     tries: usize,
@@ -108,6 +110,7 @@
         deadline,
         last_event: caller.last_event.clone(),
         caller,
+        apart: None,
         tried: Vec::new(),
         tries: 0,
         served_once: false,
@@ -157,7 +160,7 @@
     let now = job.gw.now();
     job.gw.fleet().request(&job.service, &job.gw.budget(), now);
     loop {
-        let plan = match job.next_plan() {
+        let plan = match job.next_plan().await {
             Ok(plan) => plan,
             Err(refusal) => return give_up(&job, ending, &refusal),
         };
@@ -173,6 +176,9 @@
             Err(failed) => failed,
         };
         job.note_failed(&plan, &failed);
+        if matches!(failed.why, CallFailure::Broke(_)) {
+            job.look_at_replica_of(failed.at).await;
+        }
     }
 }
 
@@ -215,7 +221,8 @@
     }
 
     /// What to do next, or why to give up.
-    pub(super) fn next_plan(&mut self) -> Result<Plan, Refusal> {
+    pub(super) async fn next_plan(&mut self) -> Result<Plan, Refusal> {
+        self.look_at_standing().await?;
         let now = self.gw.now();
         let ran_out = self.tries >= MAX_TRIES || self.deadline.since(now) <= LEAST_LEFT;
         let may_go_on = match self.route.repeat {
@@ -271,6 +278,7 @@
             returned: self.returned(),
             may_refuse: self.tried.is_empty() && self.last_event.is_none(),
             tried: &self.tried,
+            apart: self.apart,
             send_ms: self.gw.link.send_ms(self.body.len()),
             link_ms: self.gw.link.wait_ms(now),
             draw: self.draw,
@@ -362,8 +370,13 @@
         u32::from(reads && self.read_once) + u32::from(self.served_once)
     }
 
+    /// Whether a replica may have run it.
+    pub(super) const fn has_run(&self) -> bool {
+        self.runs > 0
+    }
+
     /// The true last word: whether it surely did not run.
-    fn last_word(&self) -> Refusal {
+    pub(super) fn last_word(&self) -> Refusal {
         match (self.runs, self.timed_out) {
             (0, _) => Refusal::Rejected,
             (_, true) => Refusal::TimedOut,
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -7,6 +7,7 @@
 use std::{
     collections::HashMap,
     fmt,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -22,7 +23,7 @@
 };
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::{io::AsyncReadExt, net::TcpStream};
 
 use crate::clock::Clock;
 
@@ -38,6 +39,10 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time of silence after which a connection is probed, and between two probes.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// Time in which a process that is ending closes what it has just taken; the way there takes a few milliseconds.
+const ENDING: Duration = Duration::from_millis(15);
+/// Looks at a replica whose connections end at once, before it counts as there: it may have too many.
+const LOOKS: usize = 3;
 /// Bytes of an answer's head and of one read at most.
 const BUFFER: usize = 32 << 10;
 
@@ -49,10 +54,19 @@
 pub(super) enum SendError {
     /// No byte of the request was sent.
     NotSent(String),
-    /// It was sent, at least in part.
+    /// It was sent, at least in part, and the connection ended.
+    Broke(String),
+    /// It was sent, and what came is no answer.
     Lost(String),
 }
 
+impl SendError {
+    /// Why no answer came to a request that was sent.
+    fn sent(e: &hyper::Error) -> Self {
+        if e.is_parse() { Self::Lost(e.to_string()) } else { Self::Broke(e.to_string()) }
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     conn: Conn,
@@ -93,7 +107,7 @@
                 Ok(resp) => return Ok((resp, conn)),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => req = unsent,
-                    None => return Err(SendError::Lost(e.into_error().to_string())),
+                    None => return Err(SendError::sent(&e.into_error())),
                 },
             }
         }
@@ -102,11 +116,30 @@
             Ok(resp) => Ok((resp, conn)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
-                None => Err(SendError::Lost(e.into_error().to_string())),
+                None => Err(SendError::sent(&e.into_error())),
             },
         }
     }
 
+    /// Whether nothing listens at an address any more: the process that did is over. Where nothing answers at all
+    /// the link may be cut, and that says nothing.
+    pub(super) async fn is_gone(&self, address: SocketAddr) -> bool {
+        for _ in 0..LOOKS {
+            let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address));
+            let mut stream = match connecting.await {
+                Ok(Ok(stream)) => stream,
+                Ok(Err(e)) => return e.kind() == ErrorKind::ConnectionRefused,
+                Err(_) => return false,
+            };
+            // A process that is ending may have taken it a moment before.
+            let closed = tokio::time::timeout(ENDING, stream.read(&mut [0; 1])).await;
+            if closed.is_err() {
+                return false;
+            }
+        }
+        false
+    }
+
     /// Keep a connection whose answer was read to the end.
     pub(super) fn keep(&self, address: SocketAddr, conn: Conn) {
         if conn.is_closed() {
