--- /dev/null
+++ b/crates/core/tests/endings/main.rs
@@ -0,0 +1,96 @@
+//! Requests that end every replica that runs them, and those that only stand beside them.
+//!
+//! Seen: engines ended one after the other under one request that came again at any daemon, and nobody
+//! knew it; see the test of the whole path in the platform's tests.
+
+use dahliaseam_core::time::Span;
+
+use crate::world::{Outcome, Setting, Trouble, World};
+
+mod world;
+
+/// Sends over all daemons, later than the bound after the third end.
+const MOST_LATE_SENDS: usize = 3;
+
+/// Plays of one kind, summed up.
+#[derive(Debug, Default)]
+struct Sum {
+    plays: usize,
+    late: usize,
+    ends: usize,
+    others: usize,
+    thrice: usize,
+    refused: usize,
+    longest_ms: u64,
+}
+
+fn play(what: &str, settings: impl Iterator<Item = Setting>) -> Sum {
+    let mut sum = Sum::default();
+    for set in settings {
+        let out: Outcome = World::play(set);
+        sum.plays += 1;
+        sum.late = sum.late.max(out.late_sends.iter().copied().max().unwrap_or(0));
+        sum.ends = sum.ends.max(out.ends.iter().copied().max().unwrap_or(0));
+        sum.others += out.others;
+        sum.thrice += out.thrice;
+        sum.refused += out.refused;
+        sum.longest_ms = sum.longest_ms.max(out.longest_ms);
+    }
+    println!("{what}: {sum:?}");
+    assert!(sum.late <= MOST_LATE_SENDS, "{what}: {sum:?}");
+    sum
+}
+
+/// Of those beside it so many in ten thousand may be refused as if they were it.
+fn assert_served(sum: &Sum, most: usize) {
+    assert!(sum.refused * 10_000 <= sum.others * most, "{sum:?}");
+}
+
+#[test]
+fn few_more_engines_end_with_eight_daemons() {
+    let sum = play("8 daemons", (0..30).map(|seed| Setting::new(seed, 8)));
+    assert_served(&sum, 5);
+}
+
+#[test]
+fn few_more_engines_end_while_messages_are_lost_and_daemons_start_anew() {
+    let harsh = |seed| Setting {
+        loss: 0.3,
+        restart_every: Some(Span::millis(400)),
+        callers: 2,
+        ..Setting::new(seed, 8)
+    };
+    let sum = play("loss and restarts", (100..130).map(harsh));
+    assert_served(&sum, 10);
+}
+
+#[test]
+fn few_more_engines_end_under_three_such_requests_at_once() {
+    let three = |seed| Setting { fatal: 3, ..Setting::new(seed, 8) };
+    let sum = play("three at once", (200..230).map(three));
+    assert_served(&sum, 30);
+}
+
+#[test]
+fn few_more_engines_end_where_a_daemon_is_cut_off() {
+    let cut_off = |seed| Setting { cut_off: true, ..Setting::new(seed, 8) };
+    let sum = play("one cut off", (300..320).map(cut_off));
+    assert_served(&sum, 30);
+}
+
+#[test]
+fn few_more_engines_end_with_hundreds_of_daemons() {
+    let large = |seed| Setting { fatal: 2, loss: 0.05, ..Setting::new(seed, 295) };
+    let sum = play("295 daemons", (400..403).map(large));
+    assert_served(&sum, 30);
+}
+
+#[test]
+fn engines_that_end_by_themselves_cost_nobody_a_refusal_for_long() {
+    for trouble in [Trouble::Rack, Trouble::Row, Trouble::Flap] {
+        let alone = |seed| Setting { fatal: 0, trouble, ..Setting::new(seed, 8) };
+        let sum = play(&format!("{trouble:?}"), (500..520).map(alone));
+        assert_served(&sum, 5);
+        assert!(sum.longest_ms <= 60_000, "{sum:?}");
+    }
+}
