A daemon that starts is told at once which requests end replicas

Cause: it knew nothing until the next regular message, up to 0.5 s, and was sent the request meanwhile. Its first message now makes the others tell it.

--- a/crates/core/src/fleet/endings/notes.rs
+++ b/crates/core/src/fleet/endings/notes.rs
@@ -90,6 +90,13 @@
         notes
     }
 
+    /// Tell mates again what they must know: one of them has just started.
+    pub fn tell_again(&mut self, now: Time) {
+        for record in self.records.values_mut() {
+            record.to_mates.repeat(now);
+        }
+    }
+
     /// Take in what another daemon told; `from_mate` if it is one that this daemon's hall must tell on.
     pub fn hear(&mut self, notes: &[RequestNote], from_mate: bool, now: Time) {
         for note in notes {
--- a/crates/core/src/fleet/endings/record.rs
+++ b/crates/core/src/fleet/endings/record.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// What lasts is to be told again now.
+    pub(super) const fn repeat(&mut self, now: Time) {
+        self.again_at = now;
+    }
+
     /// It was told.
     pub(super) fn told(&mut self, every: Span, now: Time) {
         self.told = (self.told + 1).min(TELL_AFTER.len());
--- a/crates/core/tests/endings/main.rs
+++ b/crates/core/tests/endings/main.rs
@@ -54,12 +54,8 @@
 
 #[test]
 fn few_more_engines_end_while_messages_are_lost_and_daemons_start_anew() {
-    let harsh = |seed| Setting {
-        loss: 0.3,
-        restart_every: Some(Span::millis(400)),
-        callers: 2,
-        ..Setting::new(seed, 8)
-    };
+    let harsh =
+        |seed| Setting { loss: 0.3, restart_every: Some(Span::millis(400)), callers: 2, ..Setting::new(seed, 8) };
     let sum = play("loss and restarts", (100..130).map(harsh));
     assert_served(&sum, 10);
 }
--- a/crates/core/tests/endings/world.rs
+++ b/crates/core/tests/endings/world.rs
@@ -29,6 +29,9 @@
 const SUM_UP: Span = Span::millis(20);
 /// Time until a daemon knows that a replica ended.
 const SEEN_AFTER: Span = Span::millis(5);
+/// Time from a daemon's first message until it takes callers: it reads the configuration, and the balancer asks it
+/// once.
+const STARTING: Span = Span::millis(50);
 /// Slots of an engine.
 const SLOTS: usize = 48;
 
@@ -147,6 +150,8 @@
     now: Time,
     daemons: Vec<Endings>,
     tell_at: Vec<Time>,
+    /// Until when a daemon that starts takes no callers.
+    down_until: Vec<Time>,
     engines: Vec<Engine>,
     runs: Vec<Run>,
     /// Requests that come at a time.
@@ -171,6 +176,7 @@
             now: start,
             daemons: vec![Endings::default(); set.daemons],
             tell_at: vec![start; set.daemons],
+            down_until: vec![start; set.daemons],
             engines: vec![Engine { start: 0, up_from: start }; set.engines],
             runs: Vec::new(),
             coming: Vec::new(),
@@ -225,7 +231,11 @@
         let due: Vec<Asked> = self.coming.extract_if(.., |(at, _)| at.is_past(now)).map(|(_, asked)| asked).collect();
         for asked in due {
             let daemon = self.rng.random_range(0..self.set.daemons);
-            self.ask(asked, daemon);
+            if self.down_until[daemon].is_past(self.now) {
+                self.ask(asked, daemon);
+            } else {
+                self.come_back(asked);
+            }
         }
     }
 
@@ -308,8 +318,7 @@
                     self.end(engine);
                 }
                 self.troubles += 1;
-                self.trouble_at =
-                    if self.troubles < 2 { self.now + Span::millis(4_000) } else { Time::NEVER };
+                self.trouble_at = if self.troubles < 2 { self.now + Span::millis(4_000) } else { Time::NEVER };
             }
             Trouble::Row => {
                 self.end(self.troubles % engines);
@@ -394,6 +403,13 @@
         if self.rng.random_bool(1_000.0 / every.0 as f64) {
             let daemon = self.rng.random_range(0..self.set.daemons);
             self.daemons[daemon] = Endings::default();
+            // Its first message tells its mates that it is new; it takes callers some time after that.
+            let halls = self.halls();
+            let mates = (0..self.set.daemons).filter(|mate| mate % halls == daemon % halls && *mate != daemon);
+            for mate in mates.collect::<Vec<_>>() {
+                self.daemons[mate].tell_again(self.now);
+            }
+            self.down_until[daemon] = self.now + STARTING;
         }
     }
 
--- a/crates/daemon/src/gateway/peer_table.rs
+++ b/crates/daemon/src/gateway/peer_table.rs
@@ -116,9 +116,9 @@
         mates.map(|peer| Mate { rank: peer.rank(), heard_at: peer.at, followed_at: peer.followed_at }).collect()
     }
 
-    /// Note what a daemon said of itself; returns whether it is the first time.
+    /// Note what a daemon said of itself; returns whether it is the first time in its run.
     pub(super) fn hear(&self, from: SocketAddr, said: Seen) -> bool {
-        self.lock().insert(from, said).is_none()
+        self.lock().insert(from, said).is_none_or(|before| before.sender != said.sender)
     }
 
     /// Note an entry of the store; those that list no daemon are of no interest here.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -237,6 +237,8 @@
         gw.peers.hear_speaker(message.seen(now));
     } else if gw.peers.hear(from, message.seen(now)) {
         emit!(info, PEER_HEARD, peer = %from, sender = message.sender, revision = message.revision);
+        gw.fleet().endings.tell_again(now);
+        gw.load_changed.notify_one();
     }
     if message.revision > gw.copies().revision {
         gw.peer_ahead.notify_one();
