--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -7,9 +7,10 @@
 //! - An answer that comes whole clears a request everywhere.
 //! - From two ends on, requests are kept apart: each goes to the replica that its content draws, so two that
 //!   were together do not end together again.
-//! - From three ends on one is refused, unless another was at all of these replicas too, or it was at no
-//!   more than half of those that ended meanwhile, as when a rack fails. In that doubt it runs once more.
-//! - The ends of a request that is refused are struck from all others.
+//! - From three ends on one is refused, unless others explain them as well: one that was at all of these replicas,
+//!   or several that were at two of them at least each; or unless it was at no more than half of those that ended
+//!   meanwhile, as when a rack fails. In that doubt it runs once more, and is refused if that ends a replica too.
+//! - The ends of a request that is refused do not count against others.
 //!
 //! What is known lapses ([`KEEP`], [`DOUBTED_FOR`]), since a replica's next version may survive it.
 
@@ -100,9 +101,9 @@
             record.lapses_at = at + KEEP;
             record.to_mates.start(at);
             record.to_halls.start(at);
-            self.strike_explained(content);
+            self.note_explained();
         }
-        self.records.get(&content).map_or(0, Record::count)
+        self.records.get(&content).map_or(0, |record| self.open_ends(record).count())
     }
 
     /// Note that a replica answered a request to its end, so that it is not to blame.
@@ -131,7 +132,7 @@
         }
         record.refused = Some(Refused { ends, since: now, until: now + left, known_by: KnownBy::Store });
         record.lapses_at = now + KEEP.max(left);
-        self.strike_explained(content);
+        self.note_explained();
         true
     }
 
@@ -140,20 +141,21 @@
         let Some(record) = self.records.get(&content) else {
             return Standing::Clear;
         };
-        if record.count() >= ENDS_TO_REFUSE && record.refused.is_none() {
+        if record.refused.is_none() && self.open_ends(record).count() >= ENDS_TO_REFUSE {
             let settled_at = record.last_end() + SETTLE + Span(SETTLE_EACH.0 * daemons as u64);
             if !settled_at.is_past(now) {
                 return Standing::Unsettled(settled_at);
             }
             self.judge(now);
         }
+        let explained = &self.explained;
         let Some(record) = self.records.get_mut(&content) else {
             return Standing::Clear;
         };
         if let Some(refused) = record.refused {
             return Standing::Refused(refused);
         }
-        let ends = record.count();
+        let ends = record.unexplained(explained).count();
         let not_now = Refused { ends: ends as u32, since: now, until: now, known_by: KnownBy::Own };
         if alone && ends >= ENDS_TO_REFUSE_ALONE {
             return Standing::Refused(not_now);
@@ -215,7 +217,9 @@
         loop {
             let candidates = self.records.iter().filter(|(_, record)| record.refused.is_none());
             let sure = candidates
-                .filter_map(|(content, record)| Some((record.count(), *content, self.refuse_for(record)?)))
+                .filter_map(|(content, record)| {
+                    Some((self.open_ends(record).count(), *content, self.refuse_for(*content, record)?))
+                })
                 .max_by_key(|(ends, content, _)| (*ends, *content));
             let Some((ends, content, span)) = sure else {
                 return;
@@ -227,60 +231,58 @@
                 record.to_mates.start(now);
                 record.to_halls.start(now);
             }
-            self.strike_explained(content);
+            self.note_explained();
         }
     }
 
     /// For how long a request is refused by its ends, if it is.
-    fn refuse_for(&self, record: &Record) -> Option<Span> {
-        let ends = record.count();
-        if ends < ENDS_TO_REFUSE {
+    fn refuse_for(&self, content: ContentHash, record: &Record) -> Option<Span> {
+        let ends: Vec<End> = self.open_ends(record).collect();
+        if ends.len() < ENDS_TO_REFUSE {
             return None;
         }
-        let doubted = self.has_equal(record) || ends * 2 <= self.ends_meanwhile(record);
-        match doubted {
-            false => Some(KEEP),
-            true if ends >= ENDS_TO_REFUSE_DOUBTED => Some(DOUBTED_FOR),
-            true => None,
+        let doubted = self.has_equal(content, &ends) || ends.len() * 2 <= self.ends_meanwhile(&ends);
+        if ends.len() >= ENDS_TO_REFUSE_DOUBTED {
+            return Some(if doubted { DOUBTED_FOR } else { KEEP });
         }
+        (!doubted && !self.is_covered(content, &ends)).then_some(KEEP)
     }
 
     /// Whether another request was at all the replicas that ended under this one.
-    fn has_equal(&self, record: &Record) -> bool {
-        let equal = |other: &&Record| record.shared(other) >= record.count();
-        // It is among them itself.
-        self.records.values().filter(equal).nth(1).is_some()
+    fn has_equal(&self, content: ContentHash, ends: &[End]) -> bool {
+        self.others(content).any(|other| ends.iter().all(|end| other.was_at(end)))
+    }
+
+    /// Whether others that were at two of them at least could have ended each of these replicas.
+    fn is_covered(&self, content: ContentHash, ends: &[End]) -> bool {
+        let suspects: Vec<&Record> =
+            self.others(content).filter(|other| self.open_ends(other).count() >= ENDS_TO_KEEP_APART).collect();
+        ends.iter().all(|end| suspects.iter().any(|other| other.was_at(end)))
     }
 
-    /// Replicas that ended while those of this request did, these included; without those that another
-    /// request, which is refused, explains.
-    fn ends_meanwhile(&self, record: &Record) -> usize {
-        let first = record.ends.iter().map(|end| end.at).min().unwrap_or_default() - MEANWHILE;
-        let last = record.last_end() + MEANWHILE;
+    /// Replicas that ended while these did, these included; without those that another request, which is
+    /// refused, explains.
+    fn ends_meanwhile(&self, ends: &[End]) -> usize {
+        let first = ends.iter().map(|end| end.at).min().unwrap_or_default() - MEANWHILE;
+        let last = ends.iter().map(|end| end.at).max().unwrap_or_default() + MEANWHILE;
         let mut distinct: Vec<End> = Vec::new();
-        let open = self.records.values().filter(|other| other.refused.is_none());
-        for end in open.flat_map(|other| &other.ends) {
-            if end.at >= first && end.at <= last && !distinct.iter().any(|known| known.is_same(end)) {
-                distinct.push(*end);
+        for end in self.records.values().flat_map(|record| self.open_ends(record)) {
+            if end.at >= first && end.at <= last && !distinct.iter().any(|known| known.is_same(&end)) {
+                distinct.push(end);
             }
         }
         distinct.len()
     }
 
-    /// Strike ends that a refused request explains, after this request changed: from all others if it is refused
-    /// itself, else from its own.
-    fn strike_explained(&mut self, changed: ContentHash) {
-        let is_refused = self.records.get(&changed).is_some_and(|record| record.refused.is_some());
-        if !is_refused {
-            if let Some(record) = self.records.get_mut(&changed) {
-                strike(record, &self.explained);
-            }
-            return;
-        }
-        self.note_explained();
-        for record in self.records.values_mut().filter(|record| record.refused.is_none()) {
-            strike(record, &self.explained);
-        }
+    /// All others that are not refused.
+    fn others(&self, content: ContentHash) -> impl Iterator<Item = &Record> {
+        let others = self.records.iter().filter(move |(other, record)| **other != content && record.refused.is_none());
+        others.map(|(_, record)| record)
+    }
+
+    /// A request's ends that no refused one explains; none of a refused one.
+    fn open_ends(&self, record: &Record) -> impl Iterator<Item = End> {
+        record.unexplained(&self.explained)
     }
 
     fn note_explained(&mut self) {
@@ -305,10 +307,6 @@
     }
 }
 
-fn strike(record: &mut Record, explained: &[End]) {
-    record.ends.retain(|end| !explained.iter().any(|other| other.is_same(end)));
-}
-
 fn clear(record: &mut Record, now: Time) {
     let keep = if record.refused.is_some() { KEEP } else { KEEP_SOUND };
     record.clear(now);
--- a/crates/core/src/fleet/endings/notes.rs
+++ b/crates/core/src/fleet/endings/notes.rs
@@ -105,8 +105,8 @@
             if is_new && from_mate {
                 record.to_halls.start(now);
             }
-            if is_new {
-                self.strike_explained(note.content);
+            if is_new && self.is_refused(note.content) {
+                self.note_explained();
             }
         }
     }
--- a/crates/core/src/fleet/endings/record.rs
+++ b/crates/core/src/fleet/endings/record.rs
@@ -112,7 +112,7 @@
 /// One request under which replicas ended.
 #[derive(Clone, Debug)]
 pub(super) struct Record {
-    /// Replicas that ended under it, as far as no other request explains that.
+    /// Replicas that ended under it.
     pub(super) ends: Vec<End>,
     /// Whether this daemon itself lost it so.
     pub(super) own: bool,
@@ -168,9 +168,10 @@
         self.ends.iter().map(|end| end.at).max().unwrap_or_default()
     }
 
-    /// Ends that it shares with another request.
-    pub(super) fn shared(&self, other: &Self) -> usize {
-        self.ends.iter().filter(|end| other.was_at(end)).count()
+    /// Its ends but for these, which other requests explain; none if it is refused itself.
+    pub(super) fn unexplained(&self, explained: &[End]) -> impl Iterator<Item = End> {
+        let open = self.ends.iter().filter(move |end| !explained.iter().any(|other| other.is_same(end)));
+        open.copied()
     }
 
     /// It was answered whole, or is let through again: what was known before does not count.
--- a/crates/core/tests/endings/main.rs
+++ b/crates/core/tests/endings/main.rs
@@ -74,11 +74,32 @@
     assert_served(&sum, 30);
 }
 
+#[test]
+fn few_more_engines_end_under_one_that_comes_seldom() {
+    let seldom = |seed| Setting { again_ms: (1_500, 4_000), length: Span::millis(60_000), ..Setting::new(seed, 8) };
+    let sum = play("seldom", (600..610).map(seldom));
+    assert_served(&sum, 5);
+}
+
+/// Few engines, full of queries whose callers repeat at once and often: most of those beside it come again,
+/// and many are beside it again.
+#[test]
+fn those_beside_it_are_served_where_they_meet_it_again_and_again() {
+    let crowded = |seed| Setting { engines: 5, queries: 600.0, asks: (6, (2, 20)), fatal: 2, ..Setting::new(seed, 8) };
+    let sum = play("crowded", (700..730).map(crowded));
+    assert!(sum.thrice > 100, "{sum:?}");
+    assert_served(&sum, 10);
+    assert!(sum.longest_ms <= 60_000, "{sum:?}");
+}
+
 #[test]
 fn few_more_engines_end_with_hundreds_of_daemons() {
     let large = |seed| Setting { fatal: 2, loss: 0.05, ..Setting::new(seed, 295) };
     let sum = play("295 daemons", (400..403).map(large));
     assert_served(&sum, 30);
+    let largest = |seed| Setting { fatal: 2, loss: 0.05, ..Setting::new(seed, 690) };
+    let sum = play("690 daemons", (410..411).map(largest));
+    assert_served(&sum, 30);
 }
 
 #[test]
--- a/crates/core/tests/endings/world.rs
+++ b/crates/core/tests/endings/world.rs
@@ -51,6 +51,12 @@
     pub restart_every: Option<Span>,
     /// A daemon that neither tells nor hears, while its callers still come.
     pub cut_off: bool,
+    /// Milliseconds after which a request that ends engines comes again.
+    pub again_ms: (u64, u64),
+    /// Queries of others a second.
+    pub queries: f64,
+    /// Requests that others make until they give up, and the milliseconds until the next.
+    pub asks: (usize, (u64, u64)),
     /// Engines that end by themselves.
     pub trouble: Trouble,
     pub length: Span,
@@ -79,6 +85,9 @@
             loss: 0.0,
             restart_every: None,
             cut_off: false,
+            again_ms: (30, 150),
+            queries: 150.0,
+            asks: (2, (30, 150)),
             trouble: Trouble::None,
             length: Span::millis(15_000),
         }
@@ -219,12 +228,13 @@
     }
 
     fn callers(&mut self) {
-        for (kind, a_second) in [(Kind::Query, 150.0), (Kind::Chat, 20.0)] {
+        for (kind, a_second) in [(Kind::Query, self.set.queries), (Kind::Chat, 20.0)] {
             if self.rng.random_bool(a_second / 1_000.0) {
                 self.next += 1;
                 let content = ContentHash(rendezvous(self.set.seed ^ 0x5eed, self.next));
                 self.out.others += 1;
-                self.coming.push((self.now, Asked { kind, content, asks_left: 2, tries: 0, ended: 0 }));
+                let asks_left = self.set.asks.0;
+                self.coming.push((self.now, Asked { kind, content, asks_left, tries: 0, ended: 0 }));
             }
         }
         let now = self.now;
@@ -301,7 +311,8 @@
         asked.asks_left -= usize::from(asked.asks_left != usize::MAX);
         asked.tries = 0;
         if asked.asks_left > 0 {
-            let wait = self.ms(30, 150);
+            let (from, to) = if asked.asks_left == usize::MAX { self.set.again_ms } else { self.set.asks.1 };
+            let wait = self.ms(from, to);
             self.coming.push((self.now + wait, asked));
         }
     }
