--- a/stand-ins/src/relay.rs
+++ b/stand-ins/src/relay.rs
@@ -98,6 +98,12 @@
         self.address
     }
 
+    /// End it, as the process behind it ends: its connections close, and new ones are refused.
+    pub fn end(&self) {
+        self.task.abort();
+        self.set(Link::Cut);
+    }
+
     /// Change what it does.
     pub fn set(&self, link: Link) {
         self.link.store(link as u8, Ordering::SeqCst);
