--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -13,7 +13,7 @@
 //!   meanwhile, as when a rack fails. In that doubt it runs once more, and is refused if that ends a replica too.
 //! - The ends of a request that is refused without doubt do not count against others.
 //!
-//! What is known lapses ([`KEEP`], [`REFUSE_SHORTLY`]), since a replica's next version may survive it.
+//! What is known lapses (`KEEP`, `REFUSE_SHORTLY`), since a replica's next version may survive it.
 
 use std::collections::HashMap;
 
--- a/experiments/benches/scale.rs
+++ b/experiments/benches/scale.rs
@@ -4,9 +4,11 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use dahliaseam_core::{
+    content::ContentHash,
     custody::{EngineRecord, EngineStatus, Fencing, OrderKind, View, next},
     dispatch::{Dispatcher, Policy, Site},
     endpoint::{LoadReport, PoolKey, Rates, Role},
+    fleet::endings::{Endings, Listeners},
     member::{Contact, Incarnation, MemberSettings, Members},
     outcome::AttemptEnd,
     request::{KindTraits, RequestSpec},
@@ -128,9 +130,44 @@
     c.bench_function("custody step", |b| b.iter(|| black_box(next(&record, &view))));
 }
 
+/// What each request costs for knowing which end replicas: its hash, its standing and its whole answer, while
+/// so many others are suspected.
+fn endings(c: &mut Criterion) {
+    let body = vec![7; 18_000];
+    let mut group = c.benchmark_group("endings of a request");
+    for suspected in [0, 600, 4_000] {
+        let mut endings = Endings::default();
+        for other in 0..suspected {
+            endings.ended(ContentHash(other), "i-1", NOW);
+        }
+        let mut n = 0_u64;
+        group.bench_function(BenchmarkId::from_parameter(suspected), |b| {
+            b.iter(|| {
+                n += 1;
+                let now = NOW + Span::millis(n);
+                let content = ContentHash::of("POST", "shop.example", &n.to_string(), &body);
+                black_box(endings.standing(content, 8, false, now));
+                endings.answered(content, now);
+            });
+        });
+    }
+    group.finish();
+    let mut group = c.benchmark_group("endings told");
+    for suspected in [0, 600, 4_000] {
+        let mut endings = Endings::default();
+        for other in 0..suspected {
+            endings.ended(ContentHash(other), "i-1", NOW);
+        }
+        group.bench_function(BenchmarkId::from_parameter(suspected), |b| {
+            b.iter(|| black_box(endings.notes(Listeners::Mates, 8, NOW)));
+        });
+    }
+    group.finish();
+}
+
 criterion_group! {
     name = scale;
     config = Criterion::default().sample_size(20).without_plots();
-    targets = choice, tick, membership, custody
+    targets = choice, tick, membership, custody, endings
 }
 criterion_main!(scale);
