--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -296,6 +296,7 @@
             REFUSED_EARLY,
             request = self.caller.id,
             route = %self.route.name,
+            tokens = self.caller.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
             predicted_ms,
             objective_ms = self.route.objective.as_millis(),
             view_age_ms = fleet.peers_age_ms(now),
