--- a/crates/core/src/fleet/sizes.rs
+++ b/crates/core/src/fleet/sizes.rs
@@ -26,7 +26,7 @@
 const MOST: f64 = 2.0;
 /// Part of the time in which a prompt is in time that a large one's reading counts at most: engines that are too
 /// slow for these still read the others.
-const MOST_SHARE: f64 = 0.5;
+const MOST_SHARE: f64 = 0.35;
 
 /// What is seen of the sizes of a service's prompts.
 #[derive(Clone, Copy, Debug)]
@@ -64,7 +64,10 @@
     /// own reading, where `in_time_ms` would be in time.
     pub(super) fn judged_ms(&self, predicted_ms: f64, own_ms: f64, in_time_ms: f64) -> f64 {
         let alike_ms = self.reading_ms.value().min(in_time_ms * MOST_SHARE);
-        predicted_ms + (alike_ms - own_ms) * self.evening()
+        let evening = self.evening();
+        // Small ones are never held for more than the time of a large one.
+        let evening = if own_ms < alike_ms { evening.min(1.0) } else { evening };
+        predicted_ms + (alike_ms - own_ms) * evening
     }
 
     /// How much sizes are evened out, of one.
