--- a/crates/core/src/fleet/sizes.rs
+++ b/crates/core/src/fleet/sizes.rs
@@ -18,7 +18,7 @@
 /// The same of any prompt, for the same time.
 const LEARN_ALL: f64 = 0.005;
 /// By how much less often large ones are admitted, as a part of all, when the work ahead alone counts.
-const ENOUGH: f64 = 0.85;
+const ENOUGH: f64 = 0.6;
 const FULL_AT: f64 = 0.1;
 /// Beyond that a large one's own reading counts for it, up to this many times: small ones have more ways to be read.
 /// With up to 1 of 1.3 to 2.2 times the load that engines can bear 0.67 to 0.8 times as many of the largest tenth as of all are
