--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -231,8 +231,8 @@
         };
         let read = self.read_of(ask, prompt, now);
         let urgent = self.choose_engines(ask, &read, now).ok_or(NoPlan::NoReplica)?;
-        let in_time_ms = ask.objective_left.in_millis() * self.admit_share(ask);
-        if self.judged_ms(&urgent, ask, in_time_ms) <= in_time_ms {
+        let in_time = ask.objective_left.as_seconds() * self.admit_share(ask);
+        if urgent.predicted_ms() <= in_time * 1_000.0 {
             return Ok(urgent);
         }
         // It is worth less when late, but not nothing, and costs others no time behind them.
@@ -242,16 +242,6 @@
         within(Span::seconds(left.as_seconds() * self.policy.late_share), late, ask)
     }
 
-    /// Milliseconds by which a plan is judged: those predicted, with sizes evened out if large prompts are admitted
-    /// too seldom.
-    fn judged_ms(&self, plan: &Plan, ask: &Ask<'_>, in_time_ms: f64) -> f64 {
-        let predicted_ms = plan.predicted_ms();
-        match self.services.get(ask.service).filter(|_| !plan.is_long()) {
-            Some(state) => state.sizes.judged_ms(predicted_ms, plan.reading().work_ms, in_time_ms),
-            None => predicted_ms,
-        }
-    }
-
     fn choose_plain(&self, ask: &Ask<'_>, now: Time) -> Option<Plan> {
         let usual = self.services.get(ask.service).map_or(super::PLAIN_GUESS_MS, |state| state.plain_ms);
         let steps = self.open(ask, now).map(|(key, replica)| {
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -21,7 +21,6 @@
         peers::{PeerLoads, Source},
         policy::FleetPolicy,
         replica::{Load, Replica, ReplicaKey},
-        sizes::SizeBalance,
         split::{DemandMeter, Offer},
     },
     prompt::Prompt,
@@ -38,7 +37,6 @@
 pub mod peers;
 pub mod policy;
 pub mod replica;
-mod sizes;
 pub mod split;
 
 /// Milliseconds of a plain call before anything is learned.
@@ -62,7 +60,6 @@
     /// What is asked of long answers; absent before there was one.
     long: Option<LongAnswers>,
     meter: DemandMeter,
-    sizes: SizeBalance,
 }
 
 /// What callers ask of a service's long answers.
@@ -87,7 +84,6 @@
             pause: None,
             long: None,
             meter: DemandMeter::default(),
-            sizes: SizeBalance::default(),
         }
     }
 }
@@ -246,8 +242,8 @@
         }
     }
 
-    /// Note a new request, what it would ask of engines, and whether it is admitted.
-    pub fn offered(&mut self, service: &Arc<str>, ask: &Ask<'_>, plan: &Plan, admitted: bool, now: Time) {
+    /// Note a new request, and what it would ask of engines.
+    pub fn offered(&mut self, service: &Arc<str>, ask: &Ask<'_>, plan: &Plan, now: Time) {
         let state = self.service_mut(service);
         if plan.is_long() && !ask.returned {
             let lengths_from = state.long.map_or(now + ask.time_left, |long| long.lengths_from);
@@ -256,12 +252,8 @@
         }
         let reading = plan.reading().reading;
         let tokens = reading.uncached + reading.held;
-        let reading_ms = state.engine.read.work_ms(reading);
-        if ask.prompt.is_some() && !plan.is_long() {
-            state.sizes.note(tokens, reading_ms, admitted);
-        }
         let offer = Offer {
-            reading_ms,
+            reading_ms: state.engine.read.work_ms(reading),
             moving_ms: state.engine.hand_over.link_ms(Moved { tokens, across: false }),
             tokens,
             long: plan.is_long(),
--- a/crates/core/tests/fleet/large_prompts.rs
+++ b/crates/core/tests/fleet/large_prompts.rs
@@ -125,7 +125,7 @@
             Err(dahliaseam_core::fleet::choose::NoPlan::TooLate { plan, .. }) => **plan,
             Err(dahliaseam_core::fleet::choose::NoPlan::NoReplica) => panic!("there are replicas"),
         };
-        self.fleet.offered(&Arc::from(SERVICE), &ask, &plan, chosen.is_ok(), now);
+        self.fleet.offered(&Arc::from(SERVICE), &ask, &plan, now);
         let (step, output) = match chosen {
             Ok(Plan::TwoSteps { read, write }) => (read, Some(write)),
             Ok(Plan::Whole(step)) => (step, None),
