A next try waits 30 ms at most for what became of its replica

Cause: on a link that is cut the look at the replica took up to 120 ms, which held up the next try. The look itself goes on.

--- a/crates/daemon/src/gateway/endings.rs
+++ b/crates/daemon/src/gateway/endings.rs
@@ -1,6 +1,6 @@
 //! Requests under which replicas end: seeing that one did, and how such a request is treated.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use dahliaseam_core::{
     content::ContentHash,
@@ -15,6 +15,10 @@
     gateway::{answer::Refusal, attempt::duration, request::Job, state::Gateway},
 };
 
+/// Time for which a request's next try waits for what became of the replica: some times the way there and back and
+/// what a living one is listened to. A link that is cut would hold it up for longer, and says nothing.
+const LOOK: Duration = Duration::from_millis(30);
+
 /// A run that tells whether a request is to blame. It is over when this is dropped.
 #[derive(Debug)]
 pub(super) struct Trial {
@@ -42,8 +46,9 @@
     /// Its connection to a replica broke: find out whether the replica ended, and note that.
     pub(super) async fn look_at_replica(&self, replica: ReplicaFacts) {
         let noted = note_if_ended(Arc::clone(&self.gw), self.content, self.caller.id.clone(), replica);
-        // A task of its own, so that it is noted also if the caller leaves now.
-        if let Err(e) = tokio::spawn(noted).await {
+        // A task of its own, so that it is noted also if the caller leaves now, or if it takes longer.
+        let noted = tokio::spawn(noted);
+        if let Ok(Err(e)) = tokio::time::timeout(LOOK, noted).await {
             emit!(error, REPLICA_ENDED, request = self.caller.id, content = %self.content, why = %e);
         }
     }
