Ends that another request explains count as one of three

Cause: one that stood beside two such requests was blamed first, at three ends, and the real one began from nothing: it ended five engines more.

--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -41,6 +41,8 @@
 /// Ends from which on a request is refused if nothing speaks against it: one end is chance and two happen
 /// when a request's second try follows a replica that fails too.
 const ENDS_TO_REFUSE: usize = 3;
+/// Ends that another request explains count as one: that other one may have been blamed wrongly, and hide this.
+const EXPLAINED_AS_ONE: usize = 3;
 /// Ends from which on it is refused in doubt, too: its runs since the doubt ended replicas as well. With four, of those
 /// that lost three engines beside others one in thirty was refused, with five one in hundred (emulation of five full
 /// engines and callers that repeat at once).
@@ -185,7 +187,7 @@
         let Some(record) = self.records.get(&content) else {
             return Standing::Clear;
         };
-        if record.refused.is_none() && self.open_ends(record).count() >= ENDS_TO_REFUSE {
+        if record.refused.is_none() && self.evidence(record) >= ENDS_TO_REFUSE {
             let settled_at = record.last_end() + SETTLE + Span(SETTLE_EACH.0 * daemons as u64);
             if !settled_at.is_past(now) {
                 return Standing::Unsettled(settled_at);
@@ -198,7 +200,7 @@
         if let Some(refused) = record.refused {
             return Standing::Refused(refused);
         }
-        let ends = self.open_ends(record).count();
+        let ends = self.evidence(record);
         let not_now = Refused { ends: ends as u32, since: now, until: now, sure: false, known_by: KnownBy::Own };
         if alone && ends >= ENDS_TO_REFUSE_ALONE {
             return Standing::Refused(not_now);
@@ -289,25 +291,26 @@
     fn most_to_blame(&self) -> Option<(usize, ContentHash, Grounds)> {
         let candidates = self.records.iter().filter(|(_, record)| record.refused.is_none());
         let blamed = candidates.filter_map(|(content, record)| {
-            let ends: Vec<End> = self.open_ends(record).collect();
-            Some((ends.len(), *content, self.grounds(*content, &ends)?))
+            let evidence = self.evidence(record);
+            Some((evidence, *content, self.grounds(*content, record, evidence)?))
         });
         blamed.max_by_key(|(ends, content, _)| (*ends, *content))
     }
 
-    /// On what grounds a request with these ends is refused, if it is.
-    fn grounds(&self, content: ContentHash, ends: &[End]) -> Option<Grounds> {
-        if ends.len() < ENDS_TO_REFUSE {
+    /// On what grounds a request is refused, if it is.
+    fn grounds(&self, content: ContentHash, record: &Record, evidence: usize) -> Option<Grounds> {
+        if evidence < ENDS_TO_REFUSE {
             return None;
         }
+        let ends: &[End] = &self.open_ends(record).collect::<Vec<_>>();
         let others = self.meanwhile(ends);
         let unexplained = self.count_unexplained(content, &others);
         let doubted =
-            self.has_equal(content, ends) || self.is_covered(content, ends) || unexplained * UNEXPLAINED >= ends.len();
+            self.has_equal(content, ends) || self.is_covered(content, ends) || unexplained * UNEXPLAINED >= evidence;
         match (doubted, others.is_empty()) {
             (false, true) => Some(Grounds::Alone),
             (false, false) => Some(Grounds::AmongOthers),
-            (true, _) if ends.len() >= ENDS_TO_REFUSE_DOUBTED => Some(Grounds::Doubted),
+            (true, _) if evidence >= ENDS_TO_REFUSE_DOUBTED => Some(Grounds::Doubted),
             (true, _) => None,
         }
     }
@@ -357,6 +360,12 @@
         record.unexplained(&self.explained)
     }
 
+    /// How many ends count against a request.
+    fn evidence(&self, record: &Record) -> usize {
+        let open = self.open_ends(record).count();
+        open + (record.count() - open) / EXPLAINED_AS_ONE
+    }
+
     fn note_explained(&mut self) {
         self.explained.clear();
         let sure = |record: &&Record| record.refused.is_some_and(|refused| refused.sure);
