--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -9,9 +9,9 @@
 //! - From two ends on, requests are kept apart: each goes to the replica that its content draws, so two that
 //!   were together do not end together again.
 //! - From three ends on one is refused, unless others explain them as well: one that was at all of these replicas,
-//!   or several that were at two of them at least each; or unless it was at no more than half of those that ended
-//!   meanwhile, as when a rack fails. In that doubt it runs once more, and is refused if that ends a replica too.
-//! - The ends of a request that is refused without doubt do not count against others.
+//!   or several that were at two of them at least each; or unless others ended meanwhile that nothing explains, as
+//!   when a rack fails. In that doubt it runs again, alone among its like, and is refused from five ends on.
+//! - The ends of a request that is refused without doubt count little against others.
 //!
 //! What is known lapses (`KEEP`, `REFUSE_SHORTLY`), since a replica's next version may survive it.
 
@@ -44,16 +44,15 @@
 /// Ends that another request explains count as one: that other one may have been blamed wrongly, and hide this.
 const EXPLAINED_AS_ONE: usize = 3;
 /// Ends from which on it is refused in doubt, too: its runs since the doubt ended replicas as well. With four, of those
-/// that lost three engines beside others one in thirty was refused, with five one in hundred (emulation of five full
-/// engines and callers that repeat at once).
+/// that lost three engines beside others one in fourteen was refused, with five one in seventy (emulation of five
+/// full engines and callers that repeat at once).
 const ENDS_TO_REFUSE_DOUBTED: usize = 5;
 /// Ends from which on a daemon refuses that hears no other: it knows only a part of them.
 const ENDS_TO_REFUSE_ALONE: usize = 2;
 /// Ends from which on requests are kept apart.
 const ENDS_TO_KEEP_APART: usize = 2;
-/// Time for which anything is kept after it was last heard of, and for which a request is refused. It is the longest
-/// in which callers come again by themselves; a request that was blamed wrongly is let through by an
-/// operator before that.
+/// Time for which anything is kept after it was last heard of, and for which a request is refused: longer than callers
+/// come again by themselves. An operator lets one through that was blamed wrongly before that.
 pub const KEEP: Span = Span::millis(600_000);
 /// Time for which a request is refused at first where other replicas ended meanwhile, so that it may only have stood
 /// beside another one: as long as a caller may think that it was never answered.
