What lasts of requests that end replicas is told again few at a time

Cause: each daemon told all of it again each period, to each mate; after a large failure hundreds of requests had two ends, and at 295 daemons that would be 200 kilobytes a second for each (computed). Now eight in turn, the refused first.

--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -127,6 +127,8 @@
     /// Ends of the requests that are surely to blame.
     explained: Vec<End>,
     answered: Answered,
+    /// When what did not change is told again, for each kind of listeners.
+    again_at: [Time; 2],
 }
 
 impl Endings {
--- a/crates/core/src/fleet/endings/notes.rs
+++ b/crates/core/src/fleet/endings/notes.rs
@@ -13,7 +13,10 @@
 
 /// Notes in one message at most: some two kilobytes. What is not told is told with the next.
 const MAX_NOTES: usize = 64;
-/// Time between two messages that tell the same again, for daemons that started since or were cut off.
+/// Notes in one message at most that tell again what did not change, for daemons that started since or were cut off: with
+/// three hundred daemons in three halls some eight kilobytes a second.
+const MAX_AGAIN: usize = 8;
+/// Time between two messages with such notes.
 const AGAIN: Span = Span::millis(500);
 /// What is added to that for each daemon, so that what one hears does not grow with their number: fifty
 /// messages a second.
@@ -76,16 +79,19 @@
 impl Endings {
     /// What is to be told now, where there are so many daemons.
     pub fn notes(&mut self, to: Listeners, daemons: usize, now: Time) -> Vec<RequestNote> {
-        let every = AGAIN.max(Span(AGAIN_EACH.0 * daemons as u64));
-        let is_due = |record: &Record| to.schedule(record).is_due(record.is_lasting(), now);
-        let due = self.records.iter().filter(|(_, record)| is_due(record));
-        let mut due: Vec<(usize, ContentHash)> = due.map(|(content, record)| (record.count(), *content)).collect();
+        let changed = self.records.iter().filter(|(_, record)| to.schedule(record).is_due(now));
+        let mut due: Vec<(usize, ContentHash)> = changed.map(|(content, record)| (record.count(), *content)).collect();
         due.sort_unstable_by(|a, b| b.cmp(a));
         due.truncate(MAX_NOTES);
+        let again_at = &mut self.again_at[to as usize];
+        if again_at.is_past(now) {
+            *again_at = now + AGAIN.max(Span(AGAIN_EACH.0 * daemons as u64));
+            due.extend(self.lasting(to));
+        }
         let mut notes = Vec::with_capacity(due.len());
         for (_, content) in due {
             if let Some(record) = self.records.get_mut(&content) {
-                to.schedule_mut(record).told(every, now);
+                to.schedule_mut(record).told(now);
                 notes.push(note(content, record, now));
             }
         }
@@ -94,9 +100,21 @@
 
     /// Tell mates again what they must know: one of them has just started.
     pub fn tell_again(&mut self, now: Time) {
-        for record in self.records.values_mut() {
-            record.to_mates.repeat(now);
-        }
+        self.again_at[Listeners::Mates as usize] = now;
+    }
+
+    /// Those of the requests that others must know for long which were told longest ago, the refused before others.
+    fn lasting(&self, to: Listeners) -> Vec<(usize, ContentHash)> {
+        let lasting =
+            self.records.iter().filter(|(_, record)| record.is_lasting() && !to.schedule(record).is_running());
+        let mut lasting: Vec<_> = lasting
+            .map(|(content, record)| {
+                (record.refused.is_none(), to.schedule(record).told_at(), record.count(), *content)
+            })
+            .collect();
+        lasting.sort_unstable();
+        lasting.truncate(MAX_AGAIN);
+        lasting.into_iter().map(|(_, _, count, content)| (count, content)).collect()
     }
 
     /// Take in what another daemon told; `from_mate` if it is one that this daemon's hall must tell on.
--- a/crates/core/src/fleet/endings/record.rs
+++ b/crates/core/src/fleet/endings/record.rs
@@ -112,17 +112,18 @@
 pub(super) struct Schedule {
     changed_at: Time,
     told: usize,
-    /// When it is told again though nothing changed.
-    again_at: Time,
+    /// When it was last told.
+    told_at: Time,
 }
 
 impl Schedule {
     /// Nothing is to be told.
-    pub(super) const IDLE: Self = Self { changed_at: Time(0), told: TELL_AFTER.len(), again_at: Time(0) };
+    pub(super) const IDLE: Self = Self { changed_at: Time(0), told: TELL_AFTER.len(), told_at: Time(0) };
 
     /// Something changed, and is to be told.
     pub(super) const fn start(&mut self, now: Time) {
-        *self = Self { changed_at: now, told: 0, again_at: now };
+        self.changed_at = now;
+        self.told = 0;
     }
 
     /// Whether a change is still being told.
@@ -130,23 +131,20 @@
         self.told < TELL_AFTER.len()
     }
 
-    /// Whether it is to be told now; `repeat` holds for what is told for as long as it is known.
-    pub(super) fn is_due(&self, repeat: bool, now: Time) -> bool {
-        match TELL_AFTER.get(self.told) {
-            Some(after) => (self.changed_at + *after).is_past(now),
-            None => repeat && self.again_at.is_past(now),
-        }
+    /// Whether a change is to be told now.
+    pub(super) fn is_due(&self, now: Time) -> bool {
+        TELL_AFTER.get(self.told).is_some_and(|after| (self.changed_at + *after).is_past(now))
     }
 
-    /// What lasts is to be told again now.
-    pub(super) const fn repeat(&mut self, now: Time) {
-        self.again_at = now;
+    /// When it was last told.
+    pub(super) const fn told_at(&self) -> Time {
+        self.told_at
     }
 
     /// It was told.
-    pub(super) fn told(&mut self, every: Span, now: Time) {
+    pub(super) fn told(&mut self, now: Time) {
         self.told = (self.told + 1).min(TELL_AFTER.len());
-        self.again_at = now + every;
+        self.told_at = now;
     }
 }
 
--- a/crates/core/tests/endings/rules.rs
+++ b/crates/core/tests/endings/rules.rs
@@ -169,6 +169,25 @@
     assert!(is_apart(&mut endings, FATAL, now), "it hears others again");
 }
 
+#[test]
+fn what_lasts_is_told_again_in_turn_and_few_at_a_time() {
+    let mut endings = Endings::default();
+    let contents: Vec<ContentHash> = (1..=100).map(ContentHash).collect();
+    let mut now = ends(&mut endings, &contents, &["a", "b"], START);
+    for _ in 0..20 {
+        endings.notes(Listeners::Mates, 8, now);
+        now = now + Span::millis(100);
+    }
+    let mut told = std::collections::HashSet::new();
+    for _ in 0..10 {
+        now = now + Span::millis(1_000);
+        let notes = endings.notes(Listeners::Mates, 8, now);
+        assert!(notes.len() <= 8, "{} notes", notes.len());
+        told.extend(notes.into_iter().map(|note| note.content));
+    }
+    assert_eq!(told.len(), 80, "none is told twice before all were");
+}
+
 #[test]
 fn it_is_bounded_and_keeps_what_counts() {
     let mut endings = Endings::default();
