One place for what stood twice in the requests that end replicas

Who explains a replica's end was looked up twice for each judgement, the prefix of the store's entries was built for each key at each look, and both schedules were started side by side in four places; a type carried what nobody read. The normal draw of two emulations is one.

--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -89,15 +89,6 @@
     Refused(Refused),
 }
 
-/// A request that is no longer refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Lapsed {
-    /// The request.
-    pub content: ContentHash,
-    /// Why it was refused.
-    pub refused: Refused,
-}
-
 /// On what grounds a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Grounds {
@@ -143,8 +134,7 @@
         record.own = true;
         if record.add(End { replica: short_id(replica), at }) {
             record.lapses_at = at + KEEP;
-            record.to_mates.start(at);
-            record.to_halls.start(at);
+            record.tell(at);
             self.note_explained();
         }
         self.records.get(&content).map_or(0, |record| self.open_ends(record).count())
@@ -243,11 +233,11 @@
     }
 
     /// Forget what is old; returns the requests that are no longer refused.
-    pub fn sweep(&mut self, now: Time) -> Vec<Lapsed> {
+    pub fn sweep(&mut self, now: Time) -> Vec<ContentHash> {
         let mut lapsed = Vec::new();
         for (content, record) in &mut self.records {
-            if let Some(refused) = record.refused.filter(|refused| refused.until.is_past(now)) {
-                lapsed.push(Lapsed { content: *content, refused });
+            if record.refused.is_some_and(|refused| refused.until.is_past(now)) {
+                lapsed.push(*content);
                 record.refused = None;
                 // One more end is enough to refuse it again.
                 record.ends.truncate(ENDS_TO_REFUSE - 1);
@@ -281,8 +271,7 @@
                 let sure = grounds != Grounds::Doubted;
                 record.refused = Some(Refused { ends: ends as u32, since: now, until, sure, known_by });
                 record.lapses_at = until + KEEP;
-                record.to_mates.start(now);
-                record.to_halls.start(now);
+                record.tell(now);
             }
             self.note_explained();
         }
@@ -305,9 +294,11 @@
         }
         let ends: &[End] = &self.open_ends(record).collect::<Vec<_>>();
         let others = self.meanwhile(ends);
-        let unexplained = self.count_unexplained(content, &others);
-        let doubted =
-            self.has_equal(content, ends) || self.is_covered(content, ends) || unexplained * UNEXPLAINED >= evidence;
+        let suspects = self.suspects(content);
+        let is_explained = |end: &End| suspects.iter().any(|other| other.was_at(end));
+        let unexplained = others.iter().filter(|end| !is_explained(end)).count();
+        let is_covered = ends.iter().all(is_explained);
+        let doubted = is_covered || self.has_equal(content, ends) || unexplained * UNEXPLAINED >= evidence;
         match (doubted, others.is_empty()) {
             (false, true) => Some(Grounds::Alone),
             (false, false) => Some(Grounds::AmongOthers),
@@ -321,12 +312,6 @@
         self.others(content).any(|other| ends.iter().all(|end| other.was_at(end)))
     }
 
-    /// Whether others that were at two ends at least could have ended each of these replicas.
-    fn is_covered(&self, content: ContentHash, ends: &[End]) -> bool {
-        let suspects = self.suspects(content);
-        ends.iter().all(|end| suspects.iter().any(|other| other.was_at(end)))
-    }
-
     /// Other replicas that ended while these did, as far as no refused request explains that.
     fn meanwhile(&self, ends: &[End]) -> Vec<End> {
         let is_meanwhile = |end: &End| ends.iter().any(|own| own.is_within(MEANWHILE, end));
@@ -339,13 +324,7 @@
         others
     }
 
-    /// How many of these no other request explains that was at two ends at least.
-    fn count_unexplained(&self, content: ContentHash, ends: &[End]) -> usize {
-        let suspects = self.suspects(content);
-        ends.iter().filter(|end| !suspects.iter().any(|other| other.was_at(end))).count()
-    }
-
-    /// Others that were at two ends at least.
+    /// Others that were at two ends at least, and so explain these.
     fn suspects(&self, content: ContentHash) -> Vec<&Record> {
         self.others(content).filter(|other| self.open_ends(other).count() >= ENDS_TO_KEEP_APART).collect()
     }
@@ -356,7 +335,7 @@
         others.map(|(_, record)| record)
     }
 
-    /// A request's ends that no refused one explains; none of a refused one.
+    /// A request's ends that none explains which is surely to blame.
     fn open_ends(&self, record: &Record) -> impl Iterator<Item = End> {
         record.unexplained(&self.explained)
     }
@@ -394,6 +373,5 @@
     let keep = if record.refused.is_some() { KEEP } else { KEEP_SOUND };
     record.clear(cleared);
     record.lapses_at = now + keep;
-    record.to_mates.start(now);
-    record.to_halls.start(now);
+    record.tell(now);
 }
--- a/crates/core/src/fleet/endings/notes.rs
+++ b/crates/core/src/fleet/endings/notes.rs
@@ -159,8 +159,7 @@
         let is_over = record.cleared.is_some_and(|cleared| cleared.speaks_until() >= since);
         if is_over && !record.to_mates.is_running() {
             // The sender was cut off when it was told.
-            record.to_mates.start(now);
-            record.to_halls.start(now);
+            record.tell(now);
         } else if !is_over && record.refused.is_none() {
             let (ends, sure) = (told.ends, told.sure);
             record.refused = Some(Refused { ends, since, until, sure, known_by: KnownBy::Peer });
--- a/crates/core/src/fleet/endings/record.rs
+++ b/crates/core/src/fleet/endings/record.rs
@@ -212,12 +212,18 @@
         self.ends.iter().map(|end| end.at).max().unwrap_or_default()
     }
 
-    /// Its ends but for these, which other requests explain; none if it is refused itself.
+    /// Its ends but for these, which explain all of a request that is surely to blame itself.
     pub(super) fn unexplained(&self, explained: &[End]) -> impl Iterator<Item = End> {
         let open = self.ends.iter().filter(move |end| !explained.iter().any(|other| other.is_same(end)));
         open.copied()
     }
 
+    /// Something changed that all others are to be told.
+    pub(super) const fn tell(&mut self, now: Time) {
+        self.to_mates.start(now);
+        self.to_halls.start(now);
+    }
+
     /// Something speaks for it: what was known before does not count.
     pub(super) fn clear(&mut self, cleared: Cleared) {
         self.cleared = Some(cleared);
--- a/crates/core/tests/endings/world.rs
+++ b/crates/core/tests/endings/world.rs
@@ -366,16 +366,12 @@
             }
             // A chat is not tried again by its daemon.
             let tries = if asked.kind == Kind::Chat { 1 } else { 2 };
-            if asked.tries < tries { self.seen_then_ask(asked, run.daemon) } else { self.come_back(asked) }
+            if asked.tries < tries { self.wait(asked, run.daemon) } else { self.come_back(asked) }
         }
     }
 
-    fn seen_then_ask(&mut self, asked: Asked, daemon: usize) {
-        // It stays with its daemon, which looks at the replica first.
-        self.waiting(asked, daemon);
-    }
-
-    fn waiting(&mut self, asked: Asked, daemon: usize) {
+    /// It stays with its daemon, which looks at the replica first.
+    fn wait(&mut self, asked: Asked, daemon: usize) {
         let at = self.now + SEEN_AFTER;
         self.runs.push(Run { asked, daemon, engine: usize::MAX, over_at: at });
     }
--- a/crates/core/tests/fleet/large_prompts.rs
+++ b/crates/core/tests/fleet/large_prompts.rs
@@ -17,7 +17,7 @@
     endpoint::Role,
     fleet::{
         Fleet, Sent, StepEnd,
-        choose::{Ask, Plan, Step},
+        choose::{Ask, NoPlan, Plan, Step},
         engine::read_time::Reading,
         replica::{ReplicaFacts, ReplicaKey},
     },
@@ -26,7 +26,7 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::{SERVICE, ask, facts, fleet, now};
+use crate::{SERVICE, ask, facts, fleet, normal, now};
 
 /// Time in which the first event is in time.
 const OBJECTIVE: Span = Span::millis(200);
@@ -122,8 +122,8 @@
         let chosen = self.fleet.choose(&ask, now);
         let plan = match &chosen {
             Ok(plan) => *plan,
-            Err(dahliaseam_core::fleet::choose::NoPlan::TooLate { plan, .. }) => **plan,
-            Err(dahliaseam_core::fleet::choose::NoPlan::NoReplica) => panic!("there are replicas"),
+            Err(NoPlan::TooLate { plan, .. }) => **plan,
+            Err(NoPlan::NoReplica) => panic!("there are replicas"),
         };
         self.fleet.offered(&Arc::from(SERVICE), &ask, &plan, now);
         let (step, output) = match chosen {
@@ -193,8 +193,7 @@
 }
 
 fn lognormal(rng: &mut SmallRng, mean: f64, spread: f64) -> f64 {
-    let normal = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
-    mean * (spread * normal - spread * spread / 2.0).exp()
+    mean * (spread * normal(rng) - spread * spread / 2.0).exp()
 }
 
 #[test]
--- a/crates/core/tests/fleet/long_answers.rs
+++ b/crates/core/tests/fleet/long_answers.rs
@@ -24,7 +24,7 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::{SERVICE, ask, facts, fleet, now};
+use crate::{SERVICE, ask, facts, fleet, normal, now};
 
 /// Slots of each engine.
 const SLOTS: u32 = 96;
@@ -186,11 +186,6 @@
     (events * f64::from(MOST_TOKENS) / MOST_EVENTS * (0.5 * normal(rng)).exp()) as u32
 }
 
-/// Normally distributed, as near as twelve draws come to it.
-fn normal(rng: &mut SmallRng) -> f64 {
-    (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
-}
-
 #[test]
 fn the_longest_answers_end_in_time_where_some_engines_are_slow() {
     let arrivals = Arrivals { per_second: 36.0, guessed: false };
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -16,6 +16,7 @@
     prompt::Prompt,
     time::{Span, Time},
 };
+use rand::{Rng, rngs::SmallRng};
 
 mod choosing;
 mod discovery;
@@ -85,6 +86,11 @@
     }
 }
 
+/// Normally distributed, as near as twelve draws come to it.
+pub(crate) fn normal(rng: &mut SmallRng) -> f64 {
+    (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
+}
+
 pub(crate) fn id(fleet: &Fleet, key: ReplicaKey) -> String {
     fleet.get(key).expect("it is known").facts.id.to_string()
 }
--- a/crates/daemon/src/gateway/refused.rs
+++ b/crates/daemon/src/gateway/refused.rs
@@ -10,10 +10,7 @@
     time::Duration,
 };
 
-use dahliaseam_border::{
-    error::CallError,
-    kv::{Entry, Swap, Swapped},
-};
+use dahliaseam_border::kv::{Entry, Swap, Swapped};
 use dahliaseam_core::{
     content::ContentHash,
     fleet::endings::{KnownBy, Refused},
@@ -47,8 +44,8 @@
 }
 
 /// The content that a key of such entries names.
-fn named(gw: &Gateway, key: &str) -> Option<ContentHash> {
-    let digits = key.strip_prefix(&prefix(gw))?;
+fn named(prefix: &str, key: &str) -> Option<ContentHash> {
+    let digits = key.strip_prefix(prefix)?;
     u64::from_str_radix(digits, 16).ok().map(ContentHash)
 }
 
@@ -58,7 +55,7 @@
 
 /// Take in an entry; returns whether it is one of a refused request.
 pub(super) fn put(gw: &Gateway, entry: &Entry) -> bool {
-    let Some(content) = named(gw, &entry.key) else {
+    let Some(content) = named(&prefix(gw), &entry.key) else {
         return false;
     };
     if let Ok(stored) = serde_json::from_str::<StoredRefusal>(&entry.value) {
@@ -73,7 +70,7 @@
 
 /// Take in that an entry was removed: an operator lets the request through again.
 pub(super) fn removed(gw: &Gateway, key: &str) {
-    if let Some(content) = named(gw, key) {
+    if let Some(content) = named(&prefix(gw), key) {
         let now = gw.now();
         gw.fleet().endings.lift(content, now);
     }
@@ -104,18 +101,19 @@
         let now = gw.now();
         let (refused, lapsed) = {
             let endings = &mut gw.fleet().endings;
-            let lapsed: HashSet<ContentHash> = endings.sweep(now).into_iter().map(|lapsed| lapsed.content).collect();
+            let lapsed: HashSet<ContentHash> = endings.sweep(now).into_iter().collect();
             (endings.refused().collect::<HashMap<_, _>>(), lapsed)
         };
         self.log_changes(&refused, &lapsed, now);
         self.known = refused;
+        let prefix = prefix(gw);
         let stored: Vec<(String, i64, ContentHash)> = {
             let copies = gw.copies();
             let entries = copies.daemons.values();
-            entries.filter_map(|entry| Some((entry.key.clone(), entry.revision, named(gw, &entry.key)?))).collect()
+            entries.filter_map(|entry| Some((entry.key.clone(), entry.revision, named(&prefix, &entry.key)?))).collect()
         };
-        self.write_missing(gw, &stored, now).await;
-        self.remove_left_over(gw, &stored, now).await;
+        self.write_missing(gw, &prefix, &stored, now).await;
+        self.remove_left_over(gw, &prefix, &stored, now).await;
     }
 
     fn log_changes(&self, refused: &HashMap<ContentHash, Refused>, lapsed: &HashSet<ContentHash>, now: Time) {
@@ -143,7 +141,7 @@
         }
     }
 
-    async fn write_missing(&mut self, gw: &Gateway, stored: &[(String, i64, ContentHash)], now: Time) {
+    async fn write_missing(&mut self, gw: &Gateway, prefix: &str, stored: &[(String, i64, ContentHash)], now: Time) {
         let refused: Vec<(ContentHash, Refused)> = self.known.iter().map(|(key, value)| (*key, *value)).collect();
         for (content, refused) in refused {
             if stored.iter().any(|(_, _, other)| *other == content) {
@@ -155,18 +153,18 @@
             let Ok(value) = serde_json::to_string(&value) else {
                 continue;
             };
-            self.call(gw, format!("{}{content}", prefix(gw)), 0, Some(value), first, now).await;
+            self.call(gw, format!("{prefix}{content}"), 0, Some(value), first, now).await;
         }
     }
 
-    async fn remove_left_over(&mut self, gw: &Gateway, stored: &[(String, i64, ContentHash)], now: Time) {
+    async fn remove_left_over(&mut self, gw: &Gateway, prefix: &str, stored: &[(String, i64, ContentHash)], now: Time) {
         for (key, revision, content) in stored {
             if !self.known.contains_key(content) {
                 self.call(gw, key.clone(), *revision, None, others_at(gw, *content, now), now).await;
             }
         }
         let wanted = |key: &String| {
-            let content = named(gw, key);
+            let content = named(prefix, key);
             let is_stored = stored.iter().any(|(other, ..)| other == key);
             content.is_some_and(|content| self.known.contains_key(&content) != is_stored)
         };
@@ -184,15 +182,11 @@
         let swap = Swap { key, expect, value, lease: None };
         match gw.outside.kv.swap_each(vec![swap]).await.map(|mut swapped| swapped.pop()) {
             Ok(Some(Swapped::Done(_) | Swapped::Differs(_)) | None) => {}
-            Err(e) => log_unstored(&e),
+            Err(e) => emit!(info, BLAME_NOT_STORED, why = %e),
         }
     }
 }
 
-fn log_unstored(e: &CallError) {
-    emit!(info, BLAME_NOT_STORED, why = %e);
-}
-
 /// When a daemon does what another one should have done before.
 fn others_at(gw: &Gateway, content: ContentHash, now: Time) -> Time {
     let spread = OTHERS_SPREAD_EACH.0 * gw.fleet().daemons() as u64;
