Finding an engine gone is no failed try

Cause: a try at an address where nothing listens counted among the four failed tries after which a request is given up, as if a replica had got it. Ruled out: the budget of repeats (nothing was sent, so nothing is taken). Mended at the try and at the engine that answers a prompt which another one read; 16 such at most.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -36,6 +36,9 @@
 /// Engines that are asked to answer a prompt that was read, after the first one refused. Reading
 /// it again costs an engine some hundred milliseconds, asking costs the way there.
 const MORE_WRITERS: usize = 2;
+/// Replicas that a request finds gone before it is given up. Nothing is sent to them, and each costs it the way there
+/// and back; where a third of them ended at once, one request in forty million meets so many in a row.
+pub(super) const MAX_GONE: usize = 16;
 /// Rank of what is known to be late: behind all that can still be in time.
 const LATE_PRIORITY: u8 = u8::MAX;
 /// Least time left for which it is worth to send anything.
@@ -46,6 +49,8 @@
 pub(super) enum CallFailure {
     /// Nothing was sent, for a reason of this daemon's own.
     NotTried(&'static str),
+    /// Nothing was sent: nothing listens there.
+    NobodyListens,
     /// Nothing was sent: no connection could be made.
     NotSent(String),
     /// The replica vouches that it did not run it.
@@ -66,7 +71,7 @@
     pub(super) const fn name(&self) -> &'static str {
         match self {
             Self::NotTried(_) => "not_tried",
-            Self::NotSent(_) => "not_sent",
+            Self::NobodyListens | Self::NotSent(_) => "not_sent",
             Self::Rejected(_) => "rejected",
             Self::OtherReplica => "other_replica",
             Self::Broke(_) | Self::Lost(_) => "lost",
@@ -77,7 +82,7 @@
 
     /// Whether the replica got the call.
     pub(super) const fn arrived(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::NotTried(_))
+        !matches!(self, Self::NobodyListens | Self::NotSent(_) | Self::NotTried(_))
     }
 
     /// Whether the replica may have run the request.
@@ -90,7 +95,7 @@
         match self {
             Self::NotTried(_) | Self::Overdue => StepEnd::Unknown,
             Self::Rejected(_) => StepEnd::Rejected,
-            Self::NotSent(_) => StepEnd::Silent,
+            Self::NobodyListens | Self::NotSent(_) => StepEnd::Silent,
             Self::TimedOut if waited >= SILENT => StepEnd::Silent,
             Self::TimedOut | Self::OtherReplica | Self::Broke(_) | Self::Lost(_) => StepEnd::Failed,
         }
@@ -142,19 +147,25 @@
     async fn two_steps(&self, read: &Step, write: &Step) -> Result<Answer, Failed> {
         let mut kept = self.read(read).await.map_err(|why| Failed { why, reading: true, at: read.key })?;
         let task = Task::Continue { reader: kept.replica.address, handle: kept.handle.name.clone() };
-        let mut refused = Vec::new();
+        let mut tried = Vec::new();
+        let mut refused = 0;
         loop {
             if self.gw.fleet().endings.is_refused(self.content) {
                 let why = CallFailure::NotTried("replicas end under it");
                 return Err(Failed { why, reading: false, at: write.key });
             }
-            let write = self.writer(read, write, &refused);
+            let write = self.writer(read, write, &tried);
+            let is_new = !tried.contains(&write.key);
             match self.serve(&write, &task).await {
                 Ok(answer) => {
                     kept.taken = true;
                     return Ok(answer);
                 }
-                Err(why) if refused.len() < MORE_WRITERS && self.may_hand_on(&why) => refused.push(write.key),
+                Err(CallFailure::NobodyListens) if is_new && tried.len() < MAX_GONE => tried.push(write.key),
+                Err(why) if refused < MORE_WRITERS && self.may_hand_on(&why) => {
+                    refused += 1;
+                    tried.push(write.key);
+                }
                 Err(why) => return Err(Failed { why, reading: false, at: write.key }),
             }
         }
@@ -162,10 +173,10 @@
 
     /// The engine that is to answer, chosen anew now that the prompt is read: since it was planned
     /// engines have filled up, left, or begun to change their role.
-    fn writer(&self, read: &Step, planned: &Step, refused: &[ReplicaKey]) -> Step {
+    fn writer(&self, read: &Step, planned: &Step, tried: &[ReplicaKey]) -> Step {
         let now = self.gw.now();
         let fleet = self.gw.fleet();
-        let ask = Ask { tried: refused, ..self.ask(now) };
+        let ask = Ask { tried, ..self.ask(now) };
         fleet.choose_writer(&ask, read, planned.long, now).unwrap_or(*planned)
     }
 
@@ -239,6 +250,7 @@
         let sent = tokio::time::timeout(duration(limit.since(now)), sending).await;
         let (resp, conn) = match sent {
             Err(_) => return Err(CallFailure::TimedOut),
+            Ok(Err(SendError::NobodyListens)) => return Err(CallFailure::NobodyListens),
             Ok(Err(SendError::NotSent(why))) => return Err(CallFailure::NotSent(why)),
             Ok(Err(SendError::Broke(why))) => return Err(CallFailure::Broke(why)),
             Ok(Err(SendError::Lost(why))) => return Err(CallFailure::Lost(why)),
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -277,6 +277,7 @@
 ) -> Result<(StatusCode, Bytes), CallError> {
     let answer = async {
         let (resp, conn) = gw.upstream.send(replica.address, req).await.map_err(|e| match e {
+            SendError::NobodyListens => CallError::NotSent("nothing listens there".to_owned()),
             SendError::NotSent(why) => CallError::NotSent(why),
             SendError::Broke(why) | SendError::Lost(why) => CallError::Lost(why),
         })?;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -23,7 +23,7 @@
     emit,
     gateway::{
         answer::{AnswerBody, Refusal},
-        attempt::{Answer, CallFailure, EMPTY, Failed, duration},
+        attempt::{Answer, CallFailure, EMPTY, Failed, MAX_GONE, duration},
         ending::Ending,
         endings::Trial,
         relay::{self, Begun},
@@ -31,7 +31,7 @@
     },
 };
 
-/// Failed tries after which a request is given up, however many replicas there are.
+/// Failed tries after which a request is given up, however many replicas there are. Where nothing listens none was made.
 const MAX_TRIES: usize = 4;
 /// How many times its prediction a plain call that may be repeated waits before another is tried.
 const PLAIN_PATIENCE: f64 = 5.0;
@@ -66,6 +66,8 @@
     /// Replicas that are not to be tried again.
     tried: Vec<ReplicaKey>,
     tries: usize,
+    /// Replicas that were found gone.
+    gone: usize,
     /// Whether a replica got the request to serve it.
     served_once: bool,
     /// Whether a replica got the request to read its prompt.
@@ -117,6 +119,7 @@
         trial: None,
         tried: Vec::new(),
         tries: 0,
+        gone: 0,
         served_once: false,
         read_once: false,
         runs: 0,
@@ -228,7 +231,7 @@
     pub(super) async fn next_plan(&mut self) -> Result<Plan, Refusal> {
         self.look_at_standing().await?;
         let now = self.gw.now();
-        let ran_out = self.tries >= MAX_TRIES || self.deadline.since(now) <= LEAST_LEFT;
+        let ran_out = self.tries >= MAX_TRIES || self.gone >= MAX_GONE || self.deadline.since(now) <= LEAST_LEFT;
         let may_go_on = match self.route.repeat {
             Repeat::AtMostOnce => self.runs == 0,
             Repeat::Allowed => self.runs < self.route.attempts,
@@ -342,7 +345,11 @@
     }
 
     pub(super) fn note_failed(&mut self, plan: &Plan, failed: &Failed) {
-        self.tries += 1;
+        if failed.why == CallFailure::NobodyListens {
+            self.gone += 1;
+        } else {
+            self.tries += 1;
+        }
         self.tried.push(failed.at);
         if failed.reading {
             // The engine may have waited for the one that it was to copy from.
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -52,6 +52,8 @@
 /// Why no answer came.
 #[derive(Debug)]
 pub(super) enum SendError {
+    /// Nothing was sent, since nothing listens there.
+    NobodyListens,
     /// No byte of the request was sent.
     NotSent(String),
     /// It was sent, at least in part, and the connection ended.
@@ -111,7 +113,7 @@
                 },
             }
         }
-        let mut conn = connect(address).await.map_err(SendError::NotSent)?;
+        let mut conn = connect(address).await?;
         match conn.try_send_request(req).await {
             Ok(resp) => Ok((resp, conn)),
             Err(mut e) => match e.take_message() {
@@ -180,12 +182,18 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Conn, String> {
+async fn connect(address: SocketAddr) -> Result<Conn, SendError> {
+    let unsent = |e: &dyn std::error::Error| SendError::NotSent(e.to_string());
     let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address));
-    let stream = connecting.await.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
-    prepare(&stream).map_err(|e| e.to_string())?;
-    let (conn, driver) =
-        Builder::new().max_buf_size(BUFFER).handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let stream = match connecting.await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Err(SendError::NobodyListens),
+        Ok(Err(e)) => return Err(unsent(&e)),
+        Err(_) => return Err(SendError::NotSent("no connection in time".to_owned())),
+    };
+    prepare(&stream).map_err(|e| unsent(&e))?;
+    let handshake = Builder::new().max_buf_size(BUFFER).handshake(TokioIo::new(stream));
+    let (conn, driver) = handshake.await.map_err(|e| unsent(&e))?;
     tokio::spawn(async move {
         // How a connection ends is told to whoever waits for an answer on it.
         let _ = driver.await;
