--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -260,9 +260,14 @@
         self.job.last_event = Some(id);
         self.job.stream_broke(&self.answer.replica.id);
         let broke_off = |_| RelayError::BrokeOff(why.clone());
-        let plan = self.job.next_plan().await.map_err(broke_off)?;
-        let answer =
-            self.job.attempt(&plan).await.map_err(|failed| RelayError::BrokeOff(format!("{:?}", failed.why)))?;
+        let answer = loop {
+            let plan = self.job.next_plan().await.map_err(broke_off)?;
+            match self.job.attempt(&plan).await {
+                Ok(answer) => break answer,
+                Err(failed) if failed.why == CallFailure::NobodyListens => self.job.note_failed(&plan, &failed),
+                Err(failed) => return Err(RelayError::BrokeOff(format!("{:?}", failed.why))),
+            }
+        };
         if !answer.head.status.is_success() {
             return Err(RelayError::BrokeOff(format!("status {} on resuming", answer.head.status)));
         }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -68,6 +68,8 @@
     tries: usize,
     /// Replicas that were found gone.
     gone: usize,
+    /// Repeated sends that were taken from the budget for the next try.
+    taken: u32,
     /// Whether a replica got the request to serve it.
     served_once: bool,
     /// Whether a replica got the request to read its prompt.
@@ -120,6 +122,7 @@
         tried: Vec::new(),
         tries: 0,
         gone: 0,
+        taken: 0,
         served_once: false,
         read_once: false,
         runs: 0,
@@ -240,11 +243,12 @@
             return Err(self.last_word());
         }
         let plan = self.choose(now)?;
-        let repeats = self.repeats(&plan);
+        let repeats = self.repeats(&plan).saturating_sub(self.taken);
         if repeats > 0 && !self.gw.fleet().take_repeats(repeats, &self.service, &self.gw.budget(), now) {
             emit!(info, BUDGET_SPENT, request = self.caller.id, service = %self.service);
             return Err(self.last_word());
         }
+        self.taken += repeats;
         self.trial = self.begin_trial();
         Ok(plan)
     }
@@ -350,6 +354,9 @@
         } else {
             self.tries += 1;
         }
+        if failed.why.arrived() || (matches!(plan, Plan::TwoSteps { .. }) && !failed.reading) {
+            self.taken = 0;
+        }
         self.tried.push(failed.at);
         if failed.reading {
             // The engine may have waited for the one that it was to copy from.
@@ -372,6 +379,7 @@
     /// A stream that had begun broke off at a replica.
     pub(super) fn note_broken(&mut self, key: Option<ReplicaKey>) {
         self.tries += 1;
+        self.taken = 0;
         self.tried.extend(key);
         self.served_once = true;
         self.runs += 1;
