What broke one request is known of the replica, and told

Cause: that nothing listens at a replica's address was held against the request alone; the replica counted one fault of three, so the next requests, here and at other daemons, each found out by a try of their own. Now it is left out at once, as after a refused connection, and others hear so with the next message. Ruled out: that it may be another process's fault (the look says that nothing listens).

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -319,6 +319,14 @@
         false
     }
 
+    /// Note that nothing listens where a replica was; returns whether it is left out from now on.
+    ///
+    /// What broke one request is not learned by the next and by other daemons anew, each by a try of its own.
+    pub fn nobody_listens(&mut self, id: &str, now: Time) -> bool {
+        let replica = self.key(id).and_then(|key| self.replicas.get_mut(key));
+        replica.is_some_and(|replica| replica.health.unreachable(now))
+    }
+
     /// Learn from a plain call that took `took`.
     pub fn learn_plain(&mut self, sent: &Sent, took: Span, now: Time) {
         let Some(replica) = self.replicas.get_mut(sent.key) else {
--- a/crates/core/tests/fleet/peers.rs
+++ b/crates/core/tests/fleet/peers.rs
@@ -7,7 +7,7 @@
     fleet::{
         Fleet,
         budget::BudgetTerms,
-        choose::Plan,
+        choose::{Ask, Plan},
         peers::{News, NewsId, ReplicaLoad, Source},
     },
     prompt::Prompt,
@@ -40,6 +40,23 @@
     assert_eq!((active(&fleet), fleet.daemons()), (0, 1));
 }
 
+#[test]
+fn others_hear_where_nothing_listens_any_more() {
+    let mut here = with(&[("a", Role::Plain), ("b", Role::Plain)]);
+    let mut there = with(&[("a", Role::Plain), ("b", Role::Plain)]);
+    assert!(here.nobody_listens("a", now()));
+    assert!(!here.nobody_listens("a", now()), "it is left out already");
+    there.peer_news(said(1, 1), &here.own_news(now()), now());
+    for draw in 0..100 {
+        for fleet in [&here, &there] {
+            let Ok(Plan::Whole(step)) = fleet.choose(&Ask { draw, ..ask(None, &[]) }, now()) else {
+                panic!("b is there");
+            };
+            assert_eq!(id(fleet, step.key), "b");
+        }
+    }
+}
+
 #[test]
 fn a_peer_cannot_name_replicas_that_are_not_there() {
     let mut fleet = with(&[("a", Role::Plain)]);
--- a/crates/daemon/src/gateway/endings.rs
+++ b/crates/daemon/src/gateway/endings.rs
@@ -107,8 +107,14 @@
     if !gw.upstream.is_gone(replica.address).await {
         return;
     }
-    let ends = gw.fleet().endings.ended(content, &replica.id, at);
+    let (ends, left_out) = {
+        let mut fleet = gw.fleet();
+        (fleet.endings.ended(content, &replica.id, at), fleet.nobody_listens(&replica.id, gw.now()))
+    };
     gw.load_changed.notify_one();
+    if left_out {
+        emit!(warn, REPLICA_LEFT_OUT, replica = %replica.id, end = "nobody listens");
+    }
     gw.metrics.replica_ended();
     emit!(info, REPLICA_ENDED, request, content = %content, replica = %replica.id, hall = %replica.hall, ends);
 }
