What daemons know of requests that end replicas lapses, and once

Cause: a daemon took what it heard as new for the full time, also what it had just forgotten itself, so two daemons told each other for ever (a suspicion never lapsed); and one that heard of a refusal after its own had lapsed refused it again, so one lapse counted as two and doubled the time. A note now says for how much longer its sender keeps it, and what was counted before a lapse does not count again. Found by reading; tests with five phases: both failed before (from 20 ms apart on; at 220 ms), pass after.

--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -242,6 +242,7 @@
                 // One more end is enough to refuse it again.
                 record.ends.truncate(ENDS_TO_REFUSE - 1);
                 record.lapses += 1;
+                record.lapsed_at = now;
                 record.lapses_at = now + KEEP;
             }
         }
@@ -356,7 +357,7 @@
         if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&content) {
             self.drop_least();
         }
-        self.records.entry(content).or_insert_with(|| Record::new(now + KEEP))
+        self.records.entry(content).or_insert_with(|| Record::new(now))
     }
 
     /// Forget the request that has the fewest ends, and among those the oldest.
--- a/crates/core/src/fleet/endings/notes.rs
+++ b/crates/core/src/fleet/endings/notes.rs
@@ -32,6 +32,9 @@
     pub content: ContentHash,
     /// Replicas that ended under it, by the hash of their identifiers, and how long ago.
     pub ends: Vec<(u32, u32)>,
+    /// For how much longer the sender keeps that. Who hears it keeps it no longer, or two daemons would tell each other
+    /// for ever what each has just forgotten.
+    pub left_ms: u32,
     /// What speaks for it, and since when.
     pub sound: Option<(Sound, u32)>,
     /// That it is refused.
@@ -149,14 +152,15 @@
     }
     for (replica, age_ms) in &note.ends {
         let end = End { replica: *replica, at: ago(*age_ms, now) };
-        if record.add(end) {
-            record.lapses_at = record.lapses_at.max(now + KEEP);
+        if note.left_ms > 0 && record.add(end) {
+            record.lapses_at = record.lapses_at.max(now + Span::millis(u64::from(note.left_ms)).min(KEEP));
         }
     }
     if let Some(told) = note.refused {
         let since = ago(told.since_ms, now);
         let until = now + Span::millis(u64::from(told.left_ms));
-        let is_over = record.cleared.is_some_and(|cleared| cleared.speaks_until() >= since);
+        let is_over =
+            record.lapsed_at >= since || record.cleared.is_some_and(|cleared| cleared.speaks_until() >= since);
         if is_over && !record.to_mates.is_running() {
             // The sender was cut off when it was told.
             record.tell(now);
@@ -173,6 +177,7 @@
     RequestNote {
         content,
         ends: record.ends.iter().map(|end| (end.replica, millis(now.since(end.at)))).collect(),
+        left_ms: millis(record.lapses_at.since(now)),
         sound: record.cleared.map(|cleared| (cleared.sound, millis(now.since(cleared.at)))),
         refused: record.refused.map(|refused| RefusedNote {
             ends: refused.ends,
--- a/crates/core/src/fleet/endings/record.rs
+++ b/crates/core/src/fleet/endings/record.rs
@@ -161,6 +161,8 @@
     pub(super) refused: Option<Refused>,
     /// How often it was refused until the time was over.
     pub(super) lapses: u32,
+    /// When that was last so: who says that it is refused since before has not noticed.
+    pub(super) lapsed_at: Time,
     /// Until when a run is under way here that tells whether it is to blame.
     pub(super) trial_until: Time,
     /// When it is forgotten.
@@ -179,6 +181,7 @@
             cleared: None,
             refused: None,
             lapses: 0,
+            lapsed_at: Time(0),
             trial_until: Time(0),
             lapses_at,
             to_mates: Schedule::IDLE,
@@ -189,7 +192,8 @@
     /// Add an end; returns whether it is new.
     pub(super) fn add(&mut self, end: End) -> bool {
         let is_cleared = self.cleared.is_some_and(|cleared| cleared.speaks_until() >= end.at);
-        if is_cleared || self.was_at(&end) {
+        let was_counted = self.lapsed_at > end.at;
+        if is_cleared || was_counted || self.was_at(&end) {
             return false;
         }
         self.ends.push(end);
--- a/crates/core/tests/endings/rules.rs
+++ b/crates/core/tests/endings/rules.rs
@@ -153,6 +153,62 @@
     assert!(is_refused(&mut endings, FATAL, later));
 }
 
+/// Milliseconds between the times at which two daemons forget what is old.
+const APART_MS: [u64; 5] = [20, 70, 120, 170, 220];
+
+/// Two daemons that tell each other often, and forget what is old at times of their own.
+fn talk(here: &mut Endings, there: &mut Endings, from: Time, until: Time, apart: Span) {
+    let mut now = from;
+    let mut sweeps = [from, from + apart];
+    while !until.is_past(now) {
+        let told = here.notes(Listeners::Mates, 2, now);
+        now = now + Span::millis(7);
+        there.hear(&told, true, now);
+        let told = there.notes(Listeners::Mates, 2, now);
+        now = now + Span::millis(9);
+        here.hear(&told, true, now);
+        for (at, endings) in sweeps.iter_mut().zip([&mut *here, &mut *there]) {
+            if at.is_past(now) {
+                endings.sweep(now);
+                *at = now + Span::millis(250);
+            }
+        }
+    }
+}
+
+/// Seen by reading: what one daemon had forgotten it heard again from another that forgot it a moment later, as if it were
+/// new, and so it was told back and forth for ever.
+#[test]
+fn what_is_suspected_is_forgotten_though_daemons_tell_each_other() {
+    for apart in APART_MS {
+        let (mut here, mut there) = (Endings::default(), Endings::default());
+        let now = ends(&mut here, &[FATAL], &["a", "b"], START);
+        talk(&mut here, &mut there, now, now + KEEP + Span::millis(5_000), Span::millis(apart));
+        assert!(here.is_empty() && there.is_empty(), "{apart} ms apart");
+    }
+}
+
+/// The same of a refusal: each daemon that lapsed it heard it again from one that had not, and counted two lapses.
+#[test]
+fn a_refusal_lapses_once_though_daemons_tell_each_other() {
+    for apart in APART_MS {
+        let (mut here, mut there) = (Endings::default(), Endings::default());
+        let now = ends(&mut here, &[FATAL], &["a", "b", "c"], START);
+        assert!(is_refused(&mut here, FATAL, now));
+        let later = now + KEEP + Span::millis(5_000);
+        talk(&mut here, &mut there, now, later, Span::millis(apart));
+        assert!(is_apart(&mut here, FATAL, later) && is_apart(&mut there, FATAL, later), "{apart} ms apart");
+        let later = ends(&mut here, &[FATAL], &["d"], later);
+        there.hear(&here.notes(Listeners::Mates, 2, later), true, later);
+        for endings in [&mut here, &mut there] {
+            let Standing::Refused(refused) = standing(endings, FATAL, later) else {
+                panic!("one more end is enough");
+            };
+            assert_eq!(refused.until.since(refused.since), KEEP, "{apart} ms apart");
+        }
+    }
+}
+
 #[test]
 fn what_is_not_heard_of_is_forgotten() {
     let mut endings = Endings::default();
