A piece counts as delivered when it is passed on

A role change stops the attempts that may be moved; one that waited there (for room, or since its task had used up its turn) lost the piece, and the next attempt went on after it. Ruled out: the stand-in (it sends each position once), hand-overs of prompts (they resume at what counts).

--- a/crates/daemon/src/endpoint/attempt.rs
+++ b/crates/daemon/src/endpoint/attempt.rs
@@ -261,21 +261,41 @@
             }
             return AttemptEnd::Broken;
         }
-        match assembly.accept(&mark.id, mark.tokens) {
-            Verdict::Deliver => {
-                ask.progress.note(mark.tokens);
-                if out.send(Piece::Text(text, mark.tokens)).await.is_err() {
-                    return AttemptEnd::Cancelled;
-                }
-            }
-            Verdict::Foreign => drop_frame(node, ask.request, "foreign"),
-            Verdict::Duplicate => drop_frame(node, ask.request, "duplicate"),
-            Verdict::Gap => return AttemptEnd::Broken,
+        match deliver(assembly, &mark, text, out).await {
+            Ok(Verdict::Deliver) => ask.progress.note(mark.tokens),
+            Ok(Verdict::Foreign) => drop_frame(node, ask.request, "foreign"),
+            Ok(Verdict::Duplicate) => drop_frame(node, ask.request, "duplicate"),
+            Ok(Verdict::Gap) => return AttemptEnd::Broken,
+            Err(Closed) => return AttemptEnd::Cancelled,
         }
     }
     AttemptEnd::Broken
 }
 
+/// The caller takes no more pieces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Closed;
+
+/// Pass a frame's text on if it is the next of its answer.
+///
+/// # Errors
+/// If the caller takes no more.
+pub async fn deliver(
+    assembly: &mut Assembly,
+    mark: &Mark,
+    text: String,
+    out: &mpsc::Sender<Piece>,
+) -> Result<Verdict, Closed> {
+    // It counts as delivered together with its being passed on: the attempt may be stopped at any wait, and the next one
+    // goes on after what counts.
+    let room = out.reserve().await.map_err(|_| Closed)?;
+    let verdict = assembly.accept(&mark.id, mark.tokens);
+    if verdict == Verdict::Deliver {
+        room.send(Piece::Text(text, mark.tokens));
+    }
+    Ok(verdict)
+}
+
 fn drop_frame(node: &Node, request: &str, why: &'static str) {
     node.metrics.frame_dropped(why);
     emit!(debug, FRAME_DROPPED, request, why);
