What is suspected stands in the store, too

Cause: entries began with the refusal, so when all daemons were gone between the second and the third end (or in the quarter of a second after it) those that came counted from nothing: five engines ended instead of three, and with a prompt read before each run that is more than three sends after the third. Now requests of two ends or more stand in suspected/, eight at most, those with the most ends first; what is answered or refused is taken out. Ruled out: telling it among daemons (none is left).

--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -89,6 +89,17 @@
     Refused(Refused),
 }
 
+/// Why a request is kept apart.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Suspicion {
+    /// Replicas that ended under it, by the hash of their identifiers, and how long ago.
+    pub ends: Vec<(u32, Span)>,
+    /// For how much longer that counts.
+    pub left: Span,
+    /// Whether this daemon itself lost it so.
+    pub own: bool,
+}
+
 /// On what grounds a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Grounds {
@@ -173,6 +184,14 @@
         true
     }
 
+    /// Note that the store says that a request is suspected.
+    pub fn hear_suspicion(&mut self, content: ContentHash, suspicion: &Suspicion, now: Time) {
+        let ends = suspicion.ends.iter().map(|(replica, age)| (*replica, notes::millis(*age)));
+        let left_ms = notes::millis(suspicion.left);
+        let note = RequestNote { content, ends: ends.collect(), left_ms, sound: None, refused: None };
+        self.hear(&[note], false, now);
+    }
+
     /// How to treat a request, for one of so many daemons that hears others or not.
     pub fn standing(&mut self, content: ContentHash, daemons: usize, alone: bool, now: Time) -> Standing {
         let Some(record) = self.records.get(&content) else {
@@ -232,6 +251,18 @@
         self.records.iter().filter_map(|(content, record)| Some((*content, record.refused?)))
     }
 
+    /// What is suspected and not refused.
+    pub fn suspected(&self, now: Time) -> impl Iterator<Item = (ContentHash, Suspicion)> {
+        let suspected = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.refused.is_none() && self.open_ends(record).count() >= ENDS_TO_KEEP_APART);
+        suspected.map(move |(content, record)| {
+            let ends = record.ends.iter().map(|end| (end.replica, now.since(end.at)));
+            (*content, Suspicion { ends: ends.collect(), left: record.lapses_at.since(now), own: record.own })
+        })
+    }
+
     /// Forget what is old; returns the requests that are no longer refused.
     pub fn sweep(&mut self, now: Time) -> Vec<ContentHash> {
         let mut lapsed = Vec::new();
--- a/crates/core/src/fleet/endings/notes.rs
+++ b/crates/core/src/fleet/endings/notes.rs
@@ -192,6 +192,6 @@
     now - Span::millis(u64::from(ms))
 }
 
-fn millis(span: Span) -> u32 {
+pub(super) fn millis(span: Span) -> u32 {
     span.as_millis().try_into().unwrap_or(u32::MAX)
 }
--- a/crates/core/tests/endings/rules.rs
+++ b/crates/core/tests/endings/rules.rs
@@ -217,6 +217,25 @@
     assert!(endings.is_empty());
 }
 
+#[test]
+fn what_the_store_says_is_suspected_counts_and_no_longer_than_it_says() {
+    let mut here = Endings::default();
+    let now = ends(&mut here, &[FATAL], &["a", "b"], START);
+    let suspected: Vec<_> = here.suspected(now).collect();
+    let [(content, suspicion)] = &suspected[..] else {
+        panic!("one is suspected: {suspected:?}");
+    };
+    let mut there = Endings::default();
+    there.hear_suspicion(*content, suspicion, now);
+    assert!(is_apart(&mut there, FATAL, now));
+    let mut forgetful = there.clone();
+    forgetful.sweep(now + suspicion.left);
+    assert_eq!(standing(&mut forgetful, FATAL, now + suspicion.left), Standing::Clear);
+    let now = ends(&mut there, &[FATAL], &["c"], now);
+    assert!(is_refused(&mut there, FATAL, now));
+    assert_eq!(there.suspected(now).count(), 0, "it is refused");
+}
+
 #[test]
 fn a_daemon_that_hears_no_other_refuses_from_two_ends_on() {
     let mut endings = Endings::default();
--- /dev/null
+++ b/crates/daemon/src/gateway/blamed.rs
@@ -0,0 +1,320 @@
+//! Keeping in the store which requests are refused since replicas end under them, and which are suspected.
+//!
+//! Daemons tell each other; what stands in the store is for those that start when no other is left, and for
+//! operators, who let a request through again by removing its entry. The daemon that lost the request at a
+//! replica writes the entry; if it cannot, another one does. A suspicion is written too, or daemons that all
+//! start anew would count from nothing and lose as many replicas again.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use dahliaseam_border::kv::{Entry, Swap, Swapped};
+use dahliaseam_core::{
+    content::ContentHash,
+    fleet::endings::{KnownBy, Refused, Suspicion},
+    hash::rendezvous,
+    time::{Span, Time},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::wall_millis,
+    emit,
+    gateway::{metrics::StoreCall, state::Gateway},
+};
+
+/// Time between two looks: soon enough that the entry stands before the bound in which all must know it.
+const LOOK: Duration = Duration::from_millis(250);
+/// Time that the daemon which lost the request has for its entry, and any for a removal, before others do it.
+const OTHERS_AFTER: Span = Span::millis(3_000);
+/// What others wait more, drawn up to this for each daemon, so that one of them is first.
+const OTHERS_SPREAD_EACH: Span = Span::millis(20);
+/// Time until a call that failed, or whose effect is not seen yet, is made again.
+const AGAIN: Span = Span::millis(1_000);
+/// Suspicions in the store at most, those with the most ends: when a rack fails hundreds of requests lose a replica,
+/// some of them twice, and are answered a moment later.
+const MAX_SUSPICIONS: usize = 8;
+
+/// What an entry says of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Blame {
+    Refused,
+    Suspected,
+}
+
+impl Blame {
+    const ALL: [Self; 2] = [Self::Refused, Self::Suspected];
+
+    /// Where such entries stand under the daemons' keys.
+    const fn folder(self) -> &'static str {
+        match self {
+            Self::Refused => "refused/",
+            Self::Suspected => "suspected/",
+        }
+    }
+
+    fn key(self, keyspace: &str, content: ContentHash) -> String {
+        format!("{keyspace}{}{content}", self.folder())
+    }
+
+    /// What a key names, if it is one of such an entry.
+    fn named(keyspace: &str, key: &str) -> Option<(Self, ContentHash)> {
+        let rest = key.strip_prefix(keyspace)?;
+        Self::ALL.into_iter().find_map(|blame| {
+            let digits = rest.strip_prefix(blame.folder())?;
+            u64::from_str_radix(digits, 16).ok().map(|content| (blame, ContentHash(content)))
+        })
+    }
+}
+
+/// The entry of a request that is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct StoredRefusal {
+    /// Replicas that had ended under it.
+    ends: u32,
+    /// Unix millisecond until which it holds.
+    until_ms: u64,
+}
+
+/// The entry of a request that is suspected.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct StoredSuspicion {
+    /// Replicas that ended under it, by the hash of their identifiers, and when, in Unix milliseconds.
+    ends: Vec<(u32, u64)>,
+    /// Unix millisecond until which it counts.
+    until_ms: u64,
+}
+
+impl StoredSuspicion {
+    fn new(suspicion: &Suspicion) -> Self {
+        let now_ms = wall_millis();
+        let ends = suspicion.ends.iter().map(|(replica, age)| (*replica, now_ms.saturating_sub(age.as_millis())));
+        Self { ends: ends.collect(), until_ms: now_ms + suspicion.left.as_millis() }
+    }
+
+    fn read(&self) -> Suspicion {
+        let now_ms = wall_millis();
+        let ends = self.ends.iter().map(|(replica, at_ms)| (*replica, Span::millis(now_ms.saturating_sub(*at_ms))));
+        Suspicion { ends: ends.collect(), left: Span::millis(self.until_ms.saturating_sub(now_ms)), own: false }
+    }
+}
+
+/// Take in an entry; returns whether it is one of a blamed request.
+pub(super) fn put(gw: &Gateway, entry: &Entry) -> bool {
+    let Some((blame, content)) = Blame::named(&gw.settings.keyspace, &entry.key) else {
+        return false;
+    };
+    let now = gw.now();
+    match blame {
+        Blame::Refused => {
+            if let Ok(stored) = serde_json::from_str::<StoredRefusal>(&entry.value) {
+                let left = Span::millis(stored.until_ms.saturating_sub(wall_millis()));
+                if left > Span(0) {
+                    gw.fleet().endings.hear_stored(content, stored.ends, left, now);
+                }
+            }
+        }
+        Blame::Suspected => {
+            if let Ok(stored) = serde_json::from_str::<StoredSuspicion>(&entry.value) {
+                gw.fleet().endings.hear_suspicion(content, &stored.read(), now);
+            }
+        }
+    }
+    true
+}
+
+/// Take in that an entry was removed: an operator lets the request through again.
+pub(super) fn removed(gw: &Gateway, key: &str) {
+    if let Some((Blame::Refused, content)) = Blame::named(&gw.settings.keyspace, key) {
+        let now = gw.now();
+        gw.fleet().endings.lift(content, now);
+    }
+}
+
+/// Keep the store as the daemons know it, until the daemon is over.
+pub(super) async fn run(gw: Arc<Gateway>) {
+    let over = gw.stop.over.clone();
+    let mut keeper = Keeper::default();
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(LOOK) => keeper.look(&gw).await,
+            () = over.cancelled() => return,
+        }
+    }
+}
+
+/// An entry in the store.
+#[derive(Debug)]
+struct Present {
+    key: String,
+    revision: i64,
+    blame: Blame,
+    content: ContentHash,
+    /// Ends that a suspicion names.
+    ends: usize,
+}
+
+impl Present {
+    fn read(keyspace: &str, entry: &Entry) -> Option<Self> {
+        let (blame, content) = Blame::named(keyspace, &entry.key)?;
+        let ends = match blame {
+            Blame::Refused => 0,
+            Blame::Suspected => serde_json::from_str::<StoredSuspicion>(&entry.value).map_or(0, |s| s.ends.len()),
+        };
+        Some(Self { key: entry.key.clone(), revision: entry.revision, blame, content, ends })
+    }
+}
+
+/// A change of the store that is wanted.
+#[derive(Debug)]
+struct Change {
+    key: String,
+    /// Revision of what it replaces, 0 for nothing.
+    expect: i64,
+    /// The new entry; absent if it is to go.
+    value: Option<String>,
+    /// When it may first be made.
+    first: Time,
+}
+
+/// What a daemon knows of blamed requests.
+#[derive(Debug)]
+struct Blamed {
+    refused: HashMap<ContentHash, Refused>,
+    suspected: HashMap<ContentHash, Suspicion>,
+}
+
+impl Blamed {
+    fn knows(&self, blame: Blame, content: ContentHash) -> bool {
+        match blame {
+            Blame::Refused => self.refused.contains_key(&content),
+            Blame::Suspected => self.suspected.contains_key(&content),
+        }
+    }
+
+    /// The suspicions that are to stand in the store: those that do, and others while there is room.
+    fn to_store(&self, present: &[Present]) -> Vec<(ContentHash, &Suspicion)> {
+        let stands = |content: ContentHash| {
+            present.iter().any(|entry| entry.blame == Blame::Suspected && entry.content == content)
+        };
+        let mut ranked: Vec<_> = self.suspected.iter().map(|(content, suspicion)| (*content, suspicion)).collect();
+        ranked.sort_unstable_by_key(|(content, suspicion)| {
+            (!stands(*content), usize::MAX - suspicion.ends.len(), *content)
+        });
+        ranked.truncate(MAX_SUSPICIONS);
+        ranked
+    }
+}
+
+/// What this daemon has seen and done so far.
+#[derive(Debug, Default)]
+struct Keeper {
+    known: HashMap<ContentHash, Refused>,
+    /// When a call for an entry may be made, by key.
+    due: HashMap<String, Time>,
+}
+
+impl Keeper {
+    async fn look(&mut self, gw: &Arc<Gateway>) {
+        let now = gw.now();
+        let (blamed, lapsed) = {
+            let endings = &mut gw.fleet().endings;
+            let lapsed: HashSet<ContentHash> = endings.sweep(now).into_iter().collect();
+            (Blamed { refused: endings.refused().collect(), suspected: endings.suspected(now).collect() }, lapsed)
+        };
+        self.log_changes(&blamed.refused, &lapsed, now);
+        let present: Vec<Present> = {
+            let copies = gw.copies();
+            copies.daemons.values().filter_map(|entry| Present::read(&gw.settings.keyspace, entry)).collect()
+        };
+        let changes = changes(gw, &blamed, &present, now);
+        self.known = blamed.refused;
+        self.due.retain(|key, _| changes.iter().any(|change| change.key == *key));
+        for change in changes {
+            self.make(gw, change, now).await;
+        }
+    }
+
+    fn log_changes(&self, refused: &HashMap<ContentHash, Refused>, lapsed: &HashSet<ContentHash>, now: Time) {
+        for (content, refused) in refused.iter().filter(|(content, _)| !self.known.contains_key(content)) {
+            emit!(
+                warn,
+                REQUEST_BLAMED,
+                content = %content,
+                ends = refused.ends,
+                known_by = refused.known_by.name(),
+                age_ms = now.since(refused.since).as_millis(),
+                left_ms = refused.until.since(now).as_millis()
+            );
+        }
+        for (content, before) in self.known.iter().filter(|(content, _)| !refused.contains_key(content)) {
+            let why = if lapsed.contains(content) { "lapsed" } else { "lifted or answered" };
+            emit!(
+                warn,
+                BLAME_LIFTED,
+                content = %content,
+                why,
+                ends = before.ends,
+                age_ms = now.since(before.since).as_millis()
+            );
+        }
+    }
+
+    /// Make a change once it is due.
+    async fn make(&mut self, gw: &Gateway, change: Change, now: Time) {
+        let due = *self.due.entry(change.key.clone()).or_insert(change.first);
+        if !due.is_past(now) {
+            return;
+        }
+        self.due.insert(change.key.clone(), now + AGAIN);
+        gw.metrics.store_call(StoreCall::Refused);
+        let swap = Swap { key: change.key, expect: change.expect, value: change.value, lease: None };
+        match gw.outside.kv.swap_each(vec![swap]).await.map(|mut swapped| swapped.pop()) {
+            Ok(Some(Swapped::Done(_) | Swapped::Differs(_)) | None) => {}
+            Err(e) => emit!(info, BLAME_NOT_STORED, why = %e),
+        }
+    }
+}
+
+/// What in the store is not as this daemon knows it.
+fn changes(gw: &Gateway, blamed: &Blamed, present: &[Present], now: Time) -> Vec<Change> {
+    let keyspace = &gw.settings.keyspace;
+    let first = |own: bool, content: ContentHash| if own { now } else { others_at(gw, content, now) };
+    let mut changes = Vec::new();
+    for (content, refused) in &blamed.refused {
+        let key = Blame::Refused.key(keyspace, *content);
+        if present.iter().any(|entry| entry.key == key) {
+            continue;
+        }
+        let until_ms = wall_millis() + refused.until.since(now).as_millis();
+        let value = serde_json::to_string(&StoredRefusal { ends: refused.ends, until_ms }).ok();
+        changes.push(Change { key, expect: 0, value, first: first(refused.known_by == KnownBy::Own, *content) });
+    }
+    for (content, suspicion) in blamed.to_store(present) {
+        let key = Blame::Suspected.key(keyspace, content);
+        let (expect, ends) =
+            present.iter().find(|entry| entry.key == key).map_or((0, 0), |entry| (entry.revision, entry.ends));
+        if ends < suspicion.ends.len() {
+            let value = serde_json::to_string(&StoredSuspicion::new(suspicion)).ok();
+            changes.push(Change { key, expect, value, first: first(suspicion.own, content) });
+        }
+    }
+    let left_over = present.iter().filter(|entry| !blamed.knows(entry.blame, entry.content));
+    changes.extend(left_over.map(|entry| Change {
+        key: entry.key.clone(),
+        expect: entry.revision,
+        value: None,
+        first: others_at(gw, entry.content, now),
+    }));
+    changes.retain(|change| change.value.is_some() || change.expect > 0);
+    changes
+}
+
+/// When a daemon does what another one should have done before.
+fn others_at(gw: &Gateway, content: ContentHash, now: Time) -> Time {
+    let spread = OTHERS_SPREAD_EACH.0 * gw.fleet().daemons() as u64;
+    now + OTHERS_AFTER + Span(rendezvous(content.0, gw.start) % spread.max(1))
+}
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -17,7 +17,7 @@
     emit,
     error::StartError,
     gateway::{
-        attempt::duration, borrow, follow, listener, metrics::GatewayMetrics, orders, pages, peers, refused,
+        attempt::duration, blamed, borrow, follow, listener, metrics::GatewayMetrics, orders, pages, peers,
         state::Gateway,
     },
     listener::{Terms, serve_with},
@@ -68,7 +68,7 @@
         background.spawn(serve_pages(Arc::clone(&gw), metrics, pages::metrics(&gw)));
         background.spawn(serve_pages(Arc::clone(&gw), state, pages::state(&gw)));
         background.spawn(borrow::run(Arc::clone(&gw)));
-        background.spawn(refused::run(Arc::clone(&gw)));
+        background.spawn(blamed::run(Arc::clone(&gw)));
         let callers = tokio::spawn(listener::run(Arc::clone(&gw), callers));
         emit!(info, STARTED, vm = gw.settings.vm, hall = gw.settings.hall, start);
         Ok(Self { gw, callers, background })
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     emit,
-    gateway::{attempt::duration, metrics::StoreCall, peers::rank, refused, state::Gateway},
+    gateway::{attempt::duration, blamed, metrics::StoreCall, peers::rank, state::Gateway},
 };
 
 /// Time that a lapsed entry gets to come back after the store did. Replicas that live write
@@ -196,7 +196,7 @@
         Change::Put(entry) if entry.key == dialect.configuration_key() => put_configuration(gw, entry),
         Change::Put(entry) if entry.key.starts_with(dialect.replica_prefix()) => put_replica(gw, entry),
         Change::Put(entry) if entry.key.starts_with(&gw.settings.keyspace) => {
-            if !refused::put(gw, &entry) {
+            if !blamed::put(gw, &entry) {
                 gw.peers.list(&entry);
             }
             gw.copies().daemons.insert(entry.key.clone(), entry);
@@ -211,7 +211,7 @@
             }
             gw.peers.unlist(&key);
             if gw.copies().daemons.remove(&key).is_some() {
-                refused::removed(gw, &key);
+                blamed::removed(gw, &key);
             }
         }
         Change::Put(_) => {}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! A request's way is [`listener`] (connections), [`request`] (from head to outcome, told by
 //! [`ending`]), [`attempt`] (one try), [`reading`] (a prompt read for another engine), [`upstream`]
 //! (connections to replicas) and [`relay`] (the answer as it arrives); [`endings`] sees whether a
-//! replica ended under it, and [`refused`] keeps what is known of that. Beside it run [`follow`]
+//! replica ended under it, and [`blamed`] keeps what is known of that. Beside it run [`follow`]
 //! (configuration and replicas from the store), [`borrow`] (the same from another daemon while the
 //! store is out of reach), [`peers`] (what daemons tell each other, with [`peer_table`]), [`orders`]
 //! (roles of engines) and [`pages`] (readiness, metrics). [`copies`] is what was read from the
@@ -12,6 +12,7 @@
 
 mod answer;
 mod attempt;
+mod blamed;
 mod borrow;
 pub mod controller;
 mod copies;
@@ -28,7 +29,6 @@
 mod peer_table;
 mod peers;
 mod reading;
-mod refused;
 mod relay;
 mod request;
 mod sse;
