The largest prompts are served at least half as often as all

Now a part of that is not counted where callers with large prompts are admitted less than 0.6 times as often as all, by callers over a while; small prompts are judged as before.

--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -231,8 +231,8 @@
         };
         let read = self.read_of(ask, prompt, now);
         let urgent = self.choose_engines(ask, &read, now).ok_or(NoPlan::NoReplica)?;
-        let in_time = ask.objective_left.as_seconds() * self.admit_share(ask);
-        if urgent.predicted_ms() <= in_time * 1_000.0 {
+        let in_time_ms = ask.objective_left.in_millis() * self.admit_share(ask);
+        if urgent.predicted_ms() - self.relief_ms(&urgent, ask, prompt) <= in_time_ms {
             return Ok(urgent);
         }
         // It is worth less when late, but not nothing, and costs others no time behind them.
@@ -242,6 +242,12 @@
         within(Span::seconds(left.as_seconds() * self.policy.late_share), late, ask)
     }
 
+    /// Milliseconds that are not counted for a large prompt, if such are served too seldom.
+    fn relief_ms(&self, plan: &Plan, ask: &Ask<'_>, prompt: &Prompt) -> f64 {
+        let state = self.services.get(ask.service).filter(|_| !plan.is_long());
+        state.map_or(0.0, |state| state.sizes.relief_ms(prompt.tokens, plan.reading().work_ms))
+    }
+
     fn choose_plain(&self, ask: &Ask<'_>, now: Time) -> Option<Plan> {
         let usual = self.services.get(ask.service).map_or(super::PLAIN_GUESS_MS, |state| state.plain_ms);
         let steps = self.open(ask, now).map(|(key, replica)| {
--- a/crates/core/src/fleet/engine/mod.rs
+++ b/crates/core/src/fleet/engine/mod.rs
@@ -16,7 +16,7 @@
 mod least_squares;
 pub mod read_time;
 pub(super) mod running_mean;
-mod running_quantile;
+pub(super) mod running_quantile;
 
 /// The learned model of the engines of one service.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/core/src/fleet/engine/running_quantile.rs
+++ b/crates/core/src/fleet/engine/running_quantile.rs
@@ -5,7 +5,7 @@
 
 /// A running quantile of positive values.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct RunningQuantile {
+pub(in crate::fleet) struct RunningQuantile {
     value: f64,
     /// Share of the observations that are to lie below.
     share: f64,
@@ -13,16 +13,16 @@
 
 impl RunningQuantile {
     /// A first guess of what this share of the observations lies below.
-    pub(super) const fn new(guess: f64, share: f64) -> Self {
+    pub(in crate::fleet) const fn new(guess: f64, share: f64) -> Self {
         Self { value: guess, share }
     }
 
-    pub(super) const fn value(&self) -> f64 {
+    pub(in crate::fleet) const fn value(&self) -> f64 {
         self.value
     }
 
     /// Where the share is met, the steps up and down weigh the same.
-    pub(super) fn learn(&mut self, observed: f64) {
+    pub(in crate::fleet) fn learn(&mut self, observed: f64) {
         let part = if observed > self.value { self.share } else { self.share - 1.0 };
         self.value *= 1.0 + STEP * part;
     }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -21,6 +21,7 @@
         peers::{PeerLoads, Source},
         policy::FleetPolicy,
         replica::{Load, Replica, ReplicaKey},
+        sizes::SizeBalance,
         split::{DemandMeter, Offer},
     },
     prompt::Prompt,
@@ -37,6 +38,7 @@
 pub mod peers;
 pub mod policy;
 pub mod replica;
+mod sizes;
 pub mod split;
 
 /// Milliseconds of a plain call before anything is learned.
@@ -60,6 +62,7 @@
     /// What is asked of long answers; absent before there was one.
     long: Option<LongAnswers>,
     meter: DemandMeter,
+    sizes: SizeBalance,
 }
 
 /// What callers ask of a service's long answers.
@@ -84,6 +87,7 @@
             pause: None,
             long: None,
             meter: DemandMeter::default(),
+            sizes: SizeBalance::default(),
         }
     }
 }
@@ -242,14 +246,17 @@
         }
     }
 
-    /// Note a new request, and what it would ask of engines.
-    pub fn offered(&mut self, service: &Arc<str>, ask: &Ask<'_>, plan: &Plan, now: Time) {
+    /// Note a new request, what it would ask of engines, and whether it is admitted.
+    pub fn offered(&mut self, service: &Arc<str>, ask: &Ask<'_>, plan: &Plan, admitted: bool, now: Time) {
         let state = self.service_mut(service);
         if plan.is_long() && !ask.returned {
             let lengths_from = state.long.map_or(now + ask.time_left, |long| long.lengths_from);
             let tokens = ask.prompt.map_or(0, |prompt| prompt.output);
             state.long = Some(LongAnswers { limit: ask.time_left, tokens, lengths_from });
         }
+        if let Some(prompt) = ask.prompt.filter(|_| !plan.is_long()) {
+            state.sizes.note(prompt.tokens, ask.returned, admitted);
+        }
         let reading = plan.reading().reading;
         let tokens = reading.uncached + reading.held;
         let offer = Offer {
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -259,7 +259,7 @@
         let chosen = fleet.choose(&ask, now);
         let is_new = self.tried.is_empty();
         if is_new && let Some(plan) = offered(&chosen) {
-            fleet.offered(&self.service, &ask, plan, now);
+            fleet.offered(&self.service, &ask, plan, chosen.is_ok(), now);
         }
         let usual = fleet.usual_answer(&self.service);
         match chosen {
