--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -264,10 +264,15 @@
                     revision = entry.revision
                 );
             }
-            gw.copies().replicas.insert(entry.key.clone(), entry);
         }
-        Err(e) => emit!(error, REPLICA_UNREADABLE, replica = id, revision = entry.revision, why = %e),
+        Err(e) => {
+            // It names no replica, so the one that the entry before it named gets nothing more.
+            gw.fleet().removed(&id, entry.revision, gw.now());
+            emit!(error, REPLICA_UNREADABLE, replica = id, revision = entry.revision, why = %e);
+        }
     }
+    // Kept in any case: read again, at the same revision, it is no news.
+    gw.copies().replicas.insert(entry.key.clone(), entry);
 }
 
 fn remove_replica(gw: &Gateway, key: &str, revision: i64) {
