What waits for a deadline looks at the clock again after a suspension

Ruled out: shorter timers for each wait (they would wake ten times a second for each stream). Not played: what others see of it; a real suspension.

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -29,6 +29,7 @@
     STANDING = 104, "The daemon turned ready or not ready, or goes on without the key-value service.";
     RELOADED = 105, "The settings were read again; `changed` names what is used from now on.";
     SETTINGS_REJECTED = 106, "The settings were read again and cannot be used; nothing changed.";
+    MACHINE_RESUMED = 107, "The machine goes on after it was suspended for `away_ms`; what waits looks at the clock again.";
     CONNECTION_REFUSED = 110, "Too many connections are open; one was closed.";
     CONNECTIONS_LEFT = 111, "Connections that waited when the listener closed could not be taken.";
     REQUEST_OVER = 200, "A request is over, with its outcome. At debug level.";
@@ -69,7 +70,7 @@
     NOT_BORROWED = 316, "Another daemon could not be asked for its copy of the store.";
     FOLLOWING = 317, "This daemon begins to follow the store itself, or leaves that to others of its hall.";
     REPLICA_KNOWN = 320, "A replica was discovered, or what it says of itself changed.";
-    REPLICA_UNREADABLE = 321, "A replica's entry cannot be read; what was known of it stays.";
+    REPLICA_UNREADABLE = 321, "A replica's entry cannot be read, or lacks a field; it names no replica to use.";
     REPLICA_LEFT = 322, "A replica's entry is gone; it gets no new work after `grace_ms`.";
     REPLICA_FORGOTTEN = 323, "A replica that left has nothing under way any more and is forgotten.";
     REPLICA_LEFT_OUT = 324, "A replica failed repeatedly or could not be reached, and gets no work for a while.";
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -247,14 +247,13 @@
         })?;
         self.gw.link.send(self.body.len(), now);
         let sending = self.gw.upstream.send(replica.address, req);
-        let sent = tokio::time::timeout(duration(limit.since(now)), sending).await;
-        let (resp, conn) = match sent {
-            Err(_) => return Err(CallFailure::TimedOut),
-            Ok(Err(SendError::NobodyListens)) => return Err(CallFailure::NobodyListens),
-            Ok(Err(SendError::NotSent(why))) => return Err(CallFailure::NotSent(why)),
-            Ok(Err(SendError::Broke(why))) => return Err(CallFailure::Broke(why)),
-            Ok(Err(SendError::Lost(why))) => return Err(CallFailure::Lost(why)),
-            Ok(Ok(answer)) => answer,
+        let (resp, conn) = match self.gw.until(limit, sending).await {
+            None => return Err(CallFailure::TimedOut),
+            Some(Err(SendError::NobodyListens)) => return Err(CallFailure::NobodyListens),
+            Some(Err(SendError::NotSent(why))) => return Err(CallFailure::NotSent(why)),
+            Some(Err(SendError::Broke(why))) => return Err(CallFailure::Broke(why)),
+            Some(Err(SendError::Lost(why))) => return Err(CallFailure::Lost(why)),
+            Some(Ok(answer)) => answer,
         };
         let (head, body) = resp.into_parts();
         let facts = dialect.answer(&head);
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -18,7 +18,7 @@
     error::StartError,
     gateway::{
         attempt::duration, blamed, borrow, follow, listener, metrics::GatewayMetrics, orders, pages, peers,
-        state::Gateway,
+        state::Gateway, suspension,
     },
     listener::{Terms, serve_with},
 };
@@ -69,6 +69,7 @@
         background.spawn(serve_pages(Arc::clone(&gw), state, pages::state(&gw)));
         background.spawn(borrow::run(Arc::clone(&gw)));
         background.spawn(blamed::run(Arc::clone(&gw)));
+        background.spawn(suspension::run(Arc::clone(&gw)));
         let callers = tokio::spawn(listener::run(Arc::clone(&gw), callers));
         emit!(info, STARTED, vm = gw.settings.vm, hall = gw.settings.hall, start);
         Ok(Self { gw, callers, background })
--- a/crates/daemon/src/gateway/endings.rs
+++ b/crates/daemon/src/gateway/endings.rs
@@ -78,7 +78,7 @@
                 Standing::Clear => self.apart = None,
                 Standing::Apart(apart) => self.apart = Some(apart),
                 Standing::Unsettled(until) if !self.deadline.is_past(now) => {
-                    tokio::time::sleep(duration(until.min(self.deadline).since(now))).await;
+                    self.gw.pause(duration(until.min(self.deadline).since(now))).await;
                     continue;
                 }
                 Standing::Unsettled(_) => return Err(self.last_word()),
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -122,7 +122,12 @@
 async fn next(gw: &Arc<Gateway>, wait: Span) -> Result<(), CallError> {
     let revision = gw.copies().revision;
     gw.metrics.store_call(StoreCall::Follow);
-    match gw.outside.feed.changes("", revision, wait).await? {
+    let changes = tokio::select! {
+        changes = gw.outside.feed.changes("", revision, wait) => changes?,
+        // What was asked before the machine was suspended may never be answered.
+        () = gw.resumed.notified() => return Ok(()),
+    };
+    match changes {
         Changes::HistoryGone => {
             emit!(info, HISTORY_GONE, revision);
             read_all(gw, false).await
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -7,7 +7,7 @@
 //! (configuration and replicas from the store), [`borrow`] (the same from another daemon while the
 //! store is out of reach), [`peers`] (what daemons tell each other, with [`peer_table`]), [`orders`]
 //! (roles of engines) and [`pages`] (readiness, metrics). [`copies`] is what was read from the
-//! store, [`passed`] what is noted of a stream's events, [`state`] what they share, and
+//! store, [`suspension`] notices that the machine was suspended, [`passed`] what is noted of a stream's events, [`state`] what they share, and
 //! [`controller`] starts and stops them.
 
 mod answer;
@@ -33,5 +33,6 @@
 mod request;
 mod sse;
 mod state;
+mod suspension;
 mod upstream;
 mod work;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -270,7 +270,7 @@
                 lease
             }
         };
-        tokio::time::sleep(RENEW + duration(Span(gw.draw() % Span::millis(500).0))).await;
+        gw.pause(RENEW + duration(Span(gw.draw() % Span::millis(500).0))).await;
     }
 }
 
--- a/crates/daemon/src/gateway/reading.rs
+++ b/crates/daemon/src/gateway/reading.rs
@@ -111,8 +111,7 @@
     /// once more; so a busy engine keeps it, and only one that is gone or unreachable loses it.
     async fn read_patiently(&self, call: &Call<'_>, overdue: Time) -> Result<Handle, CallFailure> {
         let mut reading = std::pin::pin!(self.read_once(call));
-        let in_time = tokio::time::timeout(duration(overdue.since(self.gw.now())), &mut reading);
-        if let Ok(read) = in_time.await {
+        if let Some(read) = self.gw.until(overdue, &mut reading).await {
             return read;
         }
         tokio::select! {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -18,7 +18,7 @@
         answer::{AnswerBody, full, pass_on},
         attempt::{Answer, CallFailure},
         ending::Ending,
-        request::{Job, time_left},
+        request::Job,
         sse::{self, Events},
     },
 };
@@ -52,9 +52,9 @@
 
 /// Read as much of an answer as is needed before it is passed on.
 pub(super) async fn begin(job: &Job, mut answer: Answer) -> Result<Begun, CallFailure> {
-    let begun = tokio::time::timeout(time_left(job), read_beginning(job, &mut answer)).await;
+    let begun = job.gw.until(job.deadline, read_beginning(job, &mut answer)).await;
     let failure = match begun {
-        Ok(Ok(Beginning::Whole(bytes))) => {
+        Some(Ok(Beginning::Whole(bytes))) => {
             keep(job, &mut answer);
             let Answer { head, mut work, .. } = answer;
             if job.caller.prompt.is_none() && head.status.is_success() {
@@ -64,12 +64,12 @@
             job.answered();
             return Ok(Begun::Whole(head, bytes));
         }
-        Ok(Ok(Beginning::Stream(events, bytes))) => {
+        Some(Ok(Beginning::Stream(events, bytes))) => {
             answer.work.reading_over(StepEnd::Done);
             return Ok(Begun::Stream(Box::new(answer), events, bytes));
         }
-        Ok(Err(why)) => CallFailure::Broke(why),
-        Err(_) => CallFailure::TimedOut,
+        Some(Err(why)) => CallFailure::Broke(why),
+        None => CallFailure::TimedOut,
     };
     answer.work.ended(StepEnd::Failed);
     job.log_failure(&answer.replica, &answer.work, &failure, "begin");
@@ -176,21 +176,21 @@
             return None;
         }
         loop {
-            let read = tokio::time::timeout(time_left(&self.job), self.answer.body.frame()).await;
+            let read = self.job.gw.until(self.job.deadline, self.answer.body.frame()).await;
             let why = match read {
-                Err(_) => return Some(Err(self.fail(RelayError::TimedOut))),
-                Ok(None) => match self.end() {
+                None => return Some(Err(self.fail(RelayError::TimedOut))),
+                Some(None) => match self.end() {
                     Ok(last) => return last.map(|bytes| Ok(Frame::data(bytes))),
                     Err(why) => why,
                 },
-                Ok(Some(Ok(frame))) => match frame.into_data().ok().and_then(|data| self.take(data)) {
+                Some(Some(Ok(frame))) => match frame.into_data().ok().and_then(|data| self.take(data)) {
                     Some(bytes) => {
                         self.learn();
                         return Some(Ok(Frame::data(bytes)));
                     }
                     None => continue,
                 },
-                Ok(Some(Err(e))) => e.to_string(),
+                Some(Some(Err(e))) => e.to_string(),
             };
             if let Err(e) = self.resume(why).await {
                 return Some(Err(self.fail(e)));
@@ -225,12 +225,13 @@
         keep(&self.job, &mut self.answer);
         self.answer.work.ended(StepEnd::Done);
         self.job.answered();
-        let mut fleet = self.job.gw.fleet();
-        if self.job.caller.prompt.is_some() {
-            fleet.answered(&self.job.service, self.answer.work.age(), self.answer.work.is_long());
+        if !self.answer.work.was_suspended() {
+            let mut fleet = self.job.gw.fleet();
+            if self.job.caller.prompt.is_some() {
+                fleet.answered(&self.job.service, self.answer.work.age(), self.answer.work.is_long());
+            }
+            fleet.learn_answer(self.answer.work.sent(), &self.ending.passed(), self.job.gw.now());
         }
-        fleet.learn_answer(self.answer.work.sent(), &self.ending.passed(), self.job.gw.now());
-        drop(fleet);
         self.ending.set("answered", self.answer.head.status.as_u16());
         Ok((!rest.is_empty()).then_some(rest))
     }
@@ -278,7 +279,9 @@
 
     /// Another event was passed on; learn from the stream now and then.
     fn learn(&mut self) {
-        if let Some(part) = self.ending.event_passed() {
+        if let Some(part) = self.ending.event_passed()
+            && !self.answer.work.was_suspended()
+        {
             self.job.gw.fleet().learn_stream(self.answer.work.sent(), &part);
         }
     }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -1,6 +1,6 @@
 //! One request, from its head to its outcome.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use dahliaseam_border::dialect::CallerRequest;
@@ -23,7 +23,7 @@
     emit,
     gateway::{
         answer::{AnswerBody, Refusal},
-        attempt::{Answer, CallFailure, EMPTY, Failed, MAX_GONE, duration},
+        attempt::{Answer, CallFailure, EMPTY, Failed, MAX_GONE},
         ending::Ending,
         endings::Trial,
         relay::{self, Begun},
@@ -154,13 +154,11 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::BodyTooLarge);
     }
-    let left = duration(deadline.since(gw.now()));
-    let read = tokio::time::timeout(left, Limited::new(body, limit).collect()).await;
-    match read {
-        Err(_) => Err(Refusal::BodyLate),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(e)) => Err(Refusal::BadHead(format!("the body broke off: {e}"))),
+    match gw.until(deadline, Limited::new(body, limit).collect()).await {
+        None => Err(Refusal::BodyLate),
+        Some(Ok(body)) => Ok(body.to_bytes()),
+        Some(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Some(Err(e)) => Err(Refusal::BadHead(format!("the body broke off: {e}"))),
     }
 }
 
@@ -411,8 +409,3 @@
         Err(NoPlan::NoReplica) => None,
     }
 }
-
-/// Time to wait for a request's end once its answer has begun.
-pub(super) fn time_left(job: &Job) -> Duration {
-    duration(job.time_left())
-}
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -6,6 +6,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Instant,
 };
 
 use dahliaseam_border::{dialect::SharedDialect, feed::ChangeFeed, kv::KeyValue};
@@ -59,6 +60,10 @@
     pub(super) hall_changed: Notify,
     /// Wakes the task that asks peers, when one has followed the store further.
     pub(super) peer_ahead: Notify,
+    /// When the daemon started, by its clock and by the one that does not count suspensions.
+    pub(super) begun: (Time, Instant),
+    /// Wakes all that waits for a deadline, when the machine goes on after it was suspended.
+    pub(super) resumed: Notify,
     /// Hash of this daemon's hall.
     pub(super) hall: u32,
     seeds: Mutex<Vec<SocketAddr>>,
@@ -126,6 +131,8 @@
             load_changed: Notify::new(),
             hall_changed: Notify::new(),
             peer_ahead: Notify::new(),
+            begun: (outside.clock.now(), Instant::now()),
+            resumed: Notify::new(),
             hall: short_id(&settings.hall),
             seeds: Mutex::new(settings.seeds.clone()),
             retries: Mutex::new(settings.retries),
--- a/crates/daemon/src/gateway/work.rs
+++ b/crates/daemon/src/gateway/work.rs
@@ -8,7 +8,10 @@
     time::Span,
 };
 
-use crate::{emit, gateway::state::Gateway};
+use crate::{
+    emit,
+    gateway::{state::Gateway, suspension::Away},
+};
 
 /// One replica's work for a request. Dropping it ends the count.
 #[derive(Debug)]
@@ -16,6 +19,7 @@
     gw: Arc<Gateway>,
     sent: Sent,
     end: StepEnd,
+    away: Away,
 }
 
 impl Work {
@@ -24,7 +28,7 @@
         let now = gw.now();
         let sent = gw.fleet().begin(step.key, step, prompt, now)?;
         gw.load_changed.notify_one();
-        Some(Self { gw: Arc::clone(gw), sent, end: StepEnd::Unknown })
+        Some(Self { gw: Arc::clone(gw), sent, end: StepEnd::Unknown, away: gw.away() })
     }
 
     /// Set how it will have ended.
@@ -32,8 +36,14 @@
         self.end = end;
     }
 
+    /// Whether the machine was suspended since it was sent, so that nothing can be learned from how long it took.
+    pub(super) fn was_suspended(&self) -> bool {
+        self.gw.away().has_grown(self.away)
+    }
+
     /// The reading is over; the rest goes on.
     pub(super) fn reading_over(&mut self, end: StepEnd) {
+        let end = if self.was_suspended() { StepEnd::Unknown } else { end };
         let now = self.gw.now();
         self.gw.fleet().reading_over(&mut self.sent, end, now);
         self.gw.load_changed.notify_one();
@@ -41,6 +51,9 @@
 
     /// A plain call was answered.
     pub(super) fn plain_over(&self) {
+        if self.was_suspended() {
+            return;
+        }
         let now = self.gw.now();
         self.gw.fleet().learn_plain(&self.sent, now.since(self.sent.at), now);
     }
@@ -80,9 +93,10 @@
 impl Drop for Work {
     fn drop(&mut self) {
         let now = self.gw.now();
+        let end = if self.was_suspended() { StepEnd::Unknown } else { self.end };
         let (ejected, id) = {
             let mut fleet = self.gw.fleet();
-            let ejected = fleet.end(&self.sent, self.end, now);
+            let ejected = fleet.end(&self.sent, end, now);
             (ejected, fleet.get(self.sent.key).map(|replica| Arc::clone(&replica.facts.id)))
         };
         if let (true, Some(id)) = (ejected, id) {
