An end that the store and mates tell at different times counts once

An end from the store alone is now the same as any other of that start of the replica, and is not told on.

--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -142,7 +142,7 @@
         }
         let record = self.record(content, at);
         record.own = true;
-        if record.add(End { replica: start_id, at }) {
+        if record.add(End { replica: start_id, at, timed: true }) {
             record.lapses_at = at + KEEP;
             record.tell(at);
             self.note_explained();
@@ -185,10 +185,15 @@
 
     /// Note that the store says that a request is suspected.
     pub fn hear_suspicion(&mut self, content: ContentHash, suspicion: &Suspicion, now: Time) {
-        let ends = suspicion.ends.iter().map(|(replica, age)| (*replica, notes::millis(*age)));
-        let left_ms = notes::millis(suspicion.left);
-        let note = RequestNote { content, ends: ends.collect(), left_ms, sound: None, refused: None };
-        self.hear(&[note], false, now);
+        if suspicion.left == Span(0) {
+            return;
+        }
+        let record = self.record(content, now);
+        for (replica, age) in &suspicion.ends {
+            if record.add(End { replica: *replica, at: now - *age, timed: false }) {
+                record.lapses_at = record.lapses_at.max(now + suspicion.left.min(KEEP));
+            }
+        }
     }
 
     /// How to treat a request, for one of so many daemons that hears others or not.
--- a/crates/core/src/fleet/endings/notes.rs
+++ b/crates/core/src/fleet/endings/notes.rs
@@ -151,7 +151,7 @@
         }
     }
     for (replica, age_ms) in &note.ends {
-        let end = End { replica: *replica, at: ago(*age_ms, now) };
+        let end = End { replica: *replica, at: ago(*age_ms, now), timed: true };
         if note.left_ms > 0 && record.add(end) {
             record.lapses_at = record.lapses_at.max(now + Span::millis(u64::from(note.left_ms)).min(KEEP));
         }
@@ -176,7 +176,8 @@
 fn note(content: ContentHash, record: &Record, now: Time) -> RequestNote {
     RequestNote {
         content,
-        ends: record.ends.iter().map(|end| (end.replica, millis(now.since(end.at)))).collect(),
+        // What only the store says all others read there.
+        ends: record.ends.iter().filter(|end| end.timed).map(|end| (end.replica, millis(now.since(end.at)))).collect(),
         left_ms: millis(record.lapses_at.since(now)),
         sound: record.cleared.map(|cleared| (cleared.sound, millis(now.since(cleared.at)))),
         refused: record.refused.map(|refused| RefusedNote {
@@ -192,6 +193,6 @@
     now - Span::millis(u64::from(ms))
 }
 
-pub(super) fn millis(span: Span) -> u32 {
+fn millis(span: Span) -> u32 {
     span.as_millis().try_into().unwrap_or(u32::MAX)
 }
--- a/crates/core/src/fleet/endings/record.rs
+++ b/crates/core/src/fleet/endings/record.rs
@@ -25,11 +25,15 @@
     pub(super) replica: u32,
     /// When, as well as messages tell it.
     pub(super) at: Time,
+    /// Whether that is certain to some milliseconds. What stands in the store names times of day, by which machines may be
+    /// seconds apart.
+    pub(super) timed: bool,
 }
 
 impl End {
     pub(super) const fn is_same(&self, other: &Self) -> bool {
-        self.replica == other.replica && self.is_within(SAME_END, other)
+        let is_timed = self.timed && other.timed;
+        self.replica == other.replica && (!is_timed || self.is_within(SAME_END, other))
     }
 
     /// Whether it was at most so long before or after another.
--- a/crates/core/tests/endings/rules.rs
+++ b/crates/core/tests/endings/rules.rs
@@ -239,6 +239,29 @@
     assert_eq!(there.suspected(now).count(), 0, "it is refused");
 }
 
+/// Seen by reading: what stands in the store names times of day, and a machine's may be set seconds ahead; then each
+/// end that others told as well counted twice, and one with two ends was refused.
+#[test]
+fn an_end_that_the_store_and_mates_tell_at_different_times_counts_once() {
+    let mut here = Endings::default();
+    let now = ends(&mut here, &[FATAL], &["a", "b"], START);
+    let mut suspected: Vec<_> = here.suspected(now).map(|(_, suspicion)| suspicion).collect();
+    let mut suspicion = suspected.pop().expect("it is suspected");
+    for (_, age) in &mut suspicion.ends {
+        *age = *age + Span::millis(2_000);
+    }
+    let told = here.notes(Listeners::Mates, 8, now);
+    let (mut first, mut then) = (Endings::default(), here.clone());
+    first.hear_suspicion(FATAL, &suspicion, now);
+    first.hear(&told, true, now);
+    then.hear_suspicion(FATAL, &suspicion, now);
+    let mut there = here.clone();
+    there.hear(&first.notes(Listeners::Mates, 8, now), true, now);
+    for endings in [&mut first, &mut then, &mut there] {
+        assert!(is_apart(endings, FATAL, now + BETWEEN), "two ends, no more");
+    }
+}
+
 #[test]
 fn a_daemon_that_hears_no_other_refuses_from_two_ends_on() {
     let mut endings = Endings::default();
