--- a/crates/core/tests/endings/main.rs
+++ b/crates/core/tests/endings/main.rs
@@ -115,6 +115,29 @@
     play("hidden", (781..782).map(crowded));
 }
 
+/// The bound does not hang on keeping requests apart, nor on their running alone in doubt: with 200 seeds of each kind it
+/// is met without either, and as many others are refused, some more here and fewer there.
+#[test]
+fn few_more_engines_end_whether_suspects_are_kept_apart_or_not() {
+    let eager = Setting { queries: 600.0, asks: (6, (2, 20)), ..Setting::new(0, 8) };
+    let kinds = [
+        ("crowded", crowded(0)),
+        ("three at once", Setting { fatal: 3, ..eager }),
+        (
+            "loss and restarts",
+            Setting { loss: 0.3, restart_every: Some(Span::millis(400)), fatal: 2, callers: 2, ..eager },
+        ),
+        ("cut off", Setting { cut_off: true, fatal: 2, ..Setting::new(0, 8) }),
+        ("popular", Setting { fatal: 2, popular: 0.8, engines: 6, queries: 150.0, ..eager }),
+    ];
+    for (what, kind) in kinds {
+        for (apart, trial) in [(true, true), (false, true), (false, false)] {
+            let what = format!("{what}, apart: {apart}, alone in doubt: {trial}");
+            play(&what, seeds(900, 5).map(|seed| Setting { apart, trial, seed, ..kind }));
+        }
+    }
+}
+
 /// Few engines, full of queries whose callers repeat at once and often: most of those beside it come again,
 /// and many are beside it again.
 #[test]
--- a/crates/core/tests/endings/world.rs
+++ b/crates/core/tests/endings/world.rs
@@ -66,6 +66,10 @@
     pub asks: (usize, (u64, u64)),
     /// Engines that end by themselves.
     pub trouble: Trouble,
+    /// Whether requests under which two engines ended are kept apart.
+    pub apart: bool,
+    /// Whether only one of them runs at a time at each daemon where it is in doubt which to blame.
+    pub trial: bool,
     pub length: Span,
 }
 
@@ -97,6 +101,8 @@
             popular: 0.0,
             asks: (2, (30, 150)),
             trouble: Trouble::None,
+            apart: true,
+            trial: true,
             length: Span::millis(15_000),
         }
     }
@@ -265,7 +271,9 @@
             Standing::Unsettled(until) => self.coming.push((until, asked)),
             Standing::Refused(refused) => self.refused(asked, refused.until),
             standing => {
-                let drawn = matches!(standing, Standing::Apart(_));
+                let is_apart = matches!(standing, Standing::Apart(_));
+                let is_whole = matches!(standing, Standing::Apart(apart) if apart.whole);
+                let drawn = is_apart && self.set.apart;
                 let Some(engine) = self.place(&asked, drawn) else {
                     return self.come_back(asked);
                 };
@@ -280,7 +288,7 @@
                     Kind::Query => self.ms(20, 120),
                     Kind::Chat => self.ms(3_000, 10_000),
                 };
-                if drawn {
+                if self.set.trial && is_whole {
                     self.daemons[daemon].begin_trial(asked.content, self.now);
                 }
                 self.runs.push(Run { asked, daemon, engine, over_at: self.now + took });
