--- a/stand-ins/src/serve.rs
+++ b/stand-ins/src/serve.rs
@@ -27,7 +27,9 @@
         let n = first.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
         PORTS.start + (n % count) as u16
     });
-    let free = ports.map(|port| format!("127.0.0.1:{port}")).find(|a| std::net::TcpListener::bind(a).is_ok());
+    // Daemons take some of them for datagrams.
+    let is_free = |a: &String| std::net::TcpListener::bind(a).is_ok() && std::net::UdpSocket::bind(a).is_ok();
+    let free = ports.map(|port| format!("127.0.0.1:{port}")).find(is_free);
     free.expect("a free port")
 }
 
