Log the rate limit that a replica states in its answers

A replica in need states in its answers how many requests per second it accepts from all daemons combined. No log line showed that a daemon had seen the limit, so the logs could not show whether limits are ignored or are kept by each daemon alone. The dialect now reads the header, and each daemon logs REPLICA_LIMIT (325) whenever the limit of a replica changes. No decision depends on the limit yet.

--- a/crates/border/src/dialect.rs
+++ b/crates/border/src/dialect.rs
@@ -90,7 +90,7 @@
 }
 
 /// What the head of an endpoint's answer says.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AnswerFacts {
     /// The request that it answers.
     pub request_id: Option<String>,
@@ -98,6 +98,8 @@
     pub run: Run,
     /// Whether it carries the endpoint's proof of a whole answer.
     pub sealed: bool,
+    /// Requests per second that the endpoint accepts from all daemons combined, or `None` if it states no limit.
+    pub rate_limit: Option<f64>,
 }
 
 /// A prompt that an endpoint has read and holds.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -365,6 +365,20 @@
         replica.is_some_and(|replica| replica.health.unreachable(now))
     }
 
+    /// Set the rate limit of a replica from an answer, with `None` if the answer states no limit; returns whether the
+    /// limit changed.
+    ///
+    /// Has no effect if the replica is unknown or has restarted since it was selected.
+    pub fn set_rate_limit(&mut self, facts: &ReplicaFacts, limit: Option<f64>) -> bool {
+        let replica = self.key(&facts.id).and_then(|key| self.replicas.get_mut(key));
+        let Some(replica) = replica.filter(|replica| replica.facts.is_same_start(facts)) else {
+            return false;
+        };
+        let changed = replica.rate_limit != limit;
+        replica.rate_limit = limit;
+        changed
+    }
+
     /// Whether another start of a replica is known by now.
     #[must_use]
     pub fn is_replaced(&self, facts: &ReplicaFacts) -> bool {
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -145,6 +145,8 @@
     pub ordered_in_hall: bool,
     /// From when on it may get an order; later than now while one may still take effect.
     pub orders_from: Time,
+    /// Requests per second that it accepts from all daemons combined, or `None` if its last answer stated no limit.
+    pub(super) rate_limit: Option<f64>,
     /// How many times as long as its service's usual it takes to the next event of long answers.
     pub(super) answer_slowness: RunningMean,
     slowness: f64,
@@ -171,6 +173,7 @@
             ordered_here: false,
             ordered_in_hall: false,
             orders_from: Time(0),
+            rate_limit: None,
             answer_slowness: RunningMean::new(1.0, LEARN_ANSWERS),
             slowness: 1.0,
             slowness_at: Time(0),
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -75,6 +75,7 @@
     REPLICA_LEFT = 322, "A replica's entry is gone; it gets no new work after `grace_ms`.";
     REPLICA_FORGOTTEN = 323, "A replica that left has nothing under way any more and is forgotten.";
     REPLICA_LEFT_OUT = 324, "A replica failed repeatedly or could not be reached, and gets no work for a while.";
+    REPLICA_LIMIT = 325, "The rate limit that a replica states for all daemons combined changed, or the replica no longer states one.";
     MEMBER = 400, "What is believed of another daemon changed.";
     LIST_REFUSED = 401, "The list of VMs does not name this VM and is not believed.";
     LIST_LOST = 402, "The list of VMs cannot be read.";
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -267,6 +267,10 @@
         self.note_connection(replica, connected_in);
         let (head, body) = resp.into_parts();
         let facts = dialect.answer(&head);
+        // An answer from another replica says nothing about this replica's rate limit.
+        if facts.run != Run::OtherReplica {
+            self.note_rate_limit(replica, facts.rate_limit);
+        }
         // A refusal by another replica need not repeat the identifier.
         let mine = facts.request_id.as_deref().map(|id| id == self.caller.id);
         match (facts.run, mine) {
@@ -293,6 +297,12 @@
         }
     }
 
+    fn note_rate_limit(&self, replica: &ReplicaFacts, limit: Option<f64>) {
+        if self.gw.fleet().set_rate_limit(replica, limit) {
+            emit!(info, REPLICA_LIMIT, replica = %replica.id, hall = %replica.hall, per_second = limit);
+        }
+    }
+
     /// Note what a failed call says of its replica.
     pub(super) async fn note_failure(
         &self,
