Share a replica's rate limit among all daemons

Callers saw no effect yet. Two engines that had stated limits of 4.4 and 11 requests per second received 39 and 162 requests in 4 s, where 31 and 71 were allowed.

Cause: replica selection ignored the limit that a replica states in its answers; the header was passed on to the caller like any other. Class: information from the other side about its own state that is only passed through.

Time is now divided into as many slots per second as the limit allows. Each slot of a replica belongs to one daemon, determined by the time of day, the number of daemons and the daemon's rank among those registered. The owner may send one request within 0.5 s of the slot's start; unused slots expire. All daemons together therefore send at most limit * (window + 0.5 s) + 1 requests in any window, whatever their number and without coordination. Daemons report to each other the limits from their own answers, with their age. Only an answer to a request that was sent after the limit was last stated lifts it. A replica with a limit of zero is probed once every ten seconds, since only an answer can lift the limit. A replica without a slot is not eligible. If no replica has a slot, the request is refused immediately (503 replicas_limited, event REFUSED_LIMITED 238); Retry-After spreads callers from the next slot to a third of their remaining time.

Ruled out: that each daemon keeps to the limit individually (single daemons sent 15 to 23 requests per second after it was stated), and that retries of refused requests caused the excess (none was refused).

Not done: a token bucket of limit / daemons at each daemon. 83 idle daemons with a limit of 10 would accumulate a burst of 83 requests, where 65 are allowed in 4 s.

Tests without a network cover 1 to 690 daemons with limits from 0.5 to 60, daemons that join and leave, idle daemons, a limit of zero, and reports between daemons and halls.

--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -92,16 +92,31 @@
 
     /// The replicas that a request may go to, of those that it looks at.
     fn eligible(&self, req: &RouteRequest<'_>, now: Time) -> Vec<(ReplicaKey, &Replica)> {
+        let mut rows = self.available(req, now);
+        rows.retain(|(_, replica)| self.within_rate_limit(replica, now));
+        rows
+    }
+
+    /// Shortest time until the rate limit of an available replica lets this daemon send; `None` if no replica is
+    /// available.
+    fn time_until_slot(&self, req: &RouteRequest<'_>, now: Time) -> Option<Span> {
+        let share = self.slot_share;
+        let available = self.available(req, now).into_iter();
+        available.map(|(_, replica)| replica.rate_limit.time_until_slot(replica.start_id, share, now)).min()
+    }
+
+    /// The replicas that a request may go to, regardless of their rate limits.
+    fn available(&self, req: &RouteRequest<'_>, now: Time) -> Vec<(ReplicaKey, &Replica)> {
         let candidates = match req.apart {
             // What it draws must be the same on all daemons.
             Some(_) => self.candidates.all(req.service).to_vec(),
             None => self.candidates.of(req.service, req.prompt, req.draw),
         };
         let rows = candidates.into_iter().filter_map(|key| Some((key, self.replicas.get(key)?)));
-        let is_eligible = |(key, replica): &(ReplicaKey, &Replica)| {
+        let is_available = |(key, replica): &(ReplicaKey, &Replica)| {
             replica.is_open(now) && replica.health.allows(now) && !req.tried.contains(key)
         };
-        rows.filter(is_eligible).collect()
+        rows.filter(is_available).collect()
     }
 
     /// Whether an answer of so many tokens at most may keep its slot for a second or more.
@@ -149,22 +164,30 @@
 
     fn plan(&self) -> Result<Plan, NoPlan> {
         let Some(prompt) = self.req.prompt else {
-            let plan = self.plain().ok_or(NoPlan::NoReplica)?;
+            let plan = self.plain().ok_or_else(|| self.no_plan())?;
             return within(self.req.time_left, plan, self.req);
         };
         let read = self.read_of(prompt);
-        let urgent = self.engines(&read).ok_or(NoPlan::NoReplica)?;
+        let urgent = self.engines(&read).ok_or_else(|| self.no_plan())?;
         let in_time_ms = self.req.objective_left.in_millis() * self.admit_share();
         if urgent.predicted_ms() - self.relief_ms(&urgent, prompt) <= in_time_ms {
             return Ok(urgent);
         }
         // It is worth less when late, but not nothing, and costs others no time behind them.
-        let late = self.engines(&Read { late: true, ..read }).ok_or(NoPlan::NoReplica)?;
+        let late = self.engines(&Read { late: true, ..read }).ok_or_else(|| self.no_plan())?;
         let left = self.req.silence_left.min(self.req.time_left);
         let late = self.held_up(late);
         within(Span::seconds(left.as_seconds() * self.fleet.policy.late_share), late, self.req)
     }
 
+    /// The reason why no replica can be chosen.
+    fn no_plan(&self) -> NoPlan {
+        match self.fleet.time_until_slot(self.req, self.now) {
+            Some(wait) if wait > Span(0) => NoPlan::RateLimited { come_back: come_back(self.req, wait.in_millis()) },
+            _ => NoPlan::NoReplica,
+        }
+    }
+
     /// The eligible engines that answer.
     fn answering(&self) -> impl Iterator<Item = (ReplicaKey, &'a Replica)> {
         self.eligible.iter().copied().filter(|(_, replica)| replica.facts.role != Role::Prefill)
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -5,7 +5,8 @@
 //! how it is to be served; `choose` picks replicas for it from that view, among its `candidates`, or says that
 //! it cannot be in time, and `packing` says where long answers go. [`cache`], [`engine`] and `distance` are
 //! estimates that this needs, [`budget`] bounds repeated sends, and [`split`] decides which role an engine
-//! should play. [`endings`] finds the requests that end replicas.
+//! should play. [`rate_limit`] divides the rate limit of a replica among the daemons. [`endings`] finds the requests
+//! that end replicas.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -26,6 +27,7 @@
         peers::{PeerLoads, Source},
         plan::{Plan, RouteRequest},
         policy::FleetPolicy,
+        rate_limit::SlotShare,
         replica::{Load, Replica, ReplicaFacts, ReplicaKey},
         sizes::SizeBalance,
         split::{DemandMeter, Offer},
@@ -47,6 +49,7 @@
 pub mod plan;
 pub mod policy;
 pub mod pool;
+pub mod rate_limit;
 pub mod replica;
 mod sizes;
 pub mod split;
@@ -191,6 +194,8 @@
     report_learned_at: Time,
     /// Daemons that are listed, whether they are heard or not.
     listed: usize,
+    /// Determines which rate-limit slots belong to this daemon.
+    slot_share: SlotShare,
     /// Requests under which replicas ended.
     pub endings: Endings,
 }
@@ -224,6 +229,15 @@
         self.listed = daemons;
     }
 
+    /// Set the zero-based rank of this daemon among those that are listed, and the offset from its clock to the time of
+    /// day.
+    pub fn set_slot_share(&mut self, rank: usize, clock_offset: Span, now: Time) {
+        let (daemons, rank) = (self.daemons().max(self.listed) as u64, rank as u64);
+        let changed = (daemons, rank) != (self.slot_share.daemons, self.slot_share.rank);
+        let changed_at = if changed { now + clock_offset } else { self.slot_share.changed_at };
+        self.slot_share = SlotShare { daemons, rank, clock_offset, changed_at };
+    }
+
     /// Note what the configuration says of the memory of a service's engines.
     pub fn set_memory(&mut self, service: &Arc<str>, tokens: u64) {
         self.service_mut(service).memory_tokens = tokens;
@@ -288,9 +302,16 @@
         state.meter.offered(&offer, now);
     }
 
-    /// Note that work begins at a replica; `prompt` is what it reads.
+    /// Note that work begins at a replica; `prompt` is what it reads. Returns `None` if the replica is gone or its rate
+    /// limit does not let this daemon send now.
     pub fn begin(&mut self, key: ReplicaKey, step: &plan::Step, prompt: Option<&Prompt>, now: Time) -> Option<Sent> {
+        let share = self.replicas.get(key)?.rate_limit.is_limited().then_some(self.slot_share);
         let replica = self.replicas.get_mut(key)?;
+        if let Some(share) = share
+            && !replica.rate_limit.take_slot(replica.start_id, share, now)
+        {
+            return None;
+        }
         let alone = replica.own.reading_ms + replica.peers.reading_ms <= 0.0;
         let beside = replica.streams();
         let output = prompt.map_or(0, |prompt| prompt.output);
@@ -365,20 +386,30 @@
         replica.is_some_and(|replica| replica.health.unreachable(now))
     }
 
-    /// Set the rate limit of a replica from an answer, with `None` if the answer states no limit; returns whether the
-    /// limit changed.
-    ///
-    /// Has no effect if the replica is unknown or has restarted since it was selected.
-    pub fn set_rate_limit(&mut self, facts: &ReplicaFacts, limit: Option<f64>) -> bool {
-        let replica = self.key(&facts.id).and_then(|key| self.replicas.get_mut(key));
-        let Some(replica) = replica.filter(|replica| replica.facts.is_same_start(facts)) else {
+    /// Apply the rate limit, or its absence, from an answer of this start of a replica to a request that was sent at
+    /// `sent_at`; returns whether the limit changed.
+    pub fn set_rate_limit(&mut self, facts: &ReplicaFacts, limit: Option<f64>, sent_at: Time, now: Time) -> bool {
+        let Some(key) = self.key(&facts.id) else {
             return false;
         };
-        let changed = replica.rate_limit != limit;
-        replica.rate_limit = limit;
+        let share = self.slot_share;
+        let replica = self.replicas.get_mut(key).filter(|replica| replica.facts.is_same_start(facts));
+        let Some(replica) = replica else {
+            return false;
+        };
+        let changed = replica.rate_limit.update_from_answer(limit, sent_at, share, now);
+        if changed || limit.is_some() {
+            self.reportable.insert(key);
+        }
         changed
     }
 
+    /// Whether a replica's rate limit lets this daemon send a request now.
+    fn within_rate_limit(&self, replica: &Replica, now: Time) -> bool {
+        !replica.rate_limit.is_limited()
+            || replica.rate_limit.time_until_slot(replica.start_id, self.slot_share, now) == Span(0)
+    }
+
     /// Whether another start of a replica is known by now.
     #[must_use]
     pub fn is_replaced(&self, facts: &ReplicaFacts) -> bool {
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -15,6 +15,7 @@
         Fleet, ServiceState,
         endings::{Listeners, RequestNote},
         engine::Learned,
+        rate_limit::RateLimitNote,
         replica::{Load, Replica, ReplicaKey},
         short_id,
         split::Demand,
@@ -34,6 +35,8 @@
 /// The same for a summary of a hall.
 const MAX_HALL_NOTES: usize = 96;
 
+/// Rate limits in one report at most, of some twenty bytes each.
+const MAX_LIMIT_NOTES: usize = 256;
 /// Parts of prompts in one message at most, of some fourteen bytes each, so that a datagram holds it
 /// whatever prompts are made of.
 const MAX_PARTS: usize = 384;
@@ -122,6 +125,8 @@
     pub learned: Vec<ServiceLearned>,
     /// Requests under which replicas ended.
     pub requests: Vec<RequestNote>,
+    /// Rate limits that replicas stated.
+    pub rate_limits: Vec<RateLimitNote>,
 }
 
 /// What a daemon has learned of the engines of one service.
@@ -185,6 +190,7 @@
             changing: self.changing(now, |replica| replica.ordered_here),
             learned,
             requests,
+            rate_limits: self.rate_limits(false, now),
         }
     }
 
@@ -224,17 +230,19 @@
             changing: self.changing(now, |replica| replica.ordered_here || replica.ordered_in_hall),
             learned: Vec::new(),
             requests: self.endings.notes(Listeners::Halls, daemons as usize, now),
+            rate_limits: self.rate_limits(true, now),
         };
         (report, daemons)
     }
 
-    /// Apply a report.
-    pub fn apply_report(&mut self, id: ReportId, report: &LoadReport, now: Time) {
+    /// Apply a report; returns the replicas whose rate limits changed.
+    pub fn apply_report(&mut self, id: ReportId, report: &LoadReport, now: Time) -> Vec<ReplicaKey> {
         let in_hall = id.hall == self.hall_id;
         self.endings.apply_notes(&report.requests, in_hall, now);
         if self.is_covered(&id) {
-            return;
+            return Vec::new();
         }
+        let mut limits_changed = Vec::new();
         let overtaken = self.peers.get(&id.source).is_some_and(|peer| peer.id.overtakes(&id));
         if !overtaken {
             self.drop_covered(&id, now);
@@ -243,6 +251,7 @@
                 peer.demands = report.demands.iter().map(ServiceDemand::read).collect();
             }
             self.peer_changes(&report.changing, in_hall, now);
+            limits_changed = self.apply_rate_limits(&report.rate_limits, in_hall, now);
         }
         self.apply_learned(&report.learned);
         if in_hall {
@@ -258,6 +267,32 @@
                 self.candidates.read(key, &parts);
             }
         }
+        limits_changed
+    }
+
+    /// Rate limits to report within this hall, or to other halls if `to_halls` is set.
+    fn rate_limits(&self, to_halls: bool, now: Time) -> Vec<RateLimitNote> {
+        let rows = self.reported().map(|(_, replica)| replica);
+        let reportable = rows.filter(|replica| replica.rate_limit.is_reportable(to_halls, now));
+        reportable.take(MAX_LIMIT_NOTES).map(|replica| replica.rate_limit.note(replica.start_id, now)).collect()
+    }
+
+    /// Apply reported rate limits; returns the replicas whose limits changed.
+    fn apply_rate_limits(&mut self, notes: &[RateLimitNote], in_hall: bool, now: Time) -> Vec<ReplicaKey> {
+        if notes.is_empty() {
+            return Vec::new();
+        }
+        let share = self.slot_share;
+        let mut changed = Vec::new();
+        for note in notes {
+            let Some(key) = self.by_hash.get(&note.replica).copied() else { continue };
+            let Some(replica) = self.replicas.get_mut(key) else { continue };
+            if replica.rate_limit.update_from_report(note, in_hall, share, now) {
+                changed.push(key);
+            }
+            self.reportable.insert(key);
+        }
+        changed
     }
 
     /// What this daemon has learned, when it is time to report it again.
@@ -315,7 +350,10 @@
         let replicas = &self.replicas;
         self.reportable.retain(|key| {
             replicas.get(*key).is_some_and(|replica| {
-                replica.own.active > 0 || is_left_out(replica, now) || !replica.changing_until.is_past(now)
+                replica.own.active > 0
+                    || is_left_out(replica, now)
+                    || !replica.changing_until.is_past(now)
+                    || replica.rate_limit.is_reportable(true, now)
             })
         });
     }
--- a/crates/core/src/fleet/plan.rs
+++ b/crates/core/src/fleet/plan.rs
@@ -111,6 +111,11 @@
 pub enum NoPlan {
     /// No replica of the service takes work.
     NoReplica,
+    /// Replicas are available, but their rate limits do not let this daemon send now.
+    RateLimited {
+        /// Time after which the caller should retry.
+        come_back: Span,
+    },
     /// No replica would be in time.
     TooLate {
         /// What would have been tried.
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -11,6 +11,7 @@
         cache::Cache,
         distance::HallKey,
         engine::{answer_pace::AnswerPace, running_mean::RunningMean},
+        rate_limit::RateLimit,
         short_id,
     },
     hash::rendezvous,
@@ -145,8 +146,8 @@
     pub ordered_in_hall: bool,
     /// From when on it may get an order; later than now while one may still take effect.
     pub orders_from: Time,
-    /// Requests per second that it accepts from all daemons combined, or `None` if its last answer stated no limit.
-    pub(super) rate_limit: Option<f64>,
+    /// Its rate limit, shared by all daemons.
+    pub(super) rate_limit: RateLimit,
     /// How many times as long as its service's usual it takes to the next event of long answers.
     pub(super) answer_slowness: RunningMean,
     slowness: f64,
@@ -173,7 +174,7 @@
             ordered_here: false,
             ordered_in_hall: false,
             orders_from: Time(0),
-            rate_limit: None,
+            rate_limit: RateLimit::default(),
             answer_slowness: RunningMean::new(1.0, LEARN_ANSWERS),
             slowness: 1.0,
             slowness_at: Time(0),
@@ -193,6 +194,12 @@
         !self.facts.draining && !self.gone_at.is_past(now) && self.changing_until.is_past(now)
     }
 
+    /// Requests per second that it accepts from all daemons combined, or `None` if it states no limit.
+    #[must_use]
+    pub const fn rate_limit(&self) -> Option<f64> {
+        self.rate_limit.per_second()
+    }
+
     /// Whether it may not be there: its entry lapsed, or a peer could not reach it.
     #[must_use]
     pub fn is_doubted(&self, now: Time) -> bool {
--- a/crates/core/tests/fleet/large_prompts.rs
+++ b/crates/core/tests/fleet/large_prompts.rs
@@ -127,7 +127,7 @@
         let plan = match &chosen {
             Ok(plan) => *plan,
             Err(NoPlan::TooLate { plan, .. }) => **plan,
-            Err(NoPlan::NoReplica) => panic!("there are replicas"),
+            Err(NoPlan::NoReplica | NoPlan::RateLimited { .. }) => panic!("there are replicas"),
         };
         self.fleet.offered(&Arc::from(SERVICE), &ask, &plan, chosen.is_ok(), now);
         let (step, output) = match chosen {
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -25,6 +25,7 @@
 mod many_replicas;
 mod peers;
 mod pool;
+mod rate_limits;
 mod roles;
 mod starts;
 
--- a/crates/core/tests/fleet/starts.rs
+++ b/crates/core/tests/fleet/starts.rs
@@ -108,7 +108,7 @@
             match arrival {
                 Arrival::Entry(facts, revision) => drop(fleet.put(facts, revision)),
                 Arrival::Removed(revision) => drop(fleet.removed(ID, revision, Time(0))),
-                Arrival::Peer(id, news) => fleet.apply_report(id, &news, now()),
+                Arrival::Peer(id, news) => drop(fleet.apply_report(id, &news, now())),
             }
         }
         let key = fleet.key(ID).expect("it is known");
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -56,6 +56,7 @@
     REFUSED_BLAMED = 235, "A request under whose content replicas ended was refused; the fields say by whom that is known.";
     BLAME_LIFTED = 236, "Requests of this content are no longer refused: the time is over, or an operator let them through.";
     BLAME_NOT_STORED = 237, "That requests are refused could not be written to the store, or removed there; it is tried again.";
+    REFUSED_LIMITED = 238, "A request was refused without being sent because no replica's rate limit allows another one now; see `REPLICA_LIMIT`.";
     CONFIG_IN_FORCE = 300, "A newer configuration is in force on this VM.";
     CONFIG_REJECTED = 301, "A stored configuration cannot be read; the present one stays in force.";
     CONFIG_ACCEPTED = 302, "An operator's change was accepted.";
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -36,6 +36,11 @@
         /// When to come back.
         come_back: Span,
     },
+    /// Rate limits of the replicas do not allow another request now.
+    ReplicasLimited {
+        /// Time after which the caller should retry.
+        come_back: Span,
+    },
     /// Its team has used up its quota.
     OverQuota {
         /// When there is enough again; absent where there never is.
@@ -74,6 +79,7 @@
             Self::BodyLate => "body_late",
             Self::NoReplica => "no_replica",
             Self::TooLate { .. } => "too_late",
+            Self::ReplicasLimited { .. } => "replicas_limited",
             Self::OverQuota { .. } => "over_quota",
             Self::QuotaUnavailable => "quota_unavailable",
             Self::Stopping => "stopping",
@@ -98,6 +104,7 @@
             | Self::QuotaUnavailable
             | Self::NoReplica
             | Self::TooLate { .. }
+            | Self::ReplicasLimited { .. }
             | Self::Stopping
             | Self::ReplicasEnded
             | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
@@ -130,7 +137,7 @@
 
     fn come_back(&self, draw: u64) -> Option<Span> {
         match self {
-            Self::TooLate { come_back } => Some(*come_back),
+            Self::TooLate { come_back } | Self::ReplicasLimited { come_back } => Some(*come_back),
             Self::OverQuota { come_back } => come_back.map(|wait| Span(wait.0 + draw % COME_BACK_SPREAD.0)),
             Self::NoConfiguration
             | Self::KeyUncertain
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -222,7 +222,7 @@
     }
 
     pub(super) fn begin(&self, step: &Step) -> Result<(ReplicaFacts, Work), CallFailure> {
-        let gone = || CallFailure::NotTried("the replica is gone");
+        let gone = || CallFailure::NotTried("the replica is gone or its rate limit allows no request now");
         let replica = self.gw.fleet().get(step.key).map(|replica| replica.facts.clone()).ok_or_else(gone)?;
         let work = Work::begin(&self.gw, step, self.caller.prompt.as_ref()).ok_or_else(gone)?;
         Ok((replica, work))
@@ -269,7 +269,7 @@
         let facts = dialect.answer(&head);
         // An answer from another replica says nothing about this replica's rate limit.
         if facts.run != Run::OtherReplica {
-            self.note_rate_limit(replica, facts.rate_limit);
+            self.note_rate_limit(replica, facts.rate_limit, now);
         }
         // A refusal by another replica need not repeat the identifier.
         let mine = facts.request_id.as_deref().map(|id| id == self.caller.id);
@@ -297,8 +297,11 @@
         }
     }
 
-    fn note_rate_limit(&self, replica: &ReplicaFacts, limit: Option<f64>) {
-        if self.gw.fleet().set_rate_limit(replica, limit) {
+    /// Record the rate limit, or its absence, from the answer to a request that was sent at `sent_at`.
+    fn note_rate_limit(&self, replica: &ReplicaFacts, limit: Option<f64>, sent_at: Time) {
+        let now = self.gw.now();
+        if self.gw.fleet().set_rate_limit(replica, limit, sent_at, now) {
+            self.gw.load_changed.notify_one();
             emit!(info, REPLICA_LIMIT, replica = %replica.id, hall = %replica.hall, per_second = limit);
         }
     }
--- a/crates/daemon/src/gateway/peer_table.rs
+++ b/crates/daemon/src/gateway/peer_table.rs
@@ -170,6 +170,11 @@
         self.registered().len()
     }
 
+    /// Zero-based rank of a key among those of the registered daemons.
+    pub(super) fn rank(&self, key: &str) -> usize {
+        self.registered().keys().filter(|other| other.as_str() < key).count()
+    }
+
     /// Note that an entry of the store is gone.
     pub(super) fn deregister(&self, key: &str) {
         self.registered().remove(key);
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -20,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    clock::duration,
+    clock::{duration, wall_millis},
     emit,
     gateway::{
         freshness_probe,
@@ -51,6 +51,9 @@
 /// Time between two renewals.
 const RENEW_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Microseconds in a millisecond.
+const MICROS_PER_MILLI: u64 = 1_000;
+
 /// One load report, of a daemon or a hall.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct ReportPacket {
@@ -120,7 +123,7 @@
         number += 1;
         let now = gw.now();
         let all = gw.peers.all(gw.settings.load_address, now);
-        gw.fleet().set_listed(gw.peers.count_registered());
+        update_slot_share(gw, now);
         let to = recipients(gw, &all);
         let load = gw.fleet().own_report(now);
         publish_to(gw, load_report(gw, number, None, load), &to).await;
@@ -129,6 +132,15 @@
     }
 }
 
+/// Update this daemon's share of rate-limit slots from the registered daemons.
+fn update_slot_share(gw: &Gateway, now: Time) {
+    let rank = gw.peers.rank(&registration_key(gw, &gw.settings.vm));
+    let time_of_day = Time(wall_millis() * MICROS_PER_MILLI);
+    let mut fleet = gw.fleet();
+    fleet.set_listed(gw.peers.count_registered());
+    fleet.set_slot_share(rank, time_of_day.since(now), now);
+}
+
 /// Aggregate the hall for the others, whenever one of its daemons has reported something new.
 async fn aggregate(gw: &Gateway) {
     let mut number = 0;
@@ -274,7 +286,12 @@
     let source = report.aggregates.map_or(Source::Daemon(report.sender), |_| Source::Hall(report.hall));
     let daemons = report.aggregates.unwrap_or(1);
     let id = ReportId { source, sender: report.sender, number: report.number, hall: report.hall, daemons };
-    gw.fleet().apply_report(id, &report.load, now);
+    let mut fleet = gw.fleet();
+    for key in fleet.apply_report(id, &report.load, now) {
+        let Some(replica) = fleet.get(key) else { continue };
+        let (facts, limit) = (&replica.facts, replica.rate_limit());
+        emit!(info, REPLICA_LIMIT, replica = %facts.id, hall = %facts.hall, per_second = limit, peer = %from);
+    }
 }
 
 /// Relay the summary of another hall to this one.
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -254,8 +254,12 @@
                 self.log_too_late(&fleet, predicted_ms, come_back, now);
                 Err(Refusal::TooLate { come_back })
             }
+            Err(NoPlan::RateLimited { come_back }) if is_new => {
+                self.log_rate_limited(come_back);
+                Err(Refusal::ReplicasLimited { come_back })
+            }
             Err(NoPlan::NoReplica) if is_new => Err(Refusal::NoReplica),
-            Err(NoPlan::NoReplica) => Err(self.last_word()),
+            Err(NoPlan::NoReplica | NoPlan::RateLimited { .. }) => Err(self.last_word()),
         }
     }
 
@@ -323,6 +327,17 @@
         );
     }
 
+    fn log_rate_limited(&self, come_back: Span) {
+        emit!(
+            info,
+            REFUSED_LIMITED,
+            request = self.caller.id,
+            route = %self.route.name,
+            service = %self.service,
+            come_back_ms = come_back.as_millis()
+        );
+    }
+
     /// Whether its caller waits less long than the route allows, as one does that was refused and
     /// came back.
     fn returned(&self) -> bool {
