Log the Retry-After of replicas that reject requests

A replica that rejects a request with 503 may add Retry-After: it accepts no requests from this daemon for that time. No log line showed that a daemon had received the header, nor for how long it applied, so a daemon that ignores it could not be told from one that never received it. No decision depends on it yet.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -270,6 +270,10 @@
         // An answer from another replica says nothing about this replica's rate limit.
         if facts.run != Run::OtherReplica {
             self.note_rate_limit(replica, facts.rate_limit, now);
+            if let Some(retry_after) = facts.retry_after {
+                let retry_after_ms = retry_after.as_millis();
+                emit!(info, REPLICA_RETRY_AFTER, replica = %replica.id, hall = %replica.hall, retry_after_ms);
+            }
         }
         // A refusal by another replica need not repeat the identifier.
         let mine = facts.request_id.as_deref().map(|id| id == self.caller.id);
