Honor Retry-After in replicas' rejections

Daemons now send a replica that rejects a request with Retry-After nothing before the stated time has elapsed.

Callers saw 59 to 92 of 107 to 141 requests per second refused for eight seconds, although eight of twelve engines worked. The other four engines rejected every request with Retry-After: 3, yet received more requests than when they work: 33 to 50 per second instead of 13 to 22 at a reading engine.

Cause: a rejection was taken to say only that the request had not run. The stated time was not read, and requests that are rejected immediately count as finished, so the replica appeared idle and was preferred. Each further rejection made its request be retried, until the retry budget was exhausted (691 BUDGET_SPENT events in eight seconds).

Each daemon now records the time from which a replica accepts requests again; a shorter time stated later does not bring it forward. Until then the replica is not eligible, and that daemon begins no work there, whether whole requests, reading or answering. The time is not reported to other daemons, because it applies to the daemon that was rejected. If no replica of a service accepts a request, the request is refused immediately with 503 replicas_limited and a Retry-After header.

Ruled out: that requests already in flight account for the excess (it lasted for eight seconds), and that returning callers override a recorded time (none was recorded).

--- a/crates/border/src/dialect.rs
+++ b/crates/border/src/dialect.rs
@@ -100,7 +100,7 @@
     pub sealed: bool,
     /// Requests per second that the endpoint accepts from all daemons combined, or `None` if it states no limit.
     pub rate_limit: Option<f64>,
-    /// Time for which the endpoint accepts no requests from this daemon, if it rejected this one and states a time.
+    /// Time for which the endpoint accepts no further requests from this daemon, or `None` if it states no such time.
     pub retry_after: Option<Span>,
 }
 
--- a/crates/core/src/fleet/choose.rs
+++ b/crates/core/src/fleet/choose.rs
@@ -93,19 +93,17 @@
     /// The replicas that a request may go to, of those that it looks at.
     fn eligible(&self, req: &RouteRequest<'_>, now: Time) -> Vec<(ReplicaKey, &Replica)> {
         let mut rows = self.available(req, now);
-        rows.retain(|(_, replica)| self.within_rate_limit(replica, now));
+        rows.retain(|(_, replica)| replica.accepts(self.slot_share, now));
         rows
     }
 
-    /// Shortest time until the rate limit of an available replica lets this daemon send; `None` if no replica is
-    /// available.
-    fn time_until_slot(&self, req: &RouteRequest<'_>, now: Time) -> Option<Span> {
-        let share = self.slot_share;
+    /// Shortest time until an available replica accepts a request from this daemon; `None` if none is available.
+    fn time_until_accepted(&self, req: &RouteRequest<'_>, now: Time) -> Option<Span> {
         let available = self.available(req, now).into_iter();
-        available.map(|(_, replica)| replica.rate_limit.time_until_slot(replica.start_id, share, now)).min()
+        available.map(|(_, replica)| replica.time_until_accepted(self.slot_share, now)).min()
     }
 
-    /// The replicas that a request may go to, regardless of their rate limits.
+    /// The replicas that a request may go to, regardless of their rate limits and retry times.
     fn available(&self, req: &RouteRequest<'_>, now: Time) -> Vec<(ReplicaKey, &Replica)> {
         let candidates = match req.apart {
             // What it draws must be the same on all daemons.
@@ -182,7 +180,7 @@
 
     /// The reason why no replica can be chosen.
     fn no_plan(&self) -> NoPlan {
-        match self.fleet.time_until_slot(self.req, self.now) {
+        match self.fleet.time_until_accepted(self.req, self.now) {
             Some(wait) if wait > Span(0) => NoPlan::RateLimited { come_back: come_back(self.req, wait.in_millis()) },
             _ => NoPlan::NoReplica,
         }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -302,14 +302,11 @@
         state.meter.offered(&offer, now);
     }
 
-    /// Note that work begins at a replica; `prompt` is what it reads. Returns `None` if the replica is gone or its rate
-    /// limit does not let this daemon send now.
+    /// Note that work begins at a replica; `prompt` is what it reads. Returns `None` if the replica is gone or
+    /// its rate limit or retry time does not let this daemon send now.
     pub fn begin(&mut self, key: ReplicaKey, step: &plan::Step, prompt: Option<&Prompt>, now: Time) -> Option<Sent> {
-        let share = self.replicas.get(key)?.rate_limit.is_limited().then_some(self.slot_share);
         let replica = self.replicas.get_mut(key)?;
-        if let Some(share) = share
-            && !replica.rate_limit.take_slot(replica.start_id, share, now)
-        {
+        if !replica.retry_at.is_past(now) || !replica.rate_limit.take_slot(replica.start_id, self.slot_share, now) {
             return None;
         }
         let alone = replica.own.reading_ms + replica.peers.reading_ms <= 0.0;
@@ -404,10 +401,18 @@
         changed
     }
 
-    /// Whether a replica's rate limit lets this daemon send a request now.
-    fn within_rate_limit(&self, replica: &Replica, now: Time) -> bool {
-        !replica.rate_limit.is_limited()
-            || replica.rate_limit.time_until_slot(replica.start_id, self.slot_share, now) == Span(0)
+    /// Postpone the time from which a replica accepts requests from this daemon again; returns whether it changed.
+    ///
+    /// Has no effect if `retry_at` is not later than the present retry time, or if the replica is unknown or has
+    /// restarted since it was selected.
+    pub fn set_retry_at(&mut self, facts: &ReplicaFacts, retry_at: Time) -> bool {
+        let replica = self.key(&facts.id).and_then(|key| self.replicas.get_mut(key));
+        let Some(replica) = replica.filter(|replica| replica.facts.is_same_start(facts)) else {
+            return false;
+        };
+        let is_later = retry_at > replica.retry_at;
+        replica.retry_at = replica.retry_at.max(retry_at);
+        is_later
     }
 
     /// Whether another start of a replica is known by now.
--- a/crates/core/src/fleet/plan.rs
+++ b/crates/core/src/fleet/plan.rs
@@ -111,7 +111,7 @@
 pub enum NoPlan {
     /// No replica of the service takes work.
     NoReplica,
-    /// Replicas are available, but their rate limits do not let this daemon send now.
+    /// Replicas are available, but their rate limits or retry times do not let this daemon send now.
     RateLimited {
         /// Time after which the caller should retry.
         come_back: Span,
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -11,7 +11,7 @@
         cache::Cache,
         distance::HallKey,
         engine::{answer_pace::AnswerPace, running_mean::RunningMean},
-        rate_limit::RateLimit,
+        rate_limit::{RateLimit, SlotShare},
         short_id,
     },
     hash::rendezvous,
@@ -148,6 +148,8 @@
     pub orders_from: Time,
     /// Its rate limit, shared by all daemons.
     pub(super) rate_limit: RateLimit,
+    /// Time from which it accepts requests from this daemon again; the latest that it has stated.
+    pub(super) retry_at: Time,
     /// How many times as long as its service's usual it takes to the next event of long answers.
     pub(super) answer_slowness: RunningMean,
     slowness: f64,
@@ -175,6 +177,7 @@
             ordered_in_hall: false,
             orders_from: Time(0),
             rate_limit: RateLimit::default(),
+            retry_at: Time(0),
             answer_slowness: RunningMean::new(1.0, LEARN_ANSWERS),
             slowness: 1.0,
             slowness_at: Time(0),
@@ -200,6 +203,16 @@
         self.rate_limit.per_second()
     }
 
+    /// Time until both its rate limit and its retry time let this daemon send; zero if they do now.
+    pub(super) fn time_until_accepted(&self, share: SlotShare, now: Time) -> Span {
+        self.rate_limit.time_until_slot(self.start_id, share, now).max(self.retry_at.since(now))
+    }
+
+    /// Whether its rate limit and its retry time let this daemon send now.
+    pub(super) fn accepts(&self, share: SlotShare, now: Time) -> bool {
+        self.time_until_accepted(share, now) == Span(0)
+    }
+
     /// Whether it may not be there: its entry lapsed, or a peer could not reach it.
     #[must_use]
     pub fn is_doubted(&self, now: Time) -> bool {
--- a/crates/core/tests/fleet/rate_limits.rs
+++ b/crates/core/tests/fleet/rate_limits.rs
@@ -225,3 +225,18 @@
     };
     assert!(come_back >= Span::millis(60) && come_back <= Span::millis(660), "{come_back:?}");
 }
+
+/// Guards against a later answer that shortens the retry time, and against a restarted replica that inherits it.
+#[test]
+fn a_replica_gets_no_requests_before_its_retry_time() {
+    let mut fleet = with(&[("a", Role::Plain)]);
+    assert!(fleet.set_retry_at(&facts("a", Role::Plain), Daemons::time(3_000)));
+    assert!(!fleet.set_retry_at(&facts("a", Role::Plain), Daemons::time(1_000)));
+    assert!(!accepts(&mut fleet, 2_999));
+    assert!(matches!(fleet.choose(&ask(None, &[]), Daemons::time(2_000)), Err(NoPlan::RateLimited { .. })));
+    assert!(accepts(&mut fleet, 3_000) && fleet.choose(&ask(None, &[]), Daemons::time(3_000)).is_ok());
+    let restarted = dahliaseam_core::fleet::replica::ReplicaFacts { born: Some(2), ..facts("a", Role::Plain) };
+    fleet.set_retry_at(&facts("a", Role::Plain), Daemons::time(9_000));
+    fleet.put(restarted, 2);
+    assert!(accepts(&mut fleet, 4_000));
+}
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -56,7 +56,7 @@
     REFUSED_BLAMED = 235, "A request under whose content replicas ended was refused; the fields say by whom that is known.";
     BLAME_LIFTED = 236, "Requests of this content are no longer refused: the time is over, or an operator let them through.";
     BLAME_NOT_STORED = 237, "That requests are refused could not be written to the store, or removed there; it is tried again.";
-    REFUSED_LIMITED = 238, "A request was refused without being sent because no replica's rate limit allows another one now; see `REPLICA_LIMIT`.";
+    REFUSED_LIMITED = 238, "A request was refused without being sent because no replica's rate limit or retry time allows another one now; see `REPLICA_LIMIT` and `REPLICA_RETRY_AFTER`.";
     CONFIG_IN_FORCE = 300, "A newer configuration is in force on this VM.";
     CONFIG_REJECTED = 301, "A stored configuration cannot be read; the present one stays in force.";
     CONFIG_ACCEPTED = 302, "An operator's change was accepted.";
@@ -77,7 +77,7 @@
     REPLICA_FORGOTTEN = 323, "A replica that left has nothing under way any more and is forgotten.";
     REPLICA_LEFT_OUT = 324, "A replica failed repeatedly or could not be reached, and gets no work for a while.";
     REPLICA_LIMIT = 325, "The rate limit that a replica states for all daemons combined changed, or the replica no longer states one.";
-    REPLICA_RETRY_AFTER = 326, "A replica rejected a request and accepts no more from this daemon for `retry_after_ms`.";
+    REPLICA_RETRY_AFTER = 326, "A replica stated in its answer that it accepts no further requests from this daemon for `retry_after_ms`.";
     MEMBER = 400, "What is believed of another daemon changed.";
     LIST_REFUSED = 401, "The list of VMs does not name this VM and is not believed.";
     LIST_LOST = 402, "The list of VMs cannot be read.";
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -36,7 +36,7 @@
         /// When to come back.
         come_back: Span,
     },
-    /// Rate limits of the replicas do not allow another request now.
+    /// The rate limits or retry times of the replicas do not allow another request now.
     ReplicasLimited {
         /// Time after which the caller should retry.
         come_back: Span,
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -271,8 +271,7 @@
         if facts.run != Run::OtherReplica {
             self.note_rate_limit(replica, facts.rate_limit, now);
             if let Some(retry_after) = facts.retry_after {
-                let retry_after_ms = retry_after.as_millis();
-                emit!(info, REPLICA_RETRY_AFTER, replica = %replica.id, hall = %replica.hall, retry_after_ms);
+                self.note_retry_after(replica, retry_after);
             }
         }
         // A refusal by another replica need not repeat the identifier.
@@ -310,6 +309,15 @@
         }
     }
 
+    /// Record that a replica accepts no further requests from this daemon for `retry_after`.
+    fn note_retry_after(&self, replica: &ReplicaFacts, retry_after: Span) {
+        let now = self.gw.now();
+        if self.gw.fleet().set_retry_at(replica, now + retry_after) {
+            let retry_after_ms = retry_after.as_millis();
+            emit!(info, REPLICA_RETRY_AFTER, replica = %replica.id, hall = %replica.hall, retry_after_ms);
+        }
+    }
+
     /// Note what a failed call says of its replica.
     pub(super) async fn note_failure(
         &self,
