Stop sending new requests to a replica whose answers state that it is leaving

A leaving replica also states this in all its answers. The daemon learned it only from the replica's entry in the store, so while the store was late or down, it kept sending requests to that replica. The class of fault is the same as for rate limits and Retry-After: what the other side states about itself was passed through without being applied.

A replica counts as draining from the first answer that carries it, for that start of the replica, whatever its store entry says later. Each daemon logs REPLICA_LEAVING (327) once.

--- a/crates/border/src/dialect.rs
+++ b/crates/border/src/dialect.rs
@@ -102,6 +102,8 @@
     pub rate_limit: Option<f64>,
     /// Time for which the endpoint accepts no further requests from this daemon, or `None` if it states no such time.
     pub retry_after: Option<Span>,
+    /// Whether the endpoint states that it is leaving and accepts no new requests.
+    pub draining: bool,
 }
 
 /// A prompt that an endpoint has read and holds.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -415,6 +415,19 @@
         is_later
     }
 
+    /// Mark a replica as draining because an answer states that it is leaving; returns whether the mark is new.
+    ///
+    /// Has no effect if the replica is unknown or has restarted since it was selected.
+    pub fn set_draining(&mut self, facts: &ReplicaFacts) -> bool {
+        let replica = self.key(&facts.id).and_then(|key| self.replicas.get_mut(key));
+        let replica = replica.filter(|replica| replica.facts.is_same_start(facts) && !replica.facts.draining);
+        let is_new = replica.is_some();
+        if let Some(replica) = replica {
+            replica.facts.draining = true;
+        }
+        is_new
+    }
+
     /// Whether another start of a replica is known by now.
     #[must_use]
     pub fn is_replaced(&self, facts: &ReplicaFacts) -> bool {
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -78,6 +78,7 @@
     REPLICA_LEFT_OUT = 324, "A replica failed repeatedly or could not be reached, and gets no work for a while.";
     REPLICA_LIMIT = 325, "The rate limit that a replica states for all daemons combined changed, or the replica no longer states one.";
     REPLICA_RETRY_AFTER = 326, "A replica stated in its answer that it accepts no further requests from this daemon for `retry_after_ms`.";
+    REPLICA_LEAVING = 327, "A replica stated in its answer that it is leaving; it gets no new requests from this daemon.";
     MEMBER = 400, "What is believed of another daemon changed.";
     LIST_REFUSED = 401, "The list of VMs does not name this VM and is not believed.";
     LIST_LOST = 402, "The list of VMs cannot be read.";
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -222,7 +222,7 @@
     }
 
     pub(super) fn begin(&self, step: &Step) -> Result<(ReplicaFacts, Work), CallFailure> {
-        let gone = || CallFailure::NotTried("the replica is gone or its rate limit allows no request now");
+        let gone = || CallFailure::NotTried("the replica is gone or accepts no requests at present");
         let replica = self.gw.fleet().get(step.key).map(|replica| replica.facts.clone()).ok_or_else(gone)?;
         let work = Work::begin(&self.gw, step, self.caller.prompt.as_ref()).ok_or_else(gone)?;
         Ok((replica, work))
@@ -267,12 +267,15 @@
         self.note_connection(replica, connected_in);
         let (head, body) = resp.into_parts();
         let facts = dialect.answer(&head);
-        // An answer from another replica says nothing about this replica's rate limit.
+        // The headers of another replica's answer do not apply to this replica.
         if facts.run != Run::OtherReplica {
             self.note_rate_limit(replica, facts.rate_limit, now);
             if let Some(retry_after) = facts.retry_after {
                 self.note_retry_after(replica, retry_after);
             }
+            if facts.draining && self.gw.fleet().set_draining(replica) {
+                emit!(info, REPLICA_LEAVING, replica = %replica.id, hall = %replica.hall);
+            }
         }
         // A refusal by another replica need not repeat the identifier.
         let mine = facts.request_id.as_deref().map(|id| id == self.caller.id);
