--- a/crates/core/tests/fleet/rate_limits.rs
+++ b/crates/core/tests/fleet/rate_limits.rs
@@ -139,6 +139,27 @@
     }
 }
 
+/// Guards against bursts when the time of day on some daemons jumps ahead and back.
+#[test]
+fn a_rate_limit_holds_while_clocks_are_stepped() {
+    for count in [8, 83] {
+        for limit in [1.0, 4.4, 10.0] {
+            let mut daemons = Daemons::new(count, limit);
+            for ms in (0..24_000).step_by(20) {
+                let is_ahead = (8_000..13_000).contains(&ms);
+                for rank in 0..count {
+                    let is_stepped = is_ahead && rank % 3 == 0;
+                    let offset = Span::millis(if is_stepped { 2_000 } else { 0 });
+                    daemons.fleets[rank].set_slot_share(rank, offset, Daemons::time(ms));
+                    daemons.send(rank, ms);
+                }
+            }
+            let most = daemons.max_in_window(CONTACT_MS);
+            assert!(most <= allowed(limit), "{count} daemons, {limit} per second: {most} of {}", allowed(limit));
+        }
+    }
+}
+
 fn accepts(fleet: &mut Fleet, ms: u64) -> bool {
     let key = fleet.key("a").expect("it is known");
     fleet.begin(key, &step(key, 0.0, false), None, Daemons::time(ms)).is_some()
