Rate limits: keep using slots after the time of day is set back

The start of the last used slot is stored as time of day. If the clock is set back by an hour, the stored time is an hour in the future, and the daemon sends a rate-limited replica no requests for that hour. Stored times in the future are now ignored; at most the slots of one lifetime are used again.

Found by reading the code. a_rate_limited_replica_gets_requests_after_the_clock_is_set_back failed before this change and passes now.

--- a/crates/core/src/fleet/rate_limit.rs
+++ b/crates/core/src/fleet/rate_limit.rs
@@ -167,7 +167,10 @@
         // The rotation is offset per replica, so that a daemon's slots at several replicas do not coincide.
         let first = (share.rank + u64::from(replica)) % daemons;
         let (own_interval, first) = (interval * daemons as f64, interval * first as f64);
-        let after = self.last_slot.max(share.changed_at).max(now + share.clock_offset - SLOT_LIFETIME);
+        let time_of_day = now + share.clock_offset;
+        // Times in the future were recorded before the clock was set back; they would block all slots until then.
+        let past_times = [self.last_slot, share.changed_at].into_iter().filter(|time| *time <= time_of_day);
+        let after = past_times.fold(time_of_day - SLOT_LIFETIME, Time::max);
         let number = ((after.0 as f64 + ROUNDING_MICROS - first) / own_interval).floor() + 1.0;
         Some(Time((number * own_interval + first).ceil() as u64))
     }
--- a/crates/core/tests/fleet/rate_limits.rs
+++ b/crates/core/tests/fleet/rate_limits.rs
@@ -160,6 +160,17 @@
     }
 }
 
+/// Guards against a rate-limited replica that gets no requests until a clock that was set back has caught up.
+#[test]
+fn a_rate_limited_replica_gets_requests_after_the_clock_is_set_back() {
+    let mut fleet = with(&[("a", Role::Plain)]);
+    fleet.set_slot_share(0, Span::millis(3_600_000), now());
+    assert!(set_limit(&mut fleet, Some(2.0), 0, 0));
+    assert!(accepts(&mut fleet, 1_000));
+    fleet.set_slot_share(0, Span(0), Daemons::time(1_100));
+    assert!(accepts(&mut fleet, 2_000) && !accepts(&mut fleet, 2_000));
+}
+
 fn accepts(fleet: &mut Fleet, ms: u64) -> bool {
     let key = fleet.key("a").expect("it is known");
     fleet.begin(key, &step(key, 0.0, false), None, Daemons::time(ms)).is_some()
