--- a/proofs/src/cluster.rs
+++ b/proofs/src/cluster.rs
@@ -269,6 +269,18 @@
     /// # Panics
     /// If there is no such daemon.
     pub fn start_daemon(&mut self, vm: &str) {
+        self.start_daemon_by(vm, Process::start);
+    }
+
+    /// Starts or restarts a daemon with the signals to stop and to reload blocked.
+    ///
+    /// # Panics
+    /// If there is no such daemon.
+    pub fn start_daemon_with_signals_blocked(&mut self, vm: &str) {
+        self.start_daemon_by(vm, Process::start_with_signals_blocked);
+    }
+
+    fn start_daemon_by(&mut self, vm: &str, start: fn(&mut Command) -> Process) {
         let path = self.dir.join(format!("{vm}.json"));
         let log = self.dir.join(format!("{vm}.log"));
         let daemon = self.daemons.get_mut(vm).expect("the daemon exists");
@@ -276,7 +288,7 @@
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log).expect("the log file can be opened");
         let mut command = Command::new(program("dahliaseamd"));
         command.arg("--settings").arg(&path).stderr(log);
-        daemon.process = Some(Process::start_with_signals_blocked(&mut command));
+        daemon.process = Some(start(&mut command));
     }
 
     /// Returns the process of a daemon.
--- a/proofs/tests/signals.rs
+++ b/proofs/tests/signals.rs
@@ -14,11 +14,12 @@
     assert!(status.success(), "{status}");
 }
 
-/// Guards against a daemon that is killed by a signal to stop while its program is being loaded.
+/// Guards against a daemon that is killed by a signal to stop while its program is being loaded, though its supervisor has
+/// blocked the signal.
 #[tokio::test]
 async fn a_signal_to_stop_during_the_start_ends_a_daemon_with_success() {
     let mut cluster = Cluster::start_platform(ClusterSetup { daemons: 1, ..ClusterSetup::default() });
-    cluster.start_daemon("entry-1");
+    cluster.start_daemon_with_signals_blocked("entry-1");
     cluster.daemon("entry-1").terminate();
     let status = cluster.daemon("entry-1").wait(WAIT_TIMEOUT).await;
     assert!(status.success(), "{status}");
