--- a/proofs/tests/signals.rs
+++ b/proofs/tests/signals.rs
@@ -1,6 +1,9 @@
 //! Signals to a daemon.
 
-use proofs::cluster::{Cluster, ClusterSetup, WAIT_TIMEOUT};
+use proofs::{
+    cluster::{Cluster, ClusterSetup, WAIT_TIMEOUT},
+    process::program,
+};
 
 /// Guards against a daemon that is killed by a SIGHUP, because nothing handled it.
 #[tokio::test]
@@ -24,3 +27,15 @@
     let status = cluster.daemon("entry-1").wait(WAIT_TIMEOUT).await;
     assert!(status.success(), "{status}");
 }
+
+/// Guards against a daemon that is loaded for milliseconds, in which any signal kills it, because the loader adjusts the
+/// addresses in its data.
+#[test]
+fn the_daemon_is_linked_at_a_fixed_address() {
+    /// Offset of the type in an ELF file.
+    const TYPE_OFFSET: usize = 16;
+    /// Type of an executable that is not position-independent, `ET_EXEC`.
+    const FIXED: u8 = 2;
+    let file = std::fs::read(program("dahliaseamd")).expect("the program can be read");
+    assert_eq!(file[TYPE_OFFSET], FIXED);
+}
