Signals: blocked by the loader, before any other code of the daemon

Cause: the handlers are installed in main. Before it, initializers of the libraries and the language's runtime run.

Change: a function in .preinit_array blocks the signals, and main installs the handlers and unblocks them, as it did. A signal that comes in between stays pending and is obeyed.

--- a/crates/daemon/src/bin/dahliaseamd/signals.rs
+++ b/crates/daemon/src/bin/dahliaseamd/signals.rs
@@ -1,8 +1,9 @@
 //! The signals that the daemon handles.
 //!
-//! A signal without a handler ends the process, so the handlers are installed before anything else. While the program is
-//! still being loaded, only its supervisor can hold signals back: a process inherits the signal mask of the one that
-//! started it, and a blocked signal stays pending. So the signals are unblocked once they have handlers.
+//! A signal without a handler ends the process, and a blocked signal stays pending. So the loader blocks the signals
+//! before it runs any other code of the program, and `main` first installs the handlers and then unblocks them. While the
+//! loader maps the program, nothing of it runs: the build script keeps that time short, and only a supervisor that starts
+//! the daemon with the signals blocked loses none then.
 
 use std::{
     io,
@@ -16,6 +17,24 @@
 use signal_hook::flag;
 use tokio::signal::unix::{self, SignalKind};
 
+/// Called by the loader as soon as the libraries can be used, before their initializers and the language's runtime.
+// SAFETY: the section holds pointers to functions that the loader calls on the only thread, and this one touches nothing
+// but the signal mask.
+#[cfg(target_env = "gnu")]
+#[used]
+#[unsafe(link_section = ".preinit_array")]
+static PREINIT: extern "C" fn() = block_signals;
+
+#[cfg(target_env = "gnu")]
+extern "C" fn block_signals() {
+    // If this fails, the same call in `main` fails and reports it.
+    let _ = handled_signals().thread_block();
+}
+
+fn handled_signals() -> SigSet {
+    [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP].into_iter().collect()
+}
+
 /// What a signal asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SignalRequest {
@@ -37,7 +56,7 @@
     /// # Errors
     /// If the system refuses a handler.
     pub(crate) fn catch() -> io::Result<Self> {
-        let handled: SigSet = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP].into_iter().collect();
+        let handled = handled_signals();
         // A signal that arrives while its handler is being registered would be lost.
         handled.thread_block()?;
         let stop = Arc::new(AtomicBool::new(false));
--- a/proofs/src/cluster.rs
+++ b/proofs/src/cluster.rs
@@ -23,6 +23,7 @@
 };
 use http::{Request, StatusCode, header::AUTHORIZATION};
 use http_body_util::Full;
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use stand_ins::{
     caller::Caller,
@@ -280,7 +281,15 @@
         self.start_daemon_by(vm, Process::start_with_signals_blocked);
     }
 
-    fn start_daemon_by(&mut self, vm: &str, start: fn(&mut Command) -> Process) {
+    /// Starts or restarts a daemon and sends it a signal before its `main`.
+    ///
+    /// # Panics
+    /// If there is no such daemon.
+    pub fn start_daemon_with_signal_before_main(&mut self, vm: &str, signal: Signal) {
+        self.start_daemon_by(vm, |command| Process::start_with_signal_before_main(command, signal));
+    }
+
+    fn start_daemon_by(&mut self, vm: &str, start: impl FnOnce(&mut Command) -> Process) {
         let path = self.dir.join(format!("{vm}.json"));
         let log = self.dir.join(format!("{vm}.log"));
         let daemon = self.daemons.get_mut(vm).expect("the daemon exists");
--- a/proofs/src/process.rs
+++ b/proofs/src/process.rs
@@ -80,6 +80,22 @@
         process
     }
 
+    /// Starts a program and sends it a signal when the loader runs the initializers of its libraries, before `main`. Glibc
+    /// only.
+    ///
+    /// # Panics
+    /// If it cannot be started, or if the loader does not log its steps.
+    pub fn start_with_signal_before_main(command: &mut Command, signal: Signal) -> Self {
+        let mut process = Self::start(command.env("LD_DEBUG", "files").stderr(Stdio::piped()));
+        let mut log = BufReader::new(process.child.stderr.take().expect("standard error is piped")).lines();
+        let is_initializer = |line: std::io::Result<String>| line.is_ok_and(|line| line.contains("calling init:"));
+        assert!(log.any(is_initializer), "the loader logs the initializers");
+        process.signal(signal);
+        // Reads on, so that the program can write.
+        std::thread::spawn(move || log.for_each(drop));
+        process
+    }
+
     /// Starts a stand-in and reads the address that it prints.
     ///
     /// # Panics
--- a/proofs/tests/signals.rs
+++ b/proofs/tests/signals.rs
@@ -4,6 +4,7 @@
     cluster::{Cluster, ClusterSetup, WAIT_TIMEOUT},
     process::program,
 };
+use rustix::process::Signal;
 
 /// Guards against a daemon that is killed by a SIGHUP, because nothing handled it.
 #[tokio::test]
@@ -28,6 +29,20 @@
     assert!(status.success(), "{status}");
 }
 
+/// Guards against a daemon that is killed by a signal between the end of its loading and `main`.
+#[tokio::test]
+async fn signals_are_blocked_before_the_initializers_of_the_libraries_run() {
+    let mut cluster = Cluster::start_platform(ClusterSetup { daemons: 1, ..ClusterSetup::default() });
+    for signal in [Signal::TERM, Signal::INT, Signal::HUP] {
+        cluster.start_daemon_with_signal_before_main("entry-1", signal);
+        if signal == Signal::HUP {
+            cluster.daemon("entry-1").terminate();
+        }
+        let status = cluster.daemon("entry-1").wait(WAIT_TIMEOUT).await;
+        assert!(status.success(), "{signal:?}: {status}");
+    }
+}
+
 /// Guards against a daemon that is loaded for milliseconds, in which any signal kills it, because the loader adjusts the
 /// addresses in its data.
 #[test]
