Signals: tests that further signals do not end a daemon that stops

Looked for the same fault elsewhere. A SIGHUP between the handlers and the first read of the settings is covered already. `dahliaseam`, the operators' command, keeps no state and ends by signals as before.

--- a/proofs/src/process.rs
+++ b/proofs/src/process.rs
@@ -164,7 +164,8 @@
         }
     }
 
-    fn signal(&self, signal: Signal) {
+    /// Sends the process a signal.
+    pub fn signal(&self, signal: Signal) {
         if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
             let _ = kill_process(pid, signal);
         }
--- a/proofs/tests/signals.rs
+++ b/proofs/tests/signals.rs
@@ -18,6 +18,20 @@
     assert!(status.success(), "{status}");
 }
 
+/// Guards against a daemon that is killed by a further signal while it stops.
+#[tokio::test]
+async fn signals_during_the_stop_do_not_end_a_daemon_early() {
+    let mut cluster = Cluster::start(ClusterSetup { daemons: 1, ..ClusterSetup::default() }).await;
+    cluster.daemon("entry-1").terminate();
+    cluster.wait_until("the daemon is stopping", async || cluster.log("entry-1").contains("STOPPING")).await;
+    for signal in [Signal::TERM, Signal::INT, Signal::HUP] {
+        cluster.daemon("entry-1").signal(signal);
+    }
+    let status = cluster.daemon("entry-1").wait(WAIT_TIMEOUT).await;
+    assert!(status.success(), "{status}");
+    assert!(cluster.log("entry-1").contains("STOPPED"), "the daemon finishes its stop");
+}
+
 /// Guards against a daemon that is killed by a signal to stop while its program is being loaded, though its supervisor has
 /// blocked the signal.
 #[tokio::test]
