Process tests: a daemon of the cluster is started by what the test passes

The cluster had a method for each special start, one of them with signals blocked. It starts daemons with no signal blocked, and the two tests of signals pass their own start. Their checks are unchanged.

--- a/proofs/src/cluster.rs
+++ b/proofs/src/cluster.rs
@@ -23,7 +23,6 @@
 };
 use http::{Request, StatusCode, header::AUTHORIZATION};
 use http_body_util::Full;
-use rustix::process::Signal;
 use serde_json::{Value, json};
 use stand_ins::{
     caller::Caller,
@@ -273,23 +272,11 @@
         self.start_daemon_by(vm, Process::start);
     }
 
-    /// Starts or restarts a daemon with the signals to stop and to reload blocked.
+    /// Starts or restarts a daemon by `start`.
     ///
     /// # Panics
     /// If there is no such daemon.
-    pub fn start_daemon_with_signals_blocked(&mut self, vm: &str) {
-        self.start_daemon_by(vm, Process::start_with_signals_blocked);
-    }
-
-    /// Starts or restarts a daemon and sends it a signal before its `main`.
-    ///
-    /// # Panics
-    /// If there is no such daemon.
-    pub fn start_daemon_with_signal_before_main(&mut self, vm: &str, signal: Signal) {
-        self.start_daemon_by(vm, |command| Process::start_with_signal_before_main(command, signal));
-    }
-
-    fn start_daemon_by(&mut self, vm: &str, start: impl FnOnce(&mut Command) -> Process) {
+    pub fn start_daemon_by(&mut self, vm: &str, start: impl FnOnce(&mut Command) -> Process) {
         let path = self.dir.join(format!("{vm}.json"));
         let log = self.dir.join(format!("{vm}.log"));
         let daemon = self.daemons.get_mut(vm).expect("the daemon exists");
--- a/proofs/tests/signals.rs
+++ b/proofs/tests/signals.rs
@@ -2,7 +2,7 @@
 
 use proofs::{
     cluster::{Cluster, ClusterSetup, WAIT_TIMEOUT},
-    process::program,
+    process::{Process, program},
 };
 use rustix::process::Signal;
 
@@ -37,7 +37,7 @@
 #[tokio::test]
 async fn a_signal_to_stop_during_the_start_ends_a_daemon_with_success() {
     let mut cluster = Cluster::start_platform(ClusterSetup { daemons: 1, ..ClusterSetup::default() });
-    cluster.start_daemon_with_signals_blocked("entry-1");
+    cluster.start_daemon_by("entry-1", Process::start_with_signals_blocked);
     cluster.daemon("entry-1").terminate();
     let status = cluster.daemon("entry-1").wait(WAIT_TIMEOUT).await;
     assert!(status.success(), "{status}");
@@ -48,7 +48,7 @@
 async fn signals_are_blocked_before_the_initializers_of_the_libraries_run() {
     let mut cluster = Cluster::start_platform(ClusterSetup { daemons: 1, ..ClusterSetup::default() });
     for signal in [Signal::TERM, Signal::INT, Signal::HUP] {
-        cluster.start_daemon_with_signal_before_main("entry-1", signal);
+        cluster.start_daemon_by("entry-1", |command| Process::start_with_signal_before_main(command, signal));
         if signal == Signal::HUP {
             cluster.daemon("entry-1").terminate();
         }
