Gateway: the log says how a replica framed its stream and whether it ended inside an event

The record of a stream that broke off and was logged as answered does not tell whether its response ended with its connection inside an event, or whether a reset was taken for its end. ROUTED_OVER and STREAM_BROKE now state the framing (length, chunked, close) and the number of bytes after the last complete event. What is relayed is unchanged.

--- a/crates/daemon/src/gateway/ending.rs
+++ b/crates/daemon/src/gateway/ending.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     emit,
-    gateway::{attempt::UpstreamResponse, passed::RelayedEvents, request::ActiveRequest, state::Gateway},
+    gateway::{
+        attempt::UpstreamResponse, body::Framing, passed::RelayedEvents, request::ActiveRequest, state::Gateway,
+    },
 };
 
 /// Collects the outcome of a request and logs it when dropped, so that it is also logged if the caller disconnects.
@@ -34,6 +36,15 @@
     /// Number of other long answers known to be in progress at the replica when the request was sent.
     other_long_answers: u32,
     relayed: RelayedEvents,
+    end: Option<StreamEnd>,
+}
+
+/// How a replica ended its stream.
+#[derive(Clone, Copy, Debug)]
+struct StreamEnd {
+    framing: Framing,
+    /// Number of bytes after the last complete event.
+    cut_bytes: usize,
 }
 
 impl AccessLogEntry {
@@ -64,8 +75,19 @@
     pub(super) fn start_stream(&mut self, resp: &UpstreamResponse) {
         let relayed = self.stream.as_ref().map_or_else(|| RelayedEvents::new(self.gw.now()), |stream| stream.relayed);
         let replica = Arc::clone(&resp.replica.id);
-        self.stream =
-            Some(StreamStats { replica, other_long_answers: resp.in_flight.sent().other_long_answers, relayed });
+        self.stream = Some(StreamStats {
+            replica,
+            other_long_answers: resp.in_flight.sent().other_long_answers,
+            relayed,
+            end: None,
+        });
+    }
+
+    /// Records how the replica ended its stream.
+    pub(super) const fn record_stream_end(&mut self, framing: Framing, cut_bytes: usize) {
+        if let Some(stream) = &mut self.stream {
+            stream.end = Some(StreamEnd { framing, cut_bytes });
+        }
     }
 
     /// Records that another event was relayed; returns a part of the stream when enough has arrived to update
@@ -96,6 +118,7 @@
             self.gw.metrics.event_interval(&self.route, interval.as_seconds());
         }
         let stream = self.stream.as_ref();
+        let end = stream.and_then(|stream| stream.end);
         emit!(
             info,
             ROUTED_OVER,
@@ -112,7 +135,9 @@
             beside = stream.map(|stream| stream.other_long_answers),
             events = stream.map(|stream| stream.relayed.count() + 1),
             interval_us = interval.map(|interval| interval.0),
-            pause_ms = stream.map(|stream| stream.relayed.longest_interval().as_millis())
+            pause_ms = stream.map(|stream| stream.relayed.longest_interval().as_millis()),
+            framing = end.map(|end| end.framing.name()),
+            cut_bytes = end.map(|end| end.cut_bytes)
         );
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod attempt;
 mod autoscaler;
 mod blamed;
+mod body;
 pub mod controller;
 mod ending;
 mod endings;
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -18,9 +18,10 @@
     gateway::{
         answer::{ResponseBody, full_body, remove_hop_by_hop_headers},
         attempt::{CallFailure, UpstreamResponse},
+        body::Framing,
         ending::AccessLogEntry,
         request::ActiveRequest,
-        sse::{self, EventBuffer},
+        sse::{self, EventBuffer, EventPosition},
     },
 };
 
@@ -134,12 +135,16 @@
             }
             log_entry.set_outcome("caller_left", head.status.as_u16());
             log_entry.start_stream(&resp);
+            let mut position = EventPosition::default();
+            position.advance(&first);
+            position.advance(events.rest());
             let relay = Relay {
                 resumable: req.route.stream && req.route.repeat == Repeat::Allowed,
                 last_event_id: sse::last_event_id(&first),
                 req,
                 resp,
                 events,
+                position,
                 pending: Some(first),
                 is_done: false,
                 log_entry,
@@ -163,6 +168,8 @@
     req: ActiveRequest,
     resp: Box<UpstreamResponse>,
     events: EventBuffer,
+    /// Position in the replica's stream.
+    position: EventPosition,
     pending: Option<Bytes>,
     last_event_id: Option<String>,
     resumable: bool,
@@ -208,6 +215,7 @@
 
     /// Adds received bytes; returns those that may be relayed now. A resumable stream is relayed in whole events.
     fn buffer(&mut self, data: Bytes) -> Option<Bytes> {
+        self.position.advance(&data);
         if !self.resumable {
             return Some(data);
         }
@@ -221,6 +229,9 @@
     /// Handles the end of the replica's response; returns the remaining bytes.
     fn finish(&mut self) -> Result<Option<Bytes>, String> {
         let rest = self.events.take_rest();
+        if self.req.route.stream {
+            self.log_entry.record_stream_end(Framing::of(&self.resp.head.headers), self.position.open_bytes());
+        }
         let framed = self.resp.head.headers.contains_key(header::TRANSFER_ENCODING)
             || self.resp.head.headers.contains_key(header::CONTENT_LENGTH);
         if !rest.is_empty() && !framed {
@@ -251,6 +262,8 @@
             content = %self.req.content,
             replica = %self.resp.replica.id,
             last_event = self.last_event_id.as_deref().unwrap_or(""),
+            framing = Framing::of(&self.resp.head.headers).name(),
+            cut_bytes = self.position.open_bytes(),
             why,
             resumable = self.resumable
         );
@@ -278,6 +291,7 @@
         }
         emit!(info, STREAM_RESUMED, request = self.req.caller.id, replica = %resp.replica.id);
         *self.resp = resp;
+        self.position = EventPosition::default();
         self.log_entry.start_stream(&self.resp);
         Ok(())
     }
--- a/crates/daemon/src/gateway/sse.rs
+++ b/crates/daemon/src/gateway/sse.rs
@@ -1,4 +1,4 @@
-//! Splits an event stream into whole events without changing a byte.
+//! Splits an event stream into whole events without changing a byte. Lines end with LF or CRLF.
 
 use bytes::{Bytes, BytesMut};
 
@@ -19,6 +19,11 @@
         Some(self.buf.split_to(end).freeze())
     }
 
+    /// The bytes of an incomplete event.
+    pub(super) fn rest(&self) -> &[u8] {
+        &self.buf
+    }
+
     /// Takes the bytes of an incomplete event.
     pub(super) fn take_rest(&mut self) -> Bytes {
         self.buf.split().freeze()
@@ -50,6 +55,47 @@
     end
 }
 
+/// Position in an event stream: how far it is beyond its last complete event.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct EventPosition {
+    open_bytes: usize,
+    line: LineStart,
+}
+
+/// What the current line of a stream starts with.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum LineStart {
+    #[default]
+    Nothing,
+    CarriageReturn,
+    Text,
+}
+
+impl EventPosition {
+    /// Moves past `data`; returns the end of the last event in it that is complete.
+    pub(super) fn advance(&mut self, data: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (at, byte) in data.iter().enumerate() {
+            self.line = match (byte, self.line) {
+                (b'\n', LineStart::Text) => LineStart::Nothing,
+                (b'\n', _) => {
+                    end = Some(at + 1);
+                    LineStart::Nothing
+                }
+                (b'\r', LineStart::Nothing) => LineStart::CarriageReturn,
+                _ => LineStart::Text,
+            };
+        }
+        self.open_bytes = end.map_or(self.open_bytes + data.len(), |end| data.len() - end);
+        end
+    }
+
+    /// Number of bytes after the last complete event.
+    pub(super) const fn open_bytes(&self) -> usize {
+        self.open_bytes
+    }
+}
+
 /// The last event identifier that some complete events contain.
 pub(super) fn last_event_id(events: &[u8]) -> Option<String> {
     let mut lines = events.split(|byte| *byte == b'\n').rev();
