Streams: events that are read in parts are relayed in order

What callers saw: on a route whose streams may not be resumed, the start of an event came at the end of the stream, if the replica's response was first read up to the middle of that event; 200, framed as complete.

Cause: the bytes after the first whole event stay in the buffer of events, but only streams that may be resumed were relayed through it; any other stream was relayed as read, and the buffer's rest was appended at its end.

Evidence: a_stream_whose_events_are_read_in_parts_keeps_its_order failed on /chat/ from the second byte of the second event on, and passes now. Streams that may be resumed were not affected. Every stream goes through the buffer now, so there is one order.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -213,10 +213,10 @@
         }
     }
 
-    /// Adds received bytes; returns those that may be relayed now. A resumable stream is relayed in whole events.
+    /// Adds received bytes; returns those that may be relayed now. A stream is relayed in whole events.
     fn buffer(&mut self, data: Bytes) -> Option<Bytes> {
         self.position.advance(&data);
-        if !self.resumable {
+        if !self.req.route.stream {
             return Some(data);
         }
         let whole = self.events.push(&data)?;
