Streams: one that ends inside an event has broken off, however it is framed

Cause: whether a response is complete was decided in three places, and each took the end of the connection for the end of a response with neither a length nor chunks. The relay looked for an incomplete event only in streams that may be resumed; the reader of the first event passed on whatever had come before the end as a short response; and a large event that had been relayed up to its cut left nothing to look at. An incomplete event in a chunked stream passed everywhere.

Change: ReplicaBody reads every response on a route and returns its end only if it is complete. For streams the position in the events decides, whatever the framing. A stream without any byte that ends with its connection has broken off too. What a broken stream teaches stays as it was: it counts as a failed run at that replica, and as a possible crash. A stream is not resumed after an event that was relayed in parts.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use crate::{
     emit,
     gateway::{
+        body::ReplicaBody,
         request::ActiveRequest,
         state::Gateway,
         upstream::{Conn, Received, SendError},
@@ -105,7 +106,7 @@
 #[derive(Debug)]
 pub(super) struct UpstreamResponse {
     pub(super) head: response::Parts,
-    pub(super) body: Incoming,
+    pub(super) body: ReplicaBody,
     /// Taken when the connection is kept for reuse.
     pub(super) conn: Option<Conn>,
     pub(super) replica: ReplicaFacts,
@@ -204,7 +205,10 @@
         let (replica, mut in_flight) = self.begin_call(step)?;
         let call = Call { replica: &replica, task, priority: self.priority(step) };
         match self.call(&call, call_deadline).await {
-            Ok((head, body, conn)) => Ok(UpstreamResponse { head, body, conn: Some(conn), replica, in_flight }),
+            Ok((head, body, conn)) => {
+                let body = ReplicaBody::new(&head, body, self.is_stream(&head));
+                Ok(UpstreamResponse { head, body, conn: Some(conn), replica, in_flight })
+            }
             Err(why) => {
                 self.record_call_failure(&replica, &mut in_flight, &why, "serve").await;
                 Err(why)
--- a/crates/daemon/src/gateway/ending.rs
+++ b/crates/daemon/src/gateway/ending.rs
@@ -36,15 +36,8 @@
     /// Number of other long answers known to be in progress at the replica when the request was sent.
     other_long_answers: u32,
     relayed: RelayedEvents,
-    end: Option<StreamEnd>,
-}
-
-/// How a replica ended its stream.
-#[derive(Clone, Copy, Debug)]
-struct StreamEnd {
-    framing: Framing,
-    /// Number of bytes after the last complete event.
-    cut_bytes: usize,
+    /// How the end of the stream was marked, if it is complete.
+    framing: Option<Framing>,
 }
 
 impl AccessLogEntry {
@@ -79,14 +72,14 @@
             replica,
             other_long_answers: resp.in_flight.sent().other_long_answers,
             relayed,
-            end: None,
+            framing: None,
         });
     }
 
-    /// Records how the replica ended its stream.
-    pub(super) const fn record_stream_end(&mut self, framing: Framing, cut_bytes: usize) {
+    /// Records how the end of a stream that is complete was marked.
+    pub(super) const fn record_stream_end(&mut self, framing: Framing) {
         if let Some(stream) = &mut self.stream {
-            stream.end = Some(StreamEnd { framing, cut_bytes });
+            stream.framing = Some(framing);
         }
     }
 
@@ -118,7 +111,6 @@
             self.gw.metrics.event_interval(&self.route, interval.as_seconds());
         }
         let stream = self.stream.as_ref();
-        let end = stream.and_then(|stream| stream.end);
         emit!(
             info,
             ROUTED_OVER,
@@ -136,8 +128,7 @@
             events = stream.map(|stream| stream.relayed.count() + 1),
             interval_us = interval.map(|interval| interval.0),
             pause_ms = stream.map(|stream| stream.relayed.longest_interval().as_millis()),
-            framing = end.map(|end| end.framing.name()),
-            cut_bytes = end.map(|end| end.cut_bytes)
+            framing = stream.and_then(|stream| stream.framing).map(Framing::name)
         );
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! - [`admission`] reads the head, key, route and body.
 //! - [`request`] makes attempts until there is an outcome, which [`ending`] logs.
 //! - [`attempt`] makes one attempt; [`reading`] has a prompt prefilled for another engine.
-//! - [`upstream`] keeps the connections to replicas.
+//! - [`upstream`] keeps the connections to replicas, and [`body`] knows whether a response arrived completely.
 //! - [`relay`] relays the response as it arrives.
 //! - [`endings`] checks whether a replica crashed while it had the request, and [`blamed`] stores which requests are
 //!   suspected or refused because of such crashes.
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -1,9 +1,9 @@
 //! Relays responses to callers as they arrive.
 //!
 //! A short response is read completely before any of it is relayed, so that a request whose response breaks off can
-//! still be retried at another replica. A stream is relayed from its first event. If it breaks and may be resumed, it
-//! continues at another replica; any other stream ends with an error, so that the caller does not mistake it for
-//! complete.
+//! still be retried at another replica. A stream is relayed from its first event, in whole events. If it breaks and may
+//! be resumed, it continues at another replica; any other stream ends with an error, so that the caller does not mistake
+//! it for complete.
 
 use bytes::{Bytes, BytesMut};
 use dahliaseam_core::{fleet::StepEnd, route::Repeat};
@@ -18,10 +18,10 @@
     gateway::{
         answer::{ResponseBody, full_body, remove_hop_by_hop_headers},
         attempt::{CallFailure, UpstreamResponse},
-        body::Framing,
+        body::BodyError,
         ending::AccessLogEntry,
         request::ActiveRequest,
-        sse::{self, EventBuffer, EventPosition},
+        sse,
     },
 };
 
@@ -49,7 +49,7 @@
     /// The complete response.
     Complete(response::Parts, Bytes),
     /// The start of the response; the bytes are relayed first.
-    Stream(Box<UpstreamResponse>, EventBuffer, Bytes),
+    Stream(Box<UpstreamResponse>, Bytes),
 }
 
 /// Reads as much of a response as is needed before it can be relayed.
@@ -66,11 +66,11 @@
             req.record_completed();
             return Ok(ResponseStart::Complete(head, bytes));
         }
-        Some(Ok(BodyStart::Stream(events, bytes))) => {
+        Some(Ok(BodyStart::Stream(bytes))) => {
             resp.in_flight.record_prefill_end(StepEnd::Done);
-            return Ok(ResponseStart::Stream(Box::new(resp), events, bytes));
+            return Ok(ResponseStart::Stream(Box::new(resp), bytes));
         }
-        Some(Err(why)) => CallFailure::Broke(why),
+        Some(Err(e)) => CallFailure::Broke(e.to_string()),
         None => CallFailure::TimedOut,
     };
     resp.in_flight.set_end(StepEnd::Failed);
@@ -88,30 +88,19 @@
 
 enum BodyStart {
     Complete(Bytes),
-    Stream(EventBuffer, Bytes),
+    Stream(Bytes),
 }
 
-async fn read_body_start(req: &ActiveRequest, resp: &mut UpstreamResponse) -> Result<BodyStart, String> {
-    let is_stream = req.route.stream && resp.head.status.is_success();
-    let mut events = EventBuffer::default();
+async fn read_body_start(req: &ActiveRequest, resp: &mut UpstreamResponse) -> Result<BodyStart, BodyError> {
+    let is_stream = req.is_stream(&resp.head);
     let mut bytes = BytesMut::new();
-    loop {
-        let Some(frame) = resp.body.frame().await else {
-            bytes.extend_from_slice(&events.take_rest());
-            return Ok(BodyStart::Complete(bytes.freeze()));
-        };
-        let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else {
-            continue;
-        };
-        if !is_stream {
-            bytes.extend_from_slice(&data);
-            if bytes.len() > MAX_BUFFERED_BYTES {
-                return Ok(BodyStart::Stream(events, bytes.freeze()));
-            }
-        } else if let Some(whole) = events.push(&data) {
-            return Ok(BodyStart::Stream(events, whole));
+    while let Some(data) = resp.body.next().await {
+        bytes.extend_from_slice(&data?);
+        if is_stream || bytes.len() > MAX_BUFFERED_BYTES {
+            return Ok(BodyStart::Stream(bytes.freeze()));
         }
     }
+    Ok(BodyStart::Complete(bytes.freeze()))
 }
 
 /// Builds the response to the caller.
@@ -127,7 +116,7 @@
             remove_hop_by_hop_headers(&mut head.headers);
             Response::from_parts(head, full_body(bytes))
         }
-        ResponseStart::Stream(resp, events, first) => {
+        ResponseStart::Stream(resp, first) => {
             let mut head = copy_head(&resp);
             remove_hop_by_hop_headers(&mut head.headers);
             if req.route.stream {
@@ -135,16 +124,11 @@
             }
             log_entry.set_outcome("caller_left", head.status.as_u16());
             log_entry.start_stream(&resp);
-            let mut position = EventPosition::default();
-            position.advance(&first);
-            position.advance(events.rest());
             let relay = Relay {
-                resumable: req.route.stream && req.route.repeat == Repeat::Allowed,
+                resumable: req.is_stream(&resp.head) && req.route.repeat == Repeat::Allowed,
                 last_event_id: sse::last_event_id(&first),
                 req,
                 resp,
-                events,
-                position,
                 pending: Some(first),
                 is_done: false,
                 log_entry,
@@ -167,9 +151,6 @@
 struct Relay {
     req: ActiveRequest,
     resp: Box<UpstreamResponse>,
-    events: EventBuffer,
-    /// Position in the replica's stream.
-    position: EventPosition,
     pending: Option<Bytes>,
     last_event_id: Option<String>,
     resumable: bool,
@@ -188,20 +169,19 @@
             return None;
         }
         loop {
-            let read = self.req.gw.timeout_at(self.req.deadline, self.resp.body.frame()).await;
-            let why = match read {
+            let why = match self.req.gw.timeout_at(self.req.deadline, self.resp.body.next()).await {
                 None => return Some(Err(self.fail(RelayError::TimedOut))),
-                Some(None) => match self.finish() {
-                    Ok(last) => return last.map(|bytes| Ok(Frame::data(bytes))),
-                    Err(why) => why,
-                },
-                Some(Some(Ok(frame))) => match frame.into_data().ok().and_then(|data| self.buffer(data)) {
-                    Some(bytes) => {
-                        self.update_estimates();
-                        return Some(Ok(Frame::data(bytes)));
+                Some(None) => {
+                    self.finish();
+                    return None;
+                }
+                Some(Some(Ok(bytes))) => {
+                    if let Some(id) = sse::last_event_id(&bytes).filter(|_| self.resumable) {
+                        self.last_event_id = Some(id);
                     }
-                    None => continue,
-                },
+                    self.update_estimates();
+                    return Some(Ok(Frame::data(bytes)));
+                }
                 Some(Some(Err(e))) => e.to_string(),
             };
             if let Err(e) = self.resume(why).await {
@@ -213,30 +193,8 @@
         }
     }
 
-    /// Adds received bytes; returns those that may be relayed now. A stream is relayed in whole events.
-    fn buffer(&mut self, data: Bytes) -> Option<Bytes> {
-        self.position.advance(&data);
-        if !self.req.route.stream {
-            return Some(data);
-        }
-        let whole = self.events.push(&data)?;
-        if let Some(id) = sse::last_event_id(&whole) {
-            self.last_event_id = Some(id);
-        }
-        Some(whole)
-    }
-
-    /// Handles the end of the replica's response; returns the remaining bytes.
-    fn finish(&mut self) -> Result<Option<Bytes>, String> {
-        let rest = self.events.take_rest();
-        if self.req.route.stream {
-            self.log_entry.record_stream_end(Framing::of(&self.resp.head.headers), self.position.open_bytes());
-        }
-        let framed = self.resp.head.headers.contains_key(header::TRANSFER_ENCODING)
-            || self.resp.head.headers.contains_key(header::CONTENT_LENGTH);
-        if !rest.is_empty() && !framed {
-            return Err("the connection closed in the middle of an event".to_owned());
-        }
+    /// Records that the replica has completed its response.
+    fn finish(&mut self) {
         self.is_done = true;
         keep_connection(&self.req, &mut self.resp);
         self.resp.in_flight.set_end(StepEnd::Done);
@@ -248,8 +206,8 @@
             }
             fleet.learn_finished_stream(self.resp.in_flight.sent(), &self.log_entry.relayed(), self.req.gw.now());
         }
+        self.log_entry.record_stream_end(self.resp.body.framing());
         self.log_entry.set_outcome("answered", self.resp.head.status.as_u16());
-        Ok((!rest.is_empty()).then_some(rest))
     }
 
     /// Resumes the stream at another replica after the last whole event.
@@ -262,19 +220,18 @@
             content = %self.req.content,
             replica = %self.resp.replica.id,
             last_event = self.last_event_id.as_deref().unwrap_or(""),
-            framing = Framing::of(&self.resp.head.headers).name(),
-            cut_bytes = self.position.open_bytes(),
+            framing = self.resp.body.framing().name(),
+            cut_bytes = self.resp.body.open_bytes(),
             why,
             resumable = self.resumable
         );
         self.req.check_replica(self.resp.replica.clone()).await;
-        if !self.resumable || !self.req.may_retry() {
+        if !self.resumable || self.resp.body.has_split_event() || !self.req.may_retry() {
             return Err(RelayError::BrokeOff(why));
         }
         let Some(id) = self.last_event_id.clone() else {
             return Err(RelayError::BrokeOff(why));
         };
-        self.events.clear();
         self.req.last_event = Some(id);
         self.req.record_broken_stream(self.resp.in_flight.replica_key());
         let broke_off = |_| RelayError::BrokeOff(why.clone());
@@ -291,7 +248,6 @@
         }
         emit!(info, STREAM_RESUMED, request = self.req.caller.id, replica = %resp.replica.id);
         *self.resp = resp;
-        self.position = EventPosition::default();
         self.log_entry.start_stream(&self.resp);
         Ok(())
     }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -16,7 +16,7 @@
     team::{Identity, Team},
     time::{Span, Time},
 };
-use http::{Request, Response, request};
+use http::{Request, Response, request, response};
 use hyper::body::Incoming;
 
 use crate::{
@@ -186,6 +186,11 @@
         }
     }
 
+    /// Whether a response with this head is a stream of events.
+    pub(super) fn is_stream(&self, head: &response::Parts) -> bool {
+        self.route.stream && head.status.is_success()
+    }
+
     /// Time left until the deadline.
     pub(super) fn time_left(&self) -> Span {
         self.deadline.since(self.gw.now())
--- a/crates/daemon/src/gateway/sse.rs
+++ b/crates/daemon/src/gateway/sse.rs
@@ -9,55 +9,46 @@
 #[derive(Debug, Default)]
 pub(super) struct EventBuffer {
     buf: BytesMut,
+    position: EventPosition,
+    has_received: bool,
+    has_split_event: bool,
 }
 
 impl EventBuffer {
-    /// Adds bytes and returns all events that are complete now.
+    /// Adds bytes and returns all events that are complete now, or a part of an event that exceeds the maximum size.
     pub(super) fn push(&mut self, data: &[u8]) -> Option<Bytes> {
+        let held = self.buf.len();
         self.buf.extend_from_slice(data);
-        let end = last_event_end(&self.buf)?;
-        Some(self.buf.split_to(end).freeze())
-    }
-
-    /// The bytes of an incomplete event.
-    pub(super) fn rest(&self) -> &[u8] {
-        &self.buf
+        self.has_received |= !data.is_empty();
+        if let Some(end) = self.position.advance(data) {
+            return Some(self.buf.split_to(held + end).freeze());
+        }
+        if self.buf.len() <= MAX_EVENT_BYTES {
+            return None;
+        }
+        self.has_split_event = true;
+        Some(self.buf.split().freeze())
     }
 
-    /// Takes the bytes of an incomplete event.
-    pub(super) fn take_rest(&mut self) -> Bytes {
-        self.buf.split().freeze()
+    /// Number of bytes after the last complete event.
+    pub(super) const fn open_bytes(&self) -> usize {
+        self.position.open_bytes
     }
 
-    /// Discards an incomplete event.
-    pub(super) fn clear(&mut self) {
-        self.buf.clear();
+    /// Whether any bytes were added.
+    pub(super) const fn has_received(&self) -> bool {
+        self.has_received
     }
-}
 
-/// End of the last complete event, which is after an empty line; the end of the buffer if it exceeds the maximum size.
-fn last_event_end(buf: &[u8]) -> Option<usize> {
-    if buf.len() > MAX_EVENT_BYTES {
-        return Some(buf.len());
+    /// Whether an event was returned in parts.
+    pub(super) const fn has_split_event(&self) -> bool {
+        self.has_split_event
     }
-    let mut end = None;
-    let mut line_start = 0;
-    for (at, byte) in buf.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buf[line_start..at];
-        if line.is_empty() || line == b"\r" {
-            end = Some(at + 1);
-        }
-        line_start = at + 1;
-    }
-    end
 }
 
 /// Position in an event stream: how far it is beyond its last complete event.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct EventPosition {
+struct EventPosition {
     open_bytes: usize,
     line: LineStart,
 }
@@ -72,8 +63,8 @@
 }
 
 impl EventPosition {
-    /// Moves past `data`; returns the end of the last event in it that is complete.
-    pub(super) fn advance(&mut self, data: &[u8]) -> Option<usize> {
+    /// Moves past `data`; returns the end of the last event in it that is complete, which is after an empty line.
+    fn advance(&mut self, data: &[u8]) -> Option<usize> {
         let mut end = None;
         for (at, byte) in data.iter().enumerate() {
             self.line = match (byte, self.line) {
@@ -89,11 +80,6 @@
         self.open_bytes = end.map_or(self.open_bytes + data.len(), |end| data.len() - end);
         end
     }
-
-    /// Number of bytes after the last complete event.
-    pub(super) const fn open_bytes(&self) -> usize {
-        self.open_bytes
-    }
 }
 
 /// The last event identifier that some complete events contain.
