Connections: a broken response to a caller of HTTP/1.0 ends with a reset

What callers saw: a caller that speaks HTTP/1.0 gets a stream without length or chunks, so only the end of the connection completes it. If the stream broke off, the daemon closed the connection as after a complete one.

Cause: the same as for the daemon's own reading of replicas, on the other side: the end of a connection says complete, and the daemon did not distinguish. Such a connection is reset if its response ended with an error. Chunked responses, and those with a length, end as before.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -19,10 +19,11 @@
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderValue, Request, Response, Version,
-    header::{CONNECTION, HeaderName},
+    header::{CONNECTION, CONTENT_LENGTH, HeaderName},
 };
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -70,17 +71,23 @@
     {
         // Whether the caller knows that the connection closes after the last response.
         let close_announced = Arc::new(AtomicBool::new(false));
-        let (begun, announced) = (self.begun.clone(), Arc::clone(&close_announced));
+        // Whether only the end of the connection shows the end of the last response.
+        let unframed = Arc::new(AtomicBool::new(false));
+        let (begun, announced, is_unframed) = (self.begun.clone(), Arc::clone(&close_announced), Arc::clone(&unframed));
         let service = service_fn(move |req: Request<Incoming>| {
-            let requested = req.version() == Version::HTTP_10 || announces_close(req.headers());
+            let is_http10 = req.version() == Version::HTTP_10;
+            let requested = is_http10 || announces_close(req.headers());
             let response = handler(req);
-            let (begun, announced) = (begun.clone(), Arc::clone(&announced));
+            let (begun, announced, is_unframed) = (begun.clone(), Arc::clone(&announced), Arc::clone(&is_unframed));
             Box::pin(async move {
                 let mut resp = response.await;
                 if begun.is_cancelled() {
                     resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 announced.store(requested || announces_close(resp.headers()), Ordering::Relaxed);
+                let has_length =
+                    resp.body().size_hint().exact().is_some() || resp.headers().contains_key(CONTENT_LENGTH);
+                is_unframed.store(is_http10 && !has_length, Ordering::Relaxed);
                 Ok::<_, Infallible>(resp)
             })
         });
@@ -96,6 +103,11 @@
                 poll_fn(|cx| conn.poll_without_shutdown(cx)).await
             }
         };
+        if ended.is_err() && unframed.load(Ordering::Relaxed) {
+            // HTTP/1.0 has no chunks: a regular end of the connection would complete the broken response.
+            let _ = SockRef::from(conn.into_parts().io.inner()).set_linger(Some(Duration::ZERO));
+            return;
+        }
         // A connection that closes while a request is being served ends with an error, and gets no notice.
         let notice = match ended {
             _ if close_announced.load(Ordering::Relaxed) => None,
