Responses with ambiguous framing are lost

What callers saw: status 200 with the first 50 of 409,600 bytes, framed as complete by `Content-Length: 50`.

Cause: a replica's response had both a length and chunks. The HTTP library reads such a body by its chunks and keeps the length among the headers. The daemon removed Transfer-Encoding, which is hop-by-hop, and relayed the length, by which the library then cut the body off. A response with a transfer coding other than chunked was taken as one that ends with its connection: `chunked, identity` passed on the chunk sizes as part of the body, and `gzip, chunked` a body whose coding no header named any more.

Change: a head with a length beside a transfer coding, a coding other than one `chunked`, or a list as length is an error of the response (RFC 9112, section 6.3), for all clients: routes, the HTTP client, calls made once. Equal lengths that are repeated as lines are accepted as before. A request that may not be repeated then ends with 502, since it may have run.

--- a/crates/border/src/http.rs
+++ b/crates/border/src/http.rs
@@ -11,7 +11,7 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::error::CallError;
+use crate::{error::CallError, framing};
 
 pub use hyper::body::Incoming;
 
@@ -66,12 +66,14 @@
     ///
     /// # Errors
     /// [`CallError::NotSent`] if no connection was established, or a kept one closed before anything was sent; otherwise
-    /// [`CallError::Lost`].
+    /// [`CallError::Lost`], also if the head does not state where the body ends.
     pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
-        self.inner.request(req).await.map_err(|e| {
+        let resp = self.inner.request(req).await.map_err(|e| {
             let why = error_chain(&e);
             if e.is_connect() || is_cancelled(&e) { CallError::NotSent(why) } else { CallError::Lost(why) }
-        })
+        })?;
+        framing::check(resp.headers()).map_err(|e| CallError::Lost(e.to_string()))?;
+        Ok(resp)
     }
 
     /// Sends a request and reads the complete response, within `timeout`.
--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`kv`]: the key-value service; [`etcd`] implements it over the JSON gateway of etcd's v3 protocol.
 //! - [`feed`]: a key-value service whose changes can be read in order.
+//! - [`framing`]: whether a response states where its body ends.
 //! - [`vms`]: the platform's VM list.
 //! - [`dialect`]: the formats of a platform for callers, endpoints and the stored configuration.
 //! - [`once`]: HTTP calls of which no data may arrive after their timeout.
@@ -11,6 +12,7 @@
 pub mod error;
 pub mod etcd;
 pub mod feed;
+pub mod framing;
 pub mod http;
 pub mod kv;
 pub mod once;
--- a/crates/border/src/once.rs
+++ b/crates/border/src/once.rs
@@ -14,7 +14,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
-use crate::error::CallError;
+use crate::{error::CallError, framing};
 
 /// Maximum size of the body of a response.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
@@ -37,6 +37,7 @@
         let (mut conn, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(&e))?;
         let answer = async {
             let resp = conn.send_request(req).await.map_err(|e| lost(&e))?;
+            framing::check(resp.headers()).map_err(|e| lost(&e))?;
             let status = resp.status();
             let body = Limited::new(resp.into_body(), MAX_ANSWER_BYTES).collect().await;
             let body = body.map_err(|e| CallError::Lost(e.to_string()))?;
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -13,6 +13,7 @@
 };
 
 use bytes::Bytes;
+use dahliaseam_border::framing;
 use dahliaseam_core::time::{Span, Time};
 use http::{Request, Response};
 use http_body_util::Full;
@@ -79,6 +80,14 @@
     pub(super) connect_time: Option<Span>,
 }
 
+impl Received {
+    /// Checks that the head states where the body ends.
+    fn new(resp: Response<Incoming>, conn: Conn, connect_time: Option<Span>) -> Result<Self, SendError> {
+        framing::check(resp.headers()).map_err(|e| SendError::Lost(e.to_string()))?;
+        Ok(Self { resp, conn, connect_time })
+    }
+}
+
 #[derive(Debug)]
 struct IdleConn {
     conn: Conn,
@@ -112,7 +121,7 @@
         // does not send the request twice.
         while let Some(mut conn) = self.take_idle(address) {
             match conn.try_send_request(req).await {
-                Ok(resp) => return Ok(Received { resp, conn, connect_time: None }),
+                Ok(resp) => return Received::new(resp, conn, None),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => req = unsent,
                     None => return Err(SendError::after_send(&e.into_error())),
@@ -123,7 +132,7 @@
         let mut conn = connect(address).await?;
         let connect_time = Some(self.clock.now().since(started_at));
         match conn.try_send_request(req).await {
-            Ok(resp) => Ok(Received { resp, conn, connect_time }),
+            Ok(resp) => Received::new(resp, conn, connect_time),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
                 None => Err(SendError::after_send(&e.into_error())),
