Command line: a watch that ends within a line fails

What operators saw: `dahliaseam watch` ended with exit code 0 and without its last change, if the response, with neither a length nor chunks, ended within a line: the incomplete line was dropped. Daemons answer in chunks, where a cut is an error already; a proxy between them may not.

A stream that ends between two lines ends as before.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -117,17 +117,26 @@
     /// Returns the next line, or `None` at the end of the stream.
     ///
     /// # Errors
-    /// Returns an error if the connection breaks.
+    /// Returns an error if the connection breaks or the stream ends within a line.
     pub async fn next(&mut self) -> Result<Option<Bytes>, CommandError> {
         loop {
             if let Some(end) = self.buf.iter().position(|b| *b == b'\n') {
                 return Ok(Some(self.buf.split_to(end + 1).freeze()));
             }
-            let Some(frame) = self.resp.body_mut().frame().await else { return Ok(None) };
+            let Some(frame) = self.resp.body_mut().frame().await else {
+                return self.end();
+            };
             let frame = frame.map_err(|e| CallError::Lost(e.to_string()))?;
             if let Ok(data) = frame.into_data() {
                 self.buf.extend_from_slice(&data);
             }
         }
     }
+
+    fn end(&self) -> Result<Option<Bytes>, CommandError> {
+        if self.buf.is_empty() {
+            return Ok(None);
+        }
+        Err(CommandError::Answer("the stream ended within a line".to_owned()))
+    }
 }
