Key-value service: a watch that ends within a message is lost

What the daemon saw: a watch that was cut within a message, in a response with neither a length nor chunks, ended like one that the service had ended, and the incomplete message was dropped. Its only reader watches again and reads the key after either end, so no change was missed; the next one may not.

The new test cuts a message at each of its bytes. It failed before (`None` after one byte) and passes now.

--- a/crates/border/src/etcd.rs
+++ b/crates/border/src/etcd.rs
@@ -274,7 +274,9 @@
             let frame = tokio::time::timeout(WATCH_IDLE_TIMEOUT, self.body.frame())
                 .await
                 .map_err(|_| CallError::Lost("no data from the watch in time".to_owned()))?;
-            let Some(frame) = frame else { return Ok(None) };
+            let Some(frame) = frame else {
+                return self.end();
+            };
             let frame = frame.map_err(|e| CallError::Lost(e.to_string()))?;
             if let Ok(data) = frame.into_data() {
                 self.buf.extend_from_slice(&data);
@@ -284,6 +286,13 @@
             }
         }
     }
+
+    fn end(&self) -> Result<Option<(WatchEvent, Self)>, CallError> {
+        if self.buf.is_empty() {
+            return Ok(None);
+        }
+        Err(CallError::Lost("the watch ended within a message".to_owned()))
+    }
 }
 
 /// Parses one message into its events, the latest first.
