Freed handles: the engine's answer is read within limits

What happened: an engine that answers the call to free a handle with a head and then falls silent kept a task and a connection of the daemon for as long as both lived. The time limit covered the head only, and the size had none. No caller waits for this call, so no answer was affected.

Cause: the body was collected without the limits with which other short answers are drained. It uses the same function now.

The new test failed before (the connection was still open after 10 s) and passes now, with all 97 tests of the path.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -372,7 +372,7 @@
 }
 
 /// Reads a short response to its end so that its connection can be kept.
-async fn drain_short_response(gw: &Gateway, replica: &ReplicaFacts, body: Incoming, conn: Conn) {
+pub(super) async fn drain_short_response(gw: &Gateway, replica: &ReplicaFacts, body: Incoming, conn: Conn) {
     let rest = Limited::new(body, MAX_SHORT_RESPONSE_BYTES).collect();
     if matches!(tokio::time::timeout(SHORT_RESPONSE_TIMEOUT, rest).await, Ok(Ok(_))) {
         gw.upstream.keep(replica.address, conn);
--- a/crates/daemon/src/gateway/reading.rs
+++ b/crates/daemon/src/gateway/reading.rs
@@ -15,7 +15,9 @@
     clock::duration,
     emit,
     gateway::{
-        attempt::{Call, CallFailure, MAX_SHORT_RESPONSE_BYTES, SHORT_RESPONSE_TIMEOUT, SILENCE_TIMEOUT},
+        attempt::{
+            Call, CallFailure, MAX_SHORT_RESPONSE_BYTES, SHORT_RESPONSE_TIMEOUT, SILENCE_TIMEOUT, drain_short_response,
+        },
         orders,
         request::ActiveRequest,
         state::Gateway,
@@ -61,11 +63,7 @@
         }
     };
     match tokio::time::timeout(FREE_TIMEOUT, gw.upstream.send(replica.address, req)).await {
-        Ok(Ok(Received { resp, conn, .. })) => {
-            if resp.into_body().collect().await.is_ok() {
-                gw.upstream.keep(replica.address, conn);
-            }
-        }
+        Ok(Ok(Received { resp, conn, .. })) => drain_short_response(&gw, &replica, resp.into_body(), conn).await,
         Ok(Err(e)) => emit!(info, HANDLE_KEPT, replica = %replica.id, handle, why = ?e),
         Err(_) => emit!(info, HANDLE_KEPT, replica = %replica.id, handle, why = "no response in time"),
     }
