Streams: one may be resumed after events that follow a large one

What callers saw: a stream that broke off ended as broken although it could have been resumed, if any event before was larger than a daemon holds.

Cause: once a part of an event had been relayed, the stream counted as not resumable for good.

--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body, Incoming};
 use quick_error::quick_error;
 
-use crate::gateway::sse::EventBuffer;
+use crate::gateway::sse::{EventBuffer, ResumePoint};
 
 quick_error! {
     /// Why a response is incomplete.
@@ -123,8 +123,8 @@
         self.events.as_ref().map_or(0, EventBuffer::open_bytes)
     }
 
-    /// Whether an event was returned in parts, so that a stream cannot be resumed after its last whole event.
-    pub(super) fn has_split_event(&self) -> bool {
-        self.events.as_ref().is_some_and(EventBuffer::has_split_event)
+    /// Where a stream can be resumed; `None` if the response is not a stream.
+    pub(super) fn resume_point(&self) -> Option<&ResumePoint> {
+        self.events.as_ref().map(EventBuffer::resume_point)
     }
 }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -21,7 +21,7 @@
         body::BodyError,
         ending::AccessLogEntry,
         request::ActiveRequest,
-        sse,
+        sse::ResumePoint,
     },
 };
 
@@ -126,7 +126,6 @@
             log_entry.start_stream(&resp);
             let relay = Relay {
                 resumable: req.is_stream(&resp.head) && req.route.repeat == Repeat::Allowed,
-                last_event_id: sse::last_event_id(&first),
                 req,
                 resp,
                 pending: Some(first),
@@ -152,7 +151,6 @@
     req: ActiveRequest,
     resp: Box<UpstreamResponse>,
     pending: Option<Bytes>,
-    last_event_id: Option<String>,
     resumable: bool,
     is_done: bool,
     log_entry: AccessLogEntry,
@@ -176,9 +174,6 @@
                     return None;
                 }
                 Some(Some(Ok(bytes))) => {
-                    if let Some(id) = sse::last_event_id(&bytes).filter(|_| self.resumable) {
-                        self.last_event_id = Some(id);
-                    }
                     self.update_estimates();
                     return Some(Ok(Frame::data(bytes)));
                 }
@@ -219,17 +214,17 @@
             request = self.req.caller.id,
             content = %self.req.content,
             replica = %self.resp.replica.id,
-            last_event = self.last_event_id.as_deref().unwrap_or(""),
+            last_event = self.last_event().unwrap_or(""),
             framing = self.resp.body.framing().name(),
             cut_bytes = self.resp.body.open_bytes(),
             why,
             resumable = self.resumable
         );
         self.req.check_replica(self.resp.replica.clone()).await;
-        if !self.resumable || self.resp.body.has_split_event() || !self.req.may_retry() {
+        if !self.resumable || !self.req.may_retry() {
             return Err(RelayError::BrokeOff(why));
         }
-        let Some(id) = self.last_event_id.clone() else {
+        let Some(id) = self.last_event().map(str::to_owned) else {
             return Err(RelayError::BrokeOff(why));
         };
         self.req.last_event = Some(id);
@@ -252,6 +247,15 @@
         Ok(())
     }
 
+    /// Identifier of the last event that was relayed, if the stream can be resumed after it.
+    fn last_event(&self) -> Option<&str> {
+        match self.resp.body.resume_point()? {
+            ResumePoint::Start => self.req.last_event.as_deref(),
+            ResumePoint::After(id) => Some(id),
+            ResumePoint::Nowhere => None,
+        }
+    }
+
     /// Records a relayed event, and updates the estimates from the stream from time to time.
     fn update_estimates(&mut self) {
         if let Some(part) = self.log_entry.record_event()
