Connections: an unframed response is completed only by a regular close

What callers saw: a caller of HTTP/1.0 got a stream that looked complete when the daemon's process was killed, or stopped before the stream had ended: the system closes the sockets of a process regularly.

Cause: the connection was reset only if the relay reported an error. It is prepared to be reset before the first byte of such a response now, and closes regularly only after the last one. a_stream_to_a_caller_without_chunks_is_reset_when_the_process_ends failed before in both cases, killed and stopped, and passes.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -23,14 +23,13 @@
 };
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{emit, listener::ConnectionLimits};
+use crate::{caller_stream::CallerStream, emit, listener::ConnectionLimits};
 
 /// Time for which a connection is read after its last response. Closing it while a request arrives resets it, and the
 /// caller could lose the response.
@@ -72,13 +71,14 @@
         // Whether the caller knows that the connection closes after the last response.
         let close_announced = Arc::new(AtomicBool::new(false));
         // Whether only the end of the connection shows the end of the last response.
-        let unframed = Arc::new(AtomicBool::new(false));
-        let (begun, announced, is_unframed) = (self.begun.clone(), Arc::clone(&close_announced), Arc::clone(&unframed));
+        let ends_response = Arc::new(AtomicBool::new(false));
+        let stream = CallerStream::new(stream, Arc::clone(&ends_response));
+        let (begun, announced, ends) = (self.begun.clone(), Arc::clone(&close_announced), Arc::clone(&ends_response));
         let service = service_fn(move |req: Request<Incoming>| {
             let is_http10 = req.version() == Version::HTTP_10;
             let requested = is_http10 || announces_close(req.headers());
             let response = handler(req);
-            let (begun, announced, is_unframed) = (begun.clone(), Arc::clone(&announced), Arc::clone(&is_unframed));
+            let (begun, announced, ends) = (begun.clone(), Arc::clone(&announced), Arc::clone(&ends));
             Box::pin(async move {
                 let mut resp = response.await;
                 if begun.is_cancelled() {
@@ -87,7 +87,7 @@
                 announced.store(requested || announces_close(resp.headers()), Ordering::Relaxed);
                 let has_length =
                     resp.body().size_hint().exact().is_some() || resp.headers().contains_key(CONTENT_LENGTH);
-                is_unframed.store(is_http10 && !has_length, Ordering::Relaxed);
+                ends.store(is_http10 && !has_length, Ordering::Relaxed);
                 Ok::<_, Infallible>(resp)
             })
         });
@@ -103,9 +103,8 @@
                 poll_fn(|cx| conn.poll_without_shutdown(cx)).await
             }
         };
-        if ended.is_err() && unframed.load(Ordering::Relaxed) {
-            // HTTP/1.0 has no chunks: a regular end of the connection would complete the broken response.
-            let _ = SockRef::from(conn.into_parts().io.inner()).set_linger(Some(Duration::ZERO));
+        if ended.is_err() && ends_response.load(Ordering::Relaxed) {
+            // Dropping the connection resets it, so that the broken response does not look complete.
             return;
         }
         // A connection that closes while a request is being served ends with an error, and gets no notice.
@@ -115,7 +114,9 @@
             Err(e) if e.is_timeout() => self.notices.map(|notices| notices.idle),
             _ => None,
         };
-        close(conn.into_parts().io.into_inner(), notice).await;
+        if let Ok(stream) = conn.into_parts().io.into_inner().into_regular() {
+            close(stream, notice).await;
+        }
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`operator`] (the operators' API).
 
 pub mod caller;
+mod caller_stream;
 pub mod clock;
 pub mod configuration;
 pub mod connection;
