Tests: a VM without network paths to the replicas

Callers of VMs that had lost their paths to all replicas got 503 for almost all requests, although the other VMs reached every replica. The tests cut the paths of one of three daemons in the three forms seen (connections hang, are reset, or live on while new ones are refused) and require that it serves two thirds of what another daemon serves, one second after the cut. For that, daemons connect to replicas through a dialer from their dependencies, which the tests replace; behaviour is unchanged.

The request whose connections the cut broke was refused as one that crashes replicas.

--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -5,10 +5,12 @@
 //! - [`framing`]: whether a response states where its body ends.
 //! - [`vms`]: the platform's VM list.
 //! - [`dialect`]: the formats of a platform for callers, endpoints and the stored configuration.
+//! - [`dialer`]: opens connections to replicas.
 //! - [`once`]: HTTP calls of which no data may arrive after their timeout.
 //! - [`http`]: the HTTP client of all other calls.
 
 pub mod dialect;
+pub mod dialer;
 pub mod error;
 pub mod etcd;
 pub mod feed;
--- a/crates/border/src/once.rs
+++ b/crates/border/src/once.rs
@@ -4,7 +4,7 @@
 //! daemon may already have the right to make such calls. Each call here therefore uses its own connection, which is
 //! reset when the call ends.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -27,11 +27,23 @@
     address: SocketAddr,
     req: Request<Full<Bytes>>,
     timeout: Duration,
+) -> Result<(StatusCode, Bytes), CallError> {
+    call_on(TcpStream::connect(address), req, timeout).await
+}
+
+/// Makes one call within `timeout` on the connection that `connecting` returns.
+///
+/// # Errors
+/// As [`call`].
+pub async fn call_on(
+    connecting: impl Future<Output = io::Result<TcpStream>>,
+    req: Request<Full<Bytes>>,
+    timeout: Duration,
 ) -> Result<(StatusCode, Bytes), CallError> {
     let not_sent = |e: &dyn std::error::Error| CallError::NotSent(e.to_string());
     let lost = |e: &dyn std::error::Error| CallError::Lost(e.to_string());
     let call = async {
-        let stream = TcpStream::connect(address).await.map_err(|e| not_sent(&e))?;
+        let stream = connecting.await.map_err(|e| not_sent(&e))?;
         // With a linger time of zero, closing the socket discards unsent data and resets the connection.
         SockRef::from(&stream).set_linger(Some(Duration::ZERO)).map_err(|e| not_sent(&e))?;
         let (mut conn, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(&e))?;
--- a/crates/daemon/src/bin/dahliaseamd/routes.rs
+++ b/crates/daemon/src/bin/dahliaseamd/routes.rs
@@ -6,6 +6,7 @@
     time::{Duration, SystemTime},
 };
 
+use dahliaseam_border::dialer::TcpDialer;
 use dahliaseam_platform::{dialect::PlatformDialect, store::Store};
 use dahliaseam_settings::gateway::GatewaySettings;
 use dahliaseamd::{
@@ -54,6 +55,7 @@
         clock: Arc::new(BootClock),
         kv: Arc::clone(&store) as _,
         feed: store,
+        dialer: Arc::new(TcpDialer),
         dialect: Arc::new(PlatformDialect),
         dropped_lines: Some(log.dropped()),
     };
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -154,7 +154,10 @@
     };
     let req = gw.deps.dialect.order_role(replica, &order).map_err(|e| CallError::NotSent(e.to_string()))?;
     gw.confirm_leadership(lease).await?;
-    let (status, _) = once::call(replica.address, req, leadership::CALL_TIMEOUT).await?;
+    let (status, _) = {
+        let connecting = gw.deps.dialer.connect(replica.address);
+        once::call_on(connecting, req, leadership::CALL_TIMEOUT).await?
+    };
     gw.deps.dialect.order_answer(status.as_u16()).ok_or_else(|| CallError::Lost(format!("status {status}")))
 }
 
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -9,7 +9,7 @@
     time::Instant,
 };
 
-use dahliaseam_border::{dialect::SharedDialect, feed::ChangeFeed, kv::KeyValue};
+use dahliaseam_border::{dialect::SharedDialect, dialer::Dialer, feed::ChangeFeed, kv::KeyValue};
 use dahliaseam_core::{
     fleet::{Fleet, budget::RetryBudgetTerms, short_id},
     route::RouteTable,
@@ -38,6 +38,8 @@
     pub kv: Arc<dyn KeyValue>,
     /// The same service, for watching its changes.
     pub feed: Arc<dyn ChangeFeed>,
+    /// Connects to replicas.
+    pub dialer: Arc<dyn Dialer>,
     /// Protocol of callers and endpoints, and format of the stored configuration.
     pub dialect: SharedDialect,
     /// Counts dropped log lines.
@@ -152,7 +154,7 @@
             socket,
             leadership: Leadership::default(),
             usage: Usage::new(usage_terms(&settings, &deps)),
-            upstream: Upstream::new(Arc::clone(&deps.clock)),
+            upstream: Upstream::new(Arc::clone(&deps.clock), Arc::clone(&deps.dialer)),
             link: Link::new(settings.link_mbps),
             peers: Peers::default(),
             metrics,
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use dahliaseam_border::framing;
+use dahliaseam_border::{dialer::Dialer, framing};
 use dahliaseam_core::time::{Span, Time};
 use http::{Request, Response};
 use http_body_util::Full;
@@ -97,6 +97,7 @@
 /// Connections to all replicas.
 pub(super) struct Upstream {
     clock: Arc<dyn Clock>,
+    dialer: Arc<dyn Dialer>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConn>>>,
 }
 
@@ -107,8 +108,8 @@
 }
 
 impl Upstream {
-    pub(super) fn new(clock: Arc<dyn Clock>) -> Self {
-        Self { clock, idle: Mutex::default() }
+    pub(super) fn new(clock: Arc<dyn Clock>, dialer: Arc<dyn Dialer>) -> Self {
+        Self { clock, dialer, idle: Mutex::default() }
     }
 
     /// Sends a request; returns the head of the response and the connection.
@@ -129,7 +130,7 @@
             }
         }
         let started_at = self.clock.now();
-        let mut conn = connect(address).await?;
+        let mut conn = connect(&*self.dialer, address).await?;
         let connect_time = Some(self.clock.now().since(started_at));
         match conn.try_send_request(req).await {
             Ok(resp) => Received::new(resp, conn, connect_time),
@@ -144,7 +145,7 @@
     /// no response at all, the link may be broken, and the process counts as present.
     pub(super) async fn is_gone(&self, address: SocketAddr) -> bool {
         for _ in 0..MAX_PROBES {
-            let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+            let connecting = tokio::time::timeout(CONNECT_TIMEOUT, self.dialer.connect(address));
             let mut stream = match connecting.await {
                 Ok(Ok(stream)) => stream,
                 Ok(Err(e)) => return e.kind() == ErrorKind::ConnectionRefused,
@@ -206,9 +207,9 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Conn, SendError> {
+async fn connect(dialer: &dyn Dialer, address: SocketAddr) -> Result<Conn, SendError> {
     let unsent = |e: &dyn std::error::Error| SendError::NotSent(e.to_string());
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, dialer.connect(address));
     let stream = match connecting.await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Err(SendError::NobodyListens),
