Core: the path to a replica, direct or through peers

A daemon had only its own connections to replicas, so it ejected all of them when its paths were cut. Each replica now has a path that checks decide: direct while this daemon reaches it, through peers while only they do. When a check finds that, the ejection is lifted, failures of calls on the former path count no more, and while the check runs, load reports do not call the replica unreachable. Nothing starts checks yet.

--- a/crates/core/src/eject.rs
+++ b/crates/core/src/eject.rs
@@ -51,6 +51,11 @@
         ejects
     }
 
+    /// Forgets all faults and ejections, since they were not the endpoint's.
+    pub fn readmit(&mut self) {
+        *self = Self::default();
+    }
+
     /// Whether new work may be sent at `now`. After an ejection a single attempt is allowed as a probe.
     #[must_use]
     pub const fn is_available(&self, now: Time) -> bool {
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! The replicas behind the routes: their state, their load, and the selection of replicas for requests.
 //!
 //! [`replica`] holds the state of one replica. Replicas are added and removed by [`discovery`]; daemons report their
-//! load to each other ([`peers`]). [`plan`] describes a request and how it will be served. `choose` selects replicas
+//! load to each other ([`peers`]). [`path`] is how calls reach a replica. [`plan`] describes a request and how it will be served. `choose` selects replicas
 //! from its `candidates` or refuses requests that cannot be served in time; `packing` places long answers. The
 //! selection uses the estimates of [`cache`], [`engine`] and `distance`. [`budget`] limits retries, [`split`] chooses
 //! the roles of engines, `sizes` keeps large prompts from being refused far more often than others, [`pool`] chooses
@@ -24,6 +24,7 @@
         distance::HallLatencies,
         endings::{CrashTracker, Treatment},
         engine::{EngineModel, hand_over::KvTransfer, read_time::PrefillWork},
+        path::Path,
         peers::{LastReport, Source},
         plan::{Plan, RouteRequest},
         policy::FleetPolicy,
@@ -45,6 +46,7 @@
 pub mod endings;
 pub mod engine;
 mod packing;
+pub mod path;
 pub mod peers;
 pub mod plan;
 pub mod policy;
@@ -125,6 +127,8 @@
 pub struct SentStep {
     /// The replica.
     pub key: ReplicaKey,
+    /// The path that it took.
+    pub path: Path,
     /// The load that it adds to the replica.
     pub load: Load,
     /// The prompt tokens to prefill.
@@ -345,8 +349,10 @@
         let expected_ms = step.wait_ms + step.work_ms;
         let link_time = Span::seconds(step.link_ms / 1_000.0);
         let (prefill, kv_transfer) = (step.prefill, step.kv_transfer);
+        let path = replica.path.path();
         Some(SentStep {
             key,
+            path,
             load,
             prefill,
             kv_transfer,
@@ -385,6 +391,8 @@
         }
         match end {
             StepEnd::Done => replica.health.record_success(),
+            // The failure is that of a path which is no longer used.
+            StepEnd::Failed | StepEnd::Silent if sent.path != replica.path.path() => replica.health.end_probe(),
             StepEnd::Failed => return replica.health.record_fault(now),
             StepEnd::Silent => return replica.health.record_unreachable(now),
             StepEnd::Rejected | StepEnd::Unknown => replica.health.end_probe(),
--- /dev/null
+++ b/crates/core/src/fleet/path.rs
@@ -0,0 +1,162 @@
+//! The network path from this daemon to each replica: its own, or through a peer.
+//!
+//! A daemon may lose its own paths to replicas that other daemons still reach. As with the indirect probes of SWIM, a
+//! replica that this daemon fails to reach is therefore asked for through peers before it counts as unreachable. No
+//! number of failures decides: each ejection starts a check, and its result sets the path. While calls go through peers,
+//! the own path is checked again from time to time.
+
+use std::net::SocketAddr;
+
+use crate::{
+    fleet::{
+        Fleet,
+        replica::{Replica, ReplicaFacts, ReplicaKey},
+    },
+    hash::rendezvous,
+    time::{Span, Time},
+};
+
+/// Interval between two checks of the own path to a replica that is called through peers.
+const RECHECK_INTERVAL: Span = Span::millis(500);
+
+/// The path of calls to a replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Path {
+    /// A connection from this VM.
+    #[default]
+    Direct,
+    /// A connection from the VM of a peer.
+    ThroughPeers,
+}
+
+/// What a check of the paths to a replica found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathCheck {
+    /// This daemon reaches the replica itself.
+    Direct,
+    /// Only peers reach it.
+    PeersOnly,
+    /// Neither this daemon nor a peer is known to reach it.
+    Unreachable,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum State {
+    #[default]
+    Direct,
+    ThroughPeers {
+        check_at: Time,
+    },
+}
+
+/// The path to one replica and whether it is being checked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PathState {
+    state: State,
+    is_checking: bool,
+}
+
+impl PathState {
+    /// The path that a call takes now.
+    #[must_use]
+    pub const fn path(&self) -> Path {
+        match self.state {
+            State::Direct => Path::Direct,
+            State::ThroughPeers { .. } => Path::ThroughPeers,
+        }
+    }
+
+    /// Whether a check is running.
+    #[must_use]
+    pub const fn is_checking(&self) -> bool {
+        self.is_checking
+    }
+
+    /// Whether the own path is to be checked before the next call through peers.
+    #[must_use]
+    pub const fn is_check_due(&self, now: Time) -> bool {
+        match self.state {
+            State::Direct => false,
+            State::ThroughPeers { check_at } => check_at.is_past(now),
+        }
+    }
+
+    /// Starts a check; returns `false` if one is running.
+    pub const fn begin_check(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_checking, true)
+    }
+
+    /// Ends the running check; returns whether the path has changed.
+    pub fn end_check(&mut self, found: PathCheck, now: Time) -> bool {
+        self.is_checking = false;
+        let before = self.path();
+        self.state = match (found, self.state) {
+            (PathCheck::Direct, _) | (PathCheck::Unreachable, State::Direct) => State::Direct,
+            (PathCheck::PeersOnly, _) | (PathCheck::Unreachable, State::ThroughPeers { .. }) => {
+                State::ThroughPeers { check_at: now + RECHECK_INTERVAL }
+            }
+        };
+        self.path() != before
+    }
+}
+
+impl Fleet {
+    /// The path that a call to a replica takes now.
+    #[must_use]
+    pub fn path(&self, facts: &ReplicaFacts) -> Path {
+        let replica = self.key(&facts.id).and_then(|key| self.get(key));
+        replica.map_or(Path::Direct, |replica| replica.path.path())
+    }
+
+    /// Starts a check of the paths to a replica; `None` if it is gone or a check is running.
+    pub fn begin_path_check(&mut self, key: ReplicaKey) -> Option<ReplicaFacts> {
+        let replica = self.replicas.get_mut(key)?;
+        replica.path.begin_check().then(|| replica.facts.clone())
+    }
+
+    /// Applies the result of a check; returns whether the path has changed.
+    ///
+    /// A replica that only peers reach is no longer ejected, since the failures are those of the path.
+    pub fn end_path_check(&mut self, key: ReplicaKey, found: PathCheck, now: Time) -> bool {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return false;
+        };
+        let changed = replica.path.end_check(found, now);
+        if changed && found == PathCheck::PeersOnly {
+            replica.health.readmit();
+        }
+        changed
+    }
+
+    /// Whether a path to a replica of a service is being checked.
+    #[must_use]
+    pub fn is_checking_paths(&self, service: &str) -> bool {
+        let keys = self.candidates.all(service).iter();
+        keys.filter_map(|key| self.get(*key)).any(|replica| replica.path.is_checking())
+    }
+
+    /// Random replicas that are called directly and are not being checked.
+    #[must_use]
+    pub fn sample_direct(&self, count: usize, draw: u64) -> Vec<ReplicaKey> {
+        let direct = self.replicas.iter().filter(|(_, replica)| {
+            replica.path.path() == Path::Direct && !replica.path.is_checking() && replica.gone_at == Time::NEVER
+        });
+        let mut keys: Vec<ReplicaKey> = direct.map(|(key, _)| key).collect();
+        keys.sort_by_cached_key(|key| self.get(*key).map(|replica| rendezvous(draw, u64::from(replica.start_id))));
+        keys.truncate(count);
+        keys
+    }
+
+    /// The replica at an address, if there is one.
+    #[must_use]
+    pub fn at_address(&self, address: SocketAddr) -> Option<ReplicaKey> {
+        let at_address = |(_, replica): &(ReplicaKey, &Replica)| replica.facts.address == address;
+        self.replicas.iter().find(at_address).map(|(key, _)| key)
+    }
+
+    /// Number of replicas that are called through peers.
+    #[must_use]
+    pub fn count_through_peers(&self) -> usize {
+        self.replicas.values().filter(|replica| replica.path.path() == Path::ThroughPeers).count()
+    }
+}
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -187,8 +187,8 @@
         self.hall_prompt_notes.truncate(MAX_HALL_PROMPT_NOTES);
         self.prune_reportable(now);
         let loaded = self.reportable_replicas().map(|(_, replica)| replica);
-        let loaded = loaded.filter(|replica| replica.own_load.active > 0 || is_ejected(replica, now));
-        let loads = loaded.map(|replica| to_replica_load(replica, replica.own_load, is_ejected(replica, now)));
+        let loaded = loaded.filter(|replica| replica.own_load.active > 0 || is_unreachable(replica, now));
+        let loads = loaded.map(|replica| to_replica_load(replica, replica.own_load, is_unreachable(replica, now)));
         let demands = self.services.iter().map(|(name, state)| (short_id(name), state.demand_meter.demand(now)));
         LoadReport {
             loads: loads.collect(),
@@ -212,7 +212,7 @@
         }
         let mut loads_by_replica: HashMap<ReplicaKey, (Load, bool)> = HashMap::new();
         for (key, replica) in self.reportable_replicas() {
-            let ejected = is_ejected(replica, now);
+            let ejected = is_unreachable(replica, now);
             if replica.own_load.active > 0 || ejected {
                 loads_by_replica.insert(key, (replica.own_load, ejected));
             }
@@ -511,6 +511,11 @@
     replica.health.ejected_until(now).is_some()
 }
 
+/// Whether a replica is ejected and not just being looked for through peers.
+fn is_unreachable(replica: &Replica, now: Time) -> bool {
+    is_ejected(replica, now) && !replica.path.is_checking()
+}
+
 fn to_replica_load(replica: &Replica, load: Load, ejected: bool) -> ReplicaLoad {
     ReplicaLoad {
         replica: replica.start_id,
--- a/crates/core/src/fleet/replica.rs
+++ b/crates/core/src/fleet/replica.rs
@@ -11,6 +11,7 @@
         cache::PrefixCache,
         distance::HallKey,
         engine::{answer_pace::AnswerPace, running_mean::RunningMean},
+        path::PathState,
         rate_limit::{RateLimit, RateLimitShare},
         short_id,
     },
@@ -128,6 +129,8 @@
     pub gone_at: Time,
     /// Its health as observed by this daemon.
     pub health: Health,
+    /// The network path of calls to it.
+    pub path: PathState,
     /// Time until which its ejection by a peer counts.
     pub ejected_by_peer_until: Time,
     /// Load from this daemon.
@@ -167,6 +170,7 @@
             revision,
             gone_at: Time::NEVER,
             health: Health::default(),
+            path: PathState::default(),
             ejected_by_peer_until: Time(0),
             own_load: Load::default(),
             peer_load: Load::default(),
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -23,6 +23,7 @@
 mod large_prompts;
 mod long_answers;
 mod many_replicas;
+mod paths;
 mod peers;
 mod pool;
 mod rate_limits;
--- /dev/null
+++ b/crates/core/tests/fleet/paths.rs
@@ -0,0 +1,129 @@
+//! Paths to replicas: direct or through peers.
+
+use dahliaseam_core::{
+    endpoint::Role,
+    fleet::{
+        Fleet, StepEnd,
+        path::{Path, PathCheck, PathState},
+        replica::ReplicaKey,
+    },
+    time::{Span, Time},
+};
+
+use crate::{facts, fleet_with, now, step};
+
+/// Longer than the interval between two checks of the own path.
+const LONG_TIME: Span = Span::millis(600);
+/// Shorter than that.
+const SHORT_TIME: Span = Span::millis(300);
+
+fn path_after(found: &[PathCheck]) -> PathState {
+    let mut state = PathState::default();
+    for found in found {
+        assert!(state.begin_check());
+        state.end_check(*found, now());
+    }
+    state
+}
+
+#[test]
+fn a_check_sets_the_path() {
+    for (found, path) in [
+        (&[][..], Path::Direct),
+        (&[PathCheck::Direct], Path::Direct),
+        (&[PathCheck::Unreachable], Path::Direct),
+        (&[PathCheck::PeersOnly], Path::ThroughPeers),
+        (&[PathCheck::PeersOnly, PathCheck::Unreachable], Path::ThroughPeers),
+        (&[PathCheck::PeersOnly, PathCheck::Direct], Path::Direct),
+    ] {
+        assert_eq!(path_after(found).path(), path, "{found:?}");
+    }
+}
+
+#[test]
+fn one_check_runs_at_a_time() {
+    let mut state = PathState::default();
+    assert!(state.begin_check());
+    assert!(!state.begin_check());
+    assert!(state.is_checking());
+    assert!(!state.end_check(PathCheck::Unreachable, now()));
+    assert!(state.begin_check());
+}
+
+#[test]
+fn the_own_path_is_checked_at_intervals_while_calls_go_through_peers() {
+    let mut state = path_after(&[PathCheck::PeersOnly]);
+    assert!(!state.is_check_due(now() + SHORT_TIME));
+    assert!(state.is_check_due(now() + LONG_TIME));
+    state.begin_check();
+    state.end_check(PathCheck::Unreachable, now() + LONG_TIME);
+    assert!(!state.is_check_due(now() + LONG_TIME + SHORT_TIME));
+    assert!(!path_after(&[]).is_check_due(Time::NEVER));
+}
+
+fn end_check(fleet: &mut Fleet, key: ReplicaKey, found: PathCheck) -> bool {
+    fleet.begin_path_check(key).expect("no check is running");
+    fleet.end_path_check(key, found, now())
+}
+
+fn fail(fleet: &mut Fleet, key: ReplicaKey) -> bool {
+    let sent = fleet.begin_step(key, &step(key, 1.0, false), None, now()).expect("the replica is open");
+    fleet.end_step(&sent, StepEnd::Silent, now())
+}
+
+fn is_available(fleet: &Fleet, key: ReplicaKey) -> bool {
+    fleet.get(key).expect("the replica is known").health.is_available(now())
+}
+
+#[test]
+fn a_replica_that_peers_reach_is_no_longer_ejected() {
+    let mut fleet = fleet_with(&[("a", Role::Plain)]);
+    let key = fleet.key("a").expect("the replica is known");
+    assert!(fail(&mut fleet, key));
+    assert!(!end_check(&mut fleet, key, PathCheck::Unreachable));
+    assert!(!is_available(&fleet, key));
+    assert!(end_check(&mut fleet, key, PathCheck::PeersOnly));
+    assert!(is_available(&fleet, key));
+    assert_eq!((fleet.path(&facts("a", Role::Plain)), fleet.count_through_peers()), (Path::ThroughPeers, 1));
+    // A failure through peers is the replica's.
+    assert!(fail(&mut fleet, key));
+    assert!(!end_check(&mut fleet, key, PathCheck::PeersOnly));
+    assert!(!is_available(&fleet, key));
+}
+
+/// Guards against ejecting a replica again by calls that were sent before its path changed and fail later.
+#[test]
+fn a_failure_on_the_former_path_ejects_no_replica() {
+    let mut fleet = fleet_with(&[("a", Role::Plain)]);
+    let key = fleet.key("a").expect("the replica is known");
+    let sent = fleet.begin_step(key, &step(key, 1.0, false), None, now()).expect("the replica is open");
+    end_check(&mut fleet, key, PathCheck::PeersOnly);
+    assert!(!fleet.end_step(&sent, StepEnd::Silent, now()));
+    assert!(is_available(&fleet, key));
+}
+
+/// Guards against telling peers that a replica is unreachable when only this daemon's path is cut.
+#[test]
+fn an_ejection_is_reported_once_peers_do_not_reach_the_replica_either() {
+    let mut fleet = fleet_with(&[("a", Role::Plain)]);
+    let key = fleet.key("a").expect("the replica is known");
+    let is_reported = |fleet: &mut Fleet| fleet.own_report(now()).loads.iter().any(|load| load.ejected);
+    fail(&mut fleet, key);
+    fleet.begin_path_check(key).expect("no check is running");
+    assert!(!is_reported(&mut fleet));
+    fleet.end_path_check(key, PathCheck::Unreachable, now());
+    assert!(is_reported(&mut fleet));
+}
+
+#[test]
+fn a_sample_contains_replicas_that_are_called_directly() {
+    let mut fleet = fleet_with(&[("a", Role::Plain), ("b", Role::Plain), ("c", Role::Plain), ("d", Role::Plain)]);
+    let key = |fleet: &Fleet, id: &str| fleet.key(id).expect("the replica is known");
+    let (a, b) = (key(&fleet, "a"), key(&fleet, "b"));
+    end_check(&mut fleet, a, PathCheck::PeersOnly);
+    fleet.begin_path_check(b).expect("no check is running");
+    let mut sample = fleet.sample_direct(9, 7);
+    sample.sort_unstable();
+    assert_eq!(sample, [key(&fleet, "c"), key(&fleet, "d")]);
+    assert_eq!(fleet.sample_direct(1, 7).len(), 1);
+}
