Replicas are reached through peers while this VM has no path to them

Callers of VMs that had lost their paths to all replicas got 503 for almost all requests for as long as the partition lasted: such a VM ejected one replica after the other, and had no other way to them. Un-readiness would not help, since where most VMs of a hall are not ready the load balancer uses all of them.

Each daemon now serves tunnels (HTTP CONNECT) to replicas of its fleet on the TCP port of its load address. When a replica is ejected or cannot be reached, one check connects to it directly and, if that fails, through a peer. If only the peer reaches it, its ejection is lifted and its calls go through peers until a later check reaches it directly; some other replicas are then checked at once. A request that no replica could be sent waits briefly for a running check before it is refused. A refused connection counts as a crash only if peers do not reach the replica either. Orders keep their own direct connection. A tunnel carries one request, and is reset if the replica's connection broke, since a response may end with its connection.

--- a/crates/core/src/fleet/path.rs
+++ b/crates/core/src/fleet/path.rs
@@ -135,13 +135,13 @@
         keys.filter_map(|key| self.get(*key)).any(|replica| replica.path.is_checking())
     }
 
-    /// Random replicas that are called directly and are not being checked.
+    /// Random replicas that are called on a path and are not being checked.
     #[must_use]
-    pub fn sample_direct(&self, count: usize, draw: u64) -> Vec<ReplicaKey> {
-        let direct = self.replicas.iter().filter(|(_, replica)| {
-            replica.path.path() == Path::Direct && !replica.path.is_checking() && replica.gone_at == Time::NEVER
+    pub fn sample_on_path(&self, path: Path, count: usize, draw: u64) -> Vec<ReplicaKey> {
+        let on_path = self.replicas.iter().filter(|(_, replica)| {
+            replica.path.path() == path && !replica.path.is_checking() && replica.gone_at == Time::NEVER
         });
-        let mut keys: Vec<ReplicaKey> = direct.map(|(key, _)| key).collect();
+        let mut keys: Vec<ReplicaKey> = on_path.map(|(key, _)| key).collect();
         keys.sort_by_cached_key(|key| self.get(*key).map(|replica| rendezvous(draw, u64::from(replica.start_id))));
         keys.truncate(count);
         keys
--- a/crates/core/tests/fleet/paths.rs
+++ b/crates/core/tests/fleet/paths.rs
@@ -116,14 +116,15 @@
 }
 
 #[test]
-fn a_sample_contains_replicas_that_are_called_directly() {
+fn a_sample_contains_replicas_on_one_path() {
     let mut fleet = fleet_with(&[("a", Role::Plain), ("b", Role::Plain), ("c", Role::Plain), ("d", Role::Plain)]);
     let key = |fleet: &Fleet, id: &str| fleet.key(id).expect("the replica is known");
     let (a, b) = (key(&fleet, "a"), key(&fleet, "b"));
     end_check(&mut fleet, a, PathCheck::PeersOnly);
     fleet.begin_path_check(b).expect("no check is running");
-    let mut sample = fleet.sample_direct(9, 7);
+    let mut sample = fleet.sample_on_path(Path::Direct, 9, 7);
     sample.sort_unstable();
     assert_eq!(sample, [key(&fleet, "c"), key(&fleet, "d")]);
-    assert_eq!(fleet.sample_direct(1, 7).len(), 1);
+    assert_eq!(fleet.sample_on_path(Path::Direct, 1, 7).len(), 1);
+    assert_eq!(fleet.sample_on_path(Path::ThroughPeers, 9, 7), [a]);
 }
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -81,6 +81,11 @@
     REPLICA_LIMIT = 325, "The rate limit that a replica states for all daemons combined changed, or the replica no longer states one.";
     REPLICA_RETRY_AFTER = 326, "A replica stated in a response that it accepts no further requests from this daemon for `retry_after_ms`.";
     REPLICA_LEAVING = 327, "A replica stated in a response that it is leaving; it gets no new requests from this daemon.";
+    PATH_CHANGED = 328, "This daemon's path to a replica was cut, and calls go through peers from now on, or it works again; `through_peers` is the number of replicas called through peers. If that lasts, check the network between this VM and the replicas.";
+    PATH_CHECKED = 329, "The paths to a replica were checked; `found` is the result. At debug level.";
+    TUNNEL_REQUESTED = 330, "A peer was asked for a tunnel to a replica. At debug level.";
+    TUNNEL_FAILED = 331, "No peer opened a tunnel to a replica. At debug level.";
+    TUNNEL_SERVED = 332, "A peer asked this daemon for a tunnel to a replica. At debug level.";
     MEMBER = 400, "The number of daemons believed to be alive changed.";
     LIST_REFUSED = 401, "The VM list does not contain this VM and is ignored.";
     LIST_LOST = 402, "The VM list cannot be read.";
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -263,7 +263,7 @@
             CallFailure::NotTried("the request head cannot be forwarded")
         })?;
         self.gw.link.record_send(self.body.len(), now);
-        let sending = self.gw.upstream.send(replica.address, req);
+        let sending = self.gw.send(replica, req);
         let Received { resp, conn, connect_time } = match self.gw.timeout_at(call_deadline, sending).await {
             None => return Err(CallFailure::TimedOut),
             Some(Err(SendError::NobodyListens)) => return Err(CallFailure::NobodyListens),
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -7,6 +7,7 @@
 use dahliaseam_settings::gateway::GatewaySettings;
 use tokio::{
     net::{TcpListener, UdpSocket},
+    sync::mpsc,
     task::JoinHandle,
 };
 use tokio_util::task::TaskTracker;
@@ -17,8 +18,13 @@
     emit,
     error::StartError,
     gateway::{
-        autoscaler, blamed, freshness_probe, leadership, listener, metrics::GatewayMetrics, orders, pages, peers,
-        quota, snapshot_transfer, state::Gateway, store_watch, suspension, usage,
+        autoscaler, blamed, freshness_probe, leadership, listener,
+        metrics::GatewayMetrics,
+        orders, pages,
+        path::{self, PathChecks},
+        peers, quota, snapshot_transfer,
+        state::Gateway,
+        store_watch, suspension, tunnel, usage,
     },
     listener::{ConnectionLimits, serve_with},
 };
@@ -57,9 +63,11 @@
         let socket = UdpSocket::bind(settings.load_address)
             .await
             .map_err(|e| StartError::Bind("load_address", settings.load_address.to_string(), e))?;
+        let tunnel_listener = bind("load_address", settings.load_address).await?;
+        let (requested, requests) = mpsc::unbounded_channel();
         let run_id = run_id(&settings, &deps);
         let metrics = GatewayMetrics::new(deps.dropped_lines.clone())?;
-        let gw = Arc::new(Gateway::new(settings, deps, socket, metrics, run_id));
+        let gw = Arc::new(Gateway::new(settings, deps, socket, metrics, PathChecks::new(requested), run_id));
         let background = TaskTracker::new();
         background.spawn(store_watch::run(Arc::clone(&gw)));
         background.spawn(peers::run(Arc::clone(&gw)));
@@ -75,6 +83,8 @@
         background.spawn(snapshot_transfer::run(Arc::clone(&gw)));
         background.spawn(blamed::run(Arc::clone(&gw)));
         background.spawn(suspension::run(Arc::clone(&gw)));
+        background.spawn(path::run(Arc::clone(&gw), requests));
+        background.spawn(tunnel::run(Arc::clone(&gw), tunnel_listener));
         let caller_task = tokio::spawn(listener::run(Arc::clone(&gw), caller_listener));
         emit!(info, STARTED, vm = gw.settings.vm, hall = gw.settings.hall, start = run_id);
         Ok(Self { gw, caller_task, background })
@@ -101,7 +111,9 @@
         tokio::time::sleep(BALANCER_DELAY).await;
         gw.stop.closing.cancel();
         let left = deadline.since(gw.now()).0.saturating_sub(EXIT_TIME.0);
-        let drained = tokio::time::timeout(duration(Span(left)), self.caller_task).await.is_ok();
+        gw.stop.tunnels.close();
+        let requests = async { tokio::join!(self.caller_task, gw.stop.tunnels.wait()) };
+        let drained = tokio::time::timeout(duration(Span(left)), requests).await.is_ok();
         emit!(info, DRAINED, drained, under_way = gw.stop.requests.len());
         usage::publish_final(gw).await;
         gw.stop.finished.cancel();
--- a/crates/daemon/src/gateway/endings.rs
+++ b/crates/daemon/src/gateway/endings.rs
@@ -108,7 +108,7 @@
 async fn record_if_crashed(gw: Arc<Gateway>, content: ContentHash, request: String, replica: ReplicaFacts) {
     let broken_at = gw.now();
     // If a newer start of the replica listens there, the previous process is gone as well.
-    if !gw.upstream.is_gone(replica.address).await && !gw.fleet().is_replaced(&replica) {
+    if !gw.is_gone(&replica).await && !gw.fleet().is_replaced(&replica) {
         return;
     }
     let (crashes, left_out) = {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -62,6 +62,9 @@
     store_calls: Counter<u64>,
     store_reads: Counter<u64>,
     peer_messages: Counter<u64>,
+    tunnels_served: Counter<u64>,
+    tunnels_requested: Counter<u64>,
+    through_peers: Gauge<u64>,
     lost_requests: Counter<u64>,
     usage_reports: Counter<u64>,
     size_orders: Counter<u64>,
@@ -100,6 +103,15 @@
             store_calls: counter("dahliaseam_store_requests", "Calls to the key-value service, by what they are for"),
             store_reads: counter("dahliaseam_store_calls", "Calls that follow the key-value service, by end"),
             peer_messages: counter("dahliaseam_peer_messages", "Messages to and from other daemons"),
+            tunnels_served: counter(
+                "dahliaseam_tunnels_served",
+                "Tunnels to replicas that peers asked for, by outcome",
+            ),
+            tunnels_requested: counter("dahliaseam_tunnels_requested", "Tunnels asked for at peers, by outcome"),
+            through_peers: meter
+                .u64_gauge("dahliaseam_replicas_through_peers")
+                .with_description("Replicas that are reached only through peers")
+                .build(),
             lost_requests: counter("dahliaseam_replica_ends", "Requests that were lost since their replica ended"),
             usage_reports: counter("dahliaseam_usage_reports", "Reports of usage that were sent, by answer"),
             size_orders: counter("dahliaseam_size_orders", "Orders of how many engines a hall has, by answer"),
@@ -144,6 +156,21 @@
         self.peer_messages.add(1, &[KeyValue::new("way", direction)]);
     }
 
+    /// Counts a tunnel that a peer asked for.
+    pub(super) fn tunnel_served(&self, outcome: &'static str) {
+        self.tunnels_served.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a tunnel that a peer was asked for.
+    pub(super) fn tunnel_requested(&self, outcome: &'static str) {
+        self.tunnels_requested.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the number of replicas that are reached only through peers.
+    pub(super) fn replicas_through_peers(&self, count: u64) {
+        self.through_peers.record(count, &[]);
+    }
+
     /// Counts a request that was lost because its replica crashed.
     pub(super) fn lost_request(&self) {
         self.lost_requests.add(1, &[]);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -6,7 +6,8 @@
 //! - [`admission`] reads the head, key, route and body.
 //! - [`request`] makes attempts until there is an outcome, which [`ending`] logs.
 //! - [`attempt`] makes one attempt; [`reading`] has a prompt prefilled for another engine.
-//! - [`upstream`] keeps the connections to replicas, and [`body`] knows whether a response arrived completely.
+//! - [`upstream`] keeps the connections to replicas, and [`body`] knows whether a response arrived completely. Where this
+//!   VM has no path to a replica, [`path`] sends its requests through the [`tunnel`] of a peer.
 //! - [`relay`] relays the response as it arrives.
 //! - [`endings`] checks whether a replica crashed while it had the request, and [`blamed`] stores which requests are
 //!   suspected or refused because of such crashes.
@@ -45,6 +46,7 @@
 mod packet;
 mod pages;
 mod passed;
+mod path;
 mod peer_table;
 mod peers;
 mod quota;
@@ -57,6 +59,7 @@
 mod store_cache;
 mod store_watch;
 mod suspension;
+mod tunnel;
 mod upstream;
 mod usage;
 mod work;
--- a/crates/daemon/src/gateway/reading.rs
+++ b/crates/daemon/src/gateway/reading.rs
@@ -5,7 +5,7 @@
 
 use dahliaseam_border::dialect::{Handle, Task};
 use dahliaseam_core::{
-    fleet::{StepEnd, plan::Step, replica::ReplicaFacts},
+    fleet::{StepEnd, path::Path, plan::Step, replica::ReplicaFacts},
     time::{Span, Time},
 };
 use http::StatusCode;
@@ -62,7 +62,7 @@
             return;
         }
     };
-    match tokio::time::timeout(FREE_TIMEOUT, gw.upstream.send(replica.address, req)).await {
+    match tokio::time::timeout(FREE_TIMEOUT, gw.send(&replica, req)).await {
         Ok(Ok(Received { resp, conn, .. })) => drain_short_response(&gw, &replica, resp.into_body(), conn).await,
         Ok(Err(e)) => emit!(info, HANDLE_KEPT, replica = %replica.id, handle, why = ?e),
         Err(_) => emit!(info, HANDLE_KEPT, replica = %replica.id, handle, why = "no response in time"),
@@ -111,6 +111,7 @@
     /// An aborted prefill starts again from the beginning elsewhere, at the full cost; so a busy engine keeps it, and
     /// only an engine that is gone or unreachable loses it.
     async fn prefill_while_responsive(&self, call: &Call<'_>, overdue_at: Time) -> Result<Handle, CallFailure> {
+        let path = self.gw.fleet().path(call.replica);
         let mut prefill = std::pin::pin!(self.call_prefill(call));
         if let Some(result) = self.gw.timeout_at(overdue_at, &mut prefill).await {
             return result;
@@ -120,13 +121,14 @@
                 CallFailure::TimedOut => CallFailure::Overdue,
                 other => other,
             }),
-            () = self.until_unresponsive(call.replica) => Err(CallFailure::TimedOut),
+            () = self.until_unresponsive(call.replica, path) => Err(CallFailure::TimedOut),
         }
     }
 
-    /// Returns when the engine does not respond to a cheap status request, or has been restarted.
-    async fn until_unresponsive(&self, replica: &ReplicaFacts) {
-        loop {
+    /// Returns when the engine does not respond to a cheap status request, has been restarted, or is no longer reached
+    /// on the path of the call.
+    async fn until_unresponsive(&self, replica: &ReplicaFacts, path: Path) {
+        while self.gw.fleet().path(replica) == path {
             let report = tokio::time::timeout(duration(SILENCE_TIMEOUT), orders::fetch_report(&self.gw, replica)).await;
             match report {
                 Ok(Ok(report)) if report.start_time_ms.is_none() || report.start_time_ms == replica.start_time_ms => {}
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -8,6 +8,7 @@
     content::ContentHash,
     fleet::{
         Fleet, StepEnd,
+        path::Path,
         plan::{Isolation, Plan, PlanError, RouteRequest, Step},
         replica::ReplicaKey,
     },
@@ -45,6 +46,9 @@
 /// If a caller's timeout is below this percentage of the route's time limit, the caller is assumed to retry a request
 /// that was refused before.
 const RETRIED_TIMEOUT_PERCENT: u64 = 95;
+/// Maximum time for which a request waits for a check of the paths to its replicas before it is refused because of them.
+/// A check takes up to the time limit of its connection, and one more connection through a peer.
+const PATH_CHECK_WAIT: Span = Span::millis(200);
 /// Minimum time left for which another attempt is worthwhile.
 const MIN_ATTEMPT_TIME: Span = Span::millis(15);
 
@@ -73,6 +77,10 @@
     pub(super) trial: Option<Trial>,
     /// Replicas that are not tried again.
     tried: Vec<ReplicaKey>,
+    /// Replicas to which nothing could be sent, each with whether nothing listened.
+    unsent: Vec<(ReplicaKey, bool)>,
+    /// Replicas that are tried again, once, since they are reached through peers now.
+    readmitted: Vec<ReplicaKey>,
     attempts: usize,
     /// Number of replicas where nothing listened.
     gone_replicas: usize,
@@ -174,6 +182,8 @@
             isolation: None,
             trial: None,
             tried: Vec::new(),
+            unsent: Vec::new(),
+            readmitted: Vec::new(),
             attempts: 0,
             gone_replicas: 0,
             charged_retries: 0,
@@ -213,8 +223,50 @@
         self.deadline.min(self.gw.now() + timeout + PLAIN_TIMEOUT_MARGIN)
     }
 
-    /// Plans the next attempt, or returns why to give up.
+    /// Plans the next attempt, or returns why to give up. Before that, waits for checks whether its replicas can be
+    /// reached through peers.
     pub(super) async fn next_plan(&mut self) -> Result<Plan, Refusal> {
+        let wait_until = self.deadline.min(self.gw.now() + PATH_CHECK_WAIT);
+        loop {
+            self.readmit_reachable();
+            let refusal = match self.plan().await {
+                Err(refusal @ (Refusal::NoReplica | Refusal::Rejected)) => refusal,
+                planned => return planned,
+            };
+            if !self.wait_for_path_check(wait_until).await {
+                return Err(refusal);
+            }
+        }
+    }
+
+    /// Waits until a check of a path to one of its replicas ends; returns `false` if none is running or it takes too
+    /// long.
+    async fn wait_for_path_check(&self, until: Time) -> bool {
+        let ended = self.gw.path_checks.ended.notified();
+        if !self.gw.fleet().is_checking_paths(&self.service) {
+            return false;
+        }
+        self.gw.timeout_at(until, ended).await.is_some()
+    }
+
+    /// Lets replicas to which nothing could be sent be tried again if they are reached through peers now.
+    fn readmit_reachable(&mut self) {
+        let fleet = self.gw.fleet();
+        let is_reached = |(key, _): &mut (ReplicaKey, bool)| {
+            fleet.get(*key).is_some_and(|replica| replica.path.path() == Path::ThroughPeers)
+        };
+        for (key, nobody_listened) in self.unsent.extract_if(.., is_reached) {
+            self.tried.retain(|tried| *tried != key);
+            self.readmitted.push(key);
+            if nobody_listened {
+                self.gone_replicas -= 1;
+            } else {
+                self.attempts -= 1;
+            }
+        }
+    }
+
+    async fn plan(&mut self) -> Result<Plan, Refusal> {
         self.check_treatment().await?;
         let now = self.gw.now();
         let is_exhausted = self.attempts >= MAX_ATTEMPTS
@@ -395,6 +447,11 @@
             self.charged_retries = 0;
         }
         self.tried.push(failure.replica);
+        if matches!(failure.why, CallFailure::NobodyListens | CallFailure::NotSent(_))
+            && !self.readmitted.contains(&failure.replica)
+        {
+            self.unsent.push((failure.replica, failure.why == CallFailure::NobodyListens));
+        }
         if failure.in_prefill {
             // The engine may have waited for the one that it was to copy from.
             self.tried.extend(plan.prefill_step().copy_from);
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -25,7 +25,8 @@
     clock::Clock,
     gateway::{
         freshness_probe::Probes, keys::Keys, leadership::Leadership, link::Link, metrics::GatewayMetrics,
-        peer_table::Peers, quota::Quotas, store_cache::StoreCache, upstream::Upstream, usage::Usage,
+        path::PathChecks, peer_table::Peers, quota::Quotas, store_cache::StoreCache, tunnel::Tunnels,
+        upstream::Upstream, usage::Usage,
     },
 };
 
@@ -65,6 +66,8 @@
     pub(super) upstream: Upstream,
     pub(super) link: Link,
     pub(super) peers: Peers,
+    pub(super) path_checks: PathChecks,
+    pub(super) tunnels: Tunnels,
     pub(super) metrics: GatewayMetrics,
     pub(super) stop: Stop,
     /// Wakes the task that publishes load reports.
@@ -96,6 +99,8 @@
     pub(super) finished: CancellationToken,
     /// Requests in flight.
     pub(super) requests: TaskTracker,
+    /// Tunnels that are served to peers.
+    pub(super) tunnels: TaskTracker,
     /// When requests still in flight are interrupted by the exit of the process, in microseconds; 0 before the shutdown.
     exit_at: AtomicU64,
     /// When the daemon stops accepting requests with long answers, however short these have been, in microseconds.
@@ -143,6 +148,7 @@
         deps: Dependencies,
         socket: UdpSocket,
         metrics: GatewayMetrics,
+        path_checks: PathChecks,
         run_id: u64,
     ) -> Self {
         Self {
@@ -157,6 +163,8 @@
             upstream: Upstream::new(Arc::clone(&deps.clock), Arc::clone(&deps.dialer)),
             link: Link::new(settings.link_mbps),
             peers: Peers::default(),
+            path_checks,
+            tunnels: Tunnels::default(),
             metrics,
             stop: Stop::default(),
             load_changed: Notify::new(),
--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -320,6 +320,7 @@
         let now = gw.now();
         gw.upstream.close_expired();
         let mut fleet = gw.fleet();
+        gw.metrics.replicas_through_peers(fleet.count_through_peers() as u64);
         for sender in fleet.remove_expired_peers(now) {
             emit!(info, PEER_SILENT, sender);
         }
--- /dev/null
+++ b/crates/daemon/src/gateway/tunnel/client.rs
@@ -0,0 +1,166 @@
+//! Opens tunnels through peers.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dahliaseam_core::{
+    hash::{self, rendezvous},
+    time::{Span, Time},
+};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use http::{Method, Request, StatusCode, header};
+use http_body_util::Empty;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::{
+    emit,
+    gateway::{
+        state::Gateway,
+        tunnel::{Outcome, states_nobody_listens},
+        upstream::configure_socket,
+    },
+};
+
+/// Maximum number of peers that are asked for one tunnel. Several may have lost the same paths.
+const MAX_PEERS: usize = 4;
+/// Time limit for a peer to open a tunnel: the limit of its connection to the replica, and two round trips.
+const PEER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time limit for opening a tunnel, whatever the number of peers. Callers wait for it.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time after which another peer is asked as well, if the previous one has not responded.
+const NEXT_PEER_DELAY: Duration = Duration::from_millis(30);
+/// Time for which a peer that opened no tunnel is asked only if no others are left. Paths are cut for seconds.
+const AVOID_TIME: Span = Span::millis(1_000);
+
+/// Why no tunnel was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::gateway) enum TunnelError {
+    /// A peer states that nothing listens at the replica's address, and no other one reaches it.
+    NobodyListens,
+    /// No peer reaches the replica or responds.
+    Unreachable,
+}
+
+/// What is known of the peers that open tunnels.
+#[derive(Debug, Default)]
+pub(in crate::gateway) struct Tunnels {
+    /// Peers to avoid, each until a time.
+    avoided: Mutex<HashMap<SocketAddr, Time>>,
+}
+
+impl Tunnels {
+    fn avoid(&self, peer: SocketAddr, now: Time) {
+        let mut avoided = self.avoided();
+        avoided.retain(|_, until| !until.is_past(now));
+        avoided.insert(peer, now + AVOID_TIME);
+    }
+
+    fn avoided(&self) -> MutexGuard<'_, HashMap<SocketAddr, Time>> {
+        self.avoided.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Gateway {
+    /// Opens a connection to a replica through a peer.
+    ///
+    /// # Errors
+    /// Why no peer opened one.
+    pub(in crate::gateway) async fn open_tunnel(&self, replica: SocketAddr) -> Result<TcpStream, TunnelError> {
+        let opened = tokio::time::timeout(OPEN_TIMEOUT, self.ask_peers(replica)).await;
+        let opened = opened.unwrap_or(Err(TunnelError::Unreachable));
+        if let Err(why) = opened {
+            emit!(debug, TUNNEL_FAILED, replica = %replica, why = ?why);
+        }
+        opened
+    }
+
+    /// Asks one peer after the other, the next one as soon as the previous one fails or takes long.
+    async fn ask_peers(&self, replica: SocketAddr) -> Result<TcpStream, TunnelError> {
+        let mut peers = self.tunnel_peers().into_iter();
+        let mut asked = FuturesUnordered::new();
+        let mut failure = TunnelError::Unreachable;
+        loop {
+            let next = peers.next();
+            if let Some(peer) = next {
+                asked.push(self.ask_peer(peer, replica));
+            }
+            let answered = tokio::select! {
+                answered = asked.next() => answered,
+                () = tokio::time::sleep(NEXT_PEER_DELAY), if peers.len() > 0 => {
+                    if let Some(slow) = next {
+                        self.tunnels.avoid(slow, self.now());
+                    }
+                    continue;
+                }
+            };
+            match answered {
+                Some(Ok(stream)) => return Ok(stream),
+                Some(Err(Outcome::NobodyListens)) => failure = TunnelError::NobodyListens,
+                Some(Err(_)) => {}
+                None => return Err(failure),
+            }
+        }
+    }
+
+    /// The peers to ask, best first.
+    fn tunnel_peers(&self) -> Vec<SocketAddr> {
+        let now = self.now();
+        let draw = self.random();
+        let avoided = self.tunnels.avoided();
+        let mut peers = self.peers.all_with_silence(self.settings.load_address, now);
+        peers.sort_by_cached_key(|(peer, is_silent)| {
+            let is_avoided = avoided.get(peer).is_some_and(|until| !until.is_past(now));
+            (is_avoided, *is_silent, rendezvous(draw, hash::bytes(peer.to_string().as_bytes())))
+        });
+        peers.into_iter().take(MAX_PEERS).map(|(peer, _)| peer).collect()
+    }
+
+    async fn ask_peer(&self, peer: SocketAddr, replica: SocketAddr) -> Result<TcpStream, Outcome> {
+        let opened = tokio::time::timeout(PEER_TIMEOUT, connect_through(peer, replica)).await;
+        let opened = opened.unwrap_or(Err(Outcome::Unreachable));
+        let outcome = opened.as_ref().map_or_else(|outcome| *outcome, |_| Outcome::Opened);
+        if !matches!(outcome, Outcome::Opened | Outcome::NobodyListens) {
+            self.tunnels.avoid(peer, self.now());
+        }
+        self.metrics.tunnel_requested(outcome.name());
+        emit!(debug, TUNNEL_REQUESTED, peer = %peer, replica = %replica, outcome = %outcome);
+        opened
+    }
+}
+
+/// Opens a tunnel to a replica through one peer.
+async fn connect_through(peer: SocketAddr, replica: SocketAddr) -> Result<TcpStream, Outcome> {
+    let stream = TcpStream::connect(peer).await.map_err(|_| Outcome::Unreachable)?;
+    configure_socket(&stream).map_err(|_| Outcome::Unreachable)?;
+    let handshake = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await;
+    let (mut conn, driver) = handshake.map_err(|_| Outcome::Unreachable)?;
+    tokio::spawn(async move {
+        // The task that waits for the response gets the error.
+        let _ = driver.with_upgrades().await;
+    });
+    let req = Request::builder()
+        .method(Method::CONNECT)
+        .uri(replica.to_string())
+        .header(header::HOST, replica.to_string())
+        .body(Empty::new())
+        .map_err(|_| Outcome::Forbidden)?;
+    let resp = conn.send_request(req).await.map_err(|_| Outcome::Unreachable)?;
+    match resp.status() {
+        StatusCode::OK => {}
+        StatusCode::BAD_GATEWAY if states_nobody_listens(resp.headers()) => return Err(Outcome::NobodyListens),
+        StatusCode::SERVICE_UNAVAILABLE => return Err(Outcome::Busy),
+        StatusCode::FORBIDDEN => return Err(Outcome::Forbidden),
+        _ => return Err(Outcome::Unreachable),
+    }
+    let upgraded = hyper::upgrade::on(resp).await.map_err(|_| Outcome::Unreachable)?;
+    let parts = upgraded.downcast::<TokioIo<TcpStream>>().map_err(|_| Outcome::Unreachable)?;
+    // A replica sends nothing before it has a request.
+    if parts.read_buf.is_empty() { Ok(parts.io.into_inner()) } else { Err(Outcome::Unreachable) }
+}
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -25,7 +25,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{io::AsyncReadExt, net::TcpStream};
 
-use crate::clock::Clock;
+use crate::{clock::Clock, gateway::tunnel};
 
 /// How long an idle connection may be reused. Replicas close idle connections after some seconds, some of them without
 /// notice. Well within that time, few connections turn out to be closed.
@@ -35,6 +35,8 @@
 /// Time limit for establishing a connection. A round trip takes a few milliseconds; a lost SYN packet is retransmitted
 /// only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// Delay of the second attempt when a path is checked.
+const SECOND_DIAL_DELAY: Duration = Duration::from_millis(25);
 /// Time after which unacknowledged data fails a connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle time after which TCP keepalive probes start, and the interval between them.
@@ -44,12 +46,27 @@
 const EXIT_CLOSE_TIMEOUT: Duration = Duration::from_millis(15);
 /// Number of connection attempts to a replica that does not respond, or closes connections immediately, before it
 /// counts as present.
-const MAX_PROBES: usize = 3;
+pub(super) const MAX_PROBES: usize = 3;
 /// Maximum bytes of a response head and of one read.
 const MAX_BUFFER_BYTES: usize = 32 << 10;
 
 /// A connection that accepts requests.
-pub(super) type Conn = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub(super) struct Conn {
+    requests: SendRequest<Full<Bytes>>,
+    /// Whether it may be kept after its response.
+    reusable: bool,
+}
+
+/// Whether a process listens at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Presence {
+    Present,
+    /// Nothing listens there any more.
+    Gone,
+    /// There is no response.
+    Unknown,
+}
 
 /// Why no response arrived.
 #[derive(Debug)]
@@ -76,7 +93,7 @@
 pub(super) struct Received {
     pub(super) resp: Response<Incoming>,
     pub(super) conn: Conn,
-    /// How long connecting took; `None` for a reused connection.
+    /// How long connecting took; `None` for a reused connection and through a peer.
     pub(super) connect_time: Option<Span>,
 }
 
@@ -121,7 +138,7 @@
         // A reused connection may turn out to be closed before anything was written; the next one is then used. This
         // does not send the request twice.
         while let Some(mut conn) = self.take_idle(address) {
-            match conn.try_send_request(req).await {
+            match conn.requests.try_send_request(req).await {
                 Ok(resp) => return Received::new(resp, conn, None),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => req = unsent,
@@ -130,41 +147,62 @@
             }
         }
         let started_at = self.clock.now();
-        let mut conn = connect(&*self.dialer, address).await?;
+        let conn = connect(&*self.dialer, address).await?;
         let connect_time = Some(self.clock.now().since(started_at));
-        match conn.try_send_request(req).await {
-            Ok(resp) => Received::new(resp, conn, connect_time),
-            Err(mut e) => match e.take_message() {
-                Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
-                None => Err(SendError::after_send(&e.into_error())),
-            },
-        }
+        send_first(conn, req, connect_time).await
     }
 
-    /// Whether nothing listens at an address any more, so that the process that did is gone. If repeated attempts get
-    /// no response at all, the link may be broken, and the process counts as present.
-    pub(super) async fn is_gone(&self, address: SocketAddr) -> bool {
+    /// Sends a request on a connection that is used for nothing else.
+    pub(super) async fn send_on(&self, stream: TcpStream, req: Request<Full<Bytes>>) -> Result<Received, SendError> {
+        let conn = start_http(stream).await?;
+        send_first(Conn { reusable: false, ..conn }, req, None).await
+    }
+
+    /// Opens a connection without sending anything; `None` if that fails within the time limit for checks.
+    pub(super) async fn dial(&self, address: SocketAddr) -> Option<TcpStream> {
+        let second = async {
+            tokio::time::sleep(SECOND_DIAL_DELAY).await;
+            self.dialer.connect(address).await
+        };
+        let dialed = async {
+            // A lost packet must not look like a cut path.
+            tokio::select! {
+                dialed = self.dialer.connect(address) => dialed,
+                dialed = second => dialed,
+            }
+        };
+        tokio::time::timeout(tunnel::CONNECT_TIMEOUT, dialed).await.ok()?.ok()
+    }
+
+    /// Whether a process still listens at an address.
+    pub(super) async fn presence(&self, address: SocketAddr) -> Presence {
         for _ in 0..MAX_PROBES {
             let connecting = tokio::time::timeout(CONNECT_TIMEOUT, self.dialer.connect(address));
             let mut stream = match connecting.await {
                 Ok(Ok(stream)) => stream,
-                Ok(Err(e)) => return e.kind() == ErrorKind::ConnectionRefused,
+                Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Presence::Gone,
+                Ok(Err(_)) => return Presence::Unknown,
                 // A packet may be lost. If one in ten is, one crash in a hundred goes undetected with these attempts,
                 // and one in five with a single attempt.
                 Err(_) => continue,
             };
-            // A terminating process may still have accepted the connection; if so, it closes immediately.
-            let closed = tokio::time::timeout(EXIT_CLOSE_TIMEOUT, stream.read(&mut [0; 1])).await;
-            if closed.is_err() {
-                return false;
+            if !closes_at_once(&mut stream).await {
+                return Presence::Present;
             }
         }
-        false
+        Presence::Unknown
+    }
+
+    /// Keeps a connection on which nothing has been sent.
+    pub(super) async fn keep_new(&self, address: SocketAddr, stream: TcpStream) {
+        if let Ok(conn) = start_http(stream).await {
+            self.keep(address, conn);
+        }
     }
 
     /// Keeps a connection whose response was read to its end.
     pub(super) fn keep(&self, address: SocketAddr, conn: Conn) {
-        if conn.is_closed() {
+        if !conn.reusable || conn.requests.is_closed() {
             return;
         }
         let expires_at = self.clock.now() + MAX_IDLE_TIME;
@@ -185,7 +223,7 @@
         let now = self.clock.now();
         let mut idle = self.lock();
         idle.retain(|_, conns| {
-            conns.retain(|entry| !entry.expires_at.is_past(now) && !entry.conn.is_closed());
+            conns.retain(|entry| !entry.expires_at.is_past(now) && !entry.conn.requests.is_closed());
             !conns.is_empty()
         });
     }
@@ -195,7 +233,7 @@
         let mut idle = self.lock();
         let conns = idle.get_mut(&address)?;
         while let Some(entry) = conns.pop() {
-            if !entry.expires_at.is_past(now) && entry.conn.is_ready() {
+            if !entry.expires_at.is_past(now) && entry.conn.requests.is_ready() {
                 return Some(entry.conn);
             }
         }
@@ -208,22 +246,46 @@
 }
 
 async fn connect(dialer: &dyn Dialer, address: SocketAddr) -> Result<Conn, SendError> {
-    let unsent = |e: &dyn std::error::Error| SendError::NotSent(e.to_string());
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, dialer.connect(address));
     let stream = match connecting.await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Err(SendError::NobodyListens),
-        Ok(Err(e)) => return Err(unsent(&e)),
+        Ok(Err(e)) => return Err(SendError::NotSent(e.to_string())),
         Err(_) => return Err(SendError::NotSent("no connection within the time limit".to_owned())),
     };
+    start_http(stream).await
+}
+
+async fn start_http(stream: TcpStream) -> Result<Conn, SendError> {
+    let unsent = |e: &dyn std::error::Error| SendError::NotSent(e.to_string());
     configure_socket(&stream).map_err(|e| unsent(&e))?;
     let handshake = Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream));
-    let (conn, driver) = handshake.await.map_err(|e| unsent(&e))?;
+    let (requests, driver) = handshake.await.map_err(|e| unsent(&e))?;
     tokio::spawn(async move {
         // The task that waits for a response on the connection gets the error.
         let _ = driver.await;
     });
-    Ok(conn)
+    Ok(Conn { requests, reusable: true })
+}
+
+/// Sends the first request on a connection.
+async fn send_first(
+    mut conn: Conn,
+    req: Request<Full<Bytes>>,
+    connect_time: Option<Span>,
+) -> Result<Received, SendError> {
+    match conn.requests.try_send_request(req).await {
+        Ok(resp) => Received::new(resp, conn, connect_time),
+        Err(mut e) => match e.take_message() {
+            Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
+            None => Err(SendError::after_send(&e.into_error())),
+        },
+    }
+}
+
+/// Whether a new connection closes immediately, as when a terminating process has still accepted it.
+pub(super) async fn closes_at_once(stream: &mut TcpStream) -> bool {
+    tokio::time::timeout(EXIT_CLOSE_TIMEOUT, stream.read(&mut [0; 1])).await.is_ok()
 }
 
 /// Makes a socket fail if the other side disappears silently.
--- a/crates/daemon/src/gateway/work.rs
+++ b/crates/daemon/src/gateway/work.rs
@@ -102,6 +102,7 @@
         };
         if let (true, Some(id)) = (ejected, id) {
             emit!(warn, REPLICA_LEFT_OUT, replica = %id, end = ?self.end);
+            self.gw.request_path_check(self.sent.key);
         }
         self.gw.load_changed.notify_one();
     }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -31,7 +31,7 @@
     pub ready_address: SocketAddr,
     /// Address at which other daemons fetch updates from this one.
     pub peer_address: SocketAddr,
-    /// UDP address for messages from other daemons, such as load reports.
+    /// Address for other daemons: by UDP for messages such as load reports, by TCP for tunnels to replicas.
     pub load_address: SocketAddr,
     /// Address at which the metrics are served.
     pub metrics_address: SocketAddr,
@@ -219,6 +219,13 @@
         expect(self.timing.order_lease_ms >= 1_000, "timing.order_lease_ms", "at least 1000")
     }
 
+    /// Maximum number of concurrent tunnels that are served to other daemons. Each needs two files, and all of them
+    /// together need at most a quarter of those that are not reserved.
+    #[must_use]
+    pub const fn tunnels(&self) -> usize {
+        (self.max_files.saturating_sub(RESERVED_FILES) / 8) as usize
+    }
+
     /// Maximum number of concurrent connections from callers: half of the files that are not reserved, since the
     /// connections to endpoints need the rest.
     #[must_use]
