Orders: one that was not sent holds its engine for three seconds instead of thirteen

Cause: any failure to order a role counted as a lost answer, after which the order may take effect up to twelve seconds late. Without a report, or without a connection, no order was sent. A leader whose paths were cut left its engines alone for 13 s after the paths were back.

--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -85,25 +85,25 @@
     tokio::time::sleep(REPORT_DELAY).await;
     let answer = send_order(gw, lease, &change, &replica).await;
     emit!(info, ROLE_ORDERED, replica = %replica.id, to = ?change.to, fence = lease.fence(), answer = ?answer);
-    apply_answer(gw, &change, change_time, answer.as_ref().ok());
+    apply_answer(gw, &change, change_time, &answer);
 }
 
 /// Updates the engine's state according to the answer to an order.
-fn apply_answer(gw: &Gateway, change: &RoleChange, change_time: Span, answer: Option<&OrderAnswer>) {
+fn apply_answer(gw: &Gateway, change: &RoleChange, change_time: Span, answer: &Result<OrderAnswer, CallError>) {
     let now = gw.now();
     let mut fleet = gw.fleet();
     match answer {
-        Some(OrderAnswer::Accepted) => {
+        Ok(OrderAnswer::Accepted) => {
             fleet.start_role_change(change.key, change.to, now + change_time + DRAIN_TIME);
             fleet.hold_orders_until(change.key, now + change_time + ORDER_BACKOFF);
         }
-        Some(_) => {
+        Err(e) if !e.had_no_effect() => {
             fleet.start_role_change(change.key, change.to, now);
-            fleet.hold_orders_until(change.key, now + ORDER_BACKOFF);
+            fleet.hold_orders_until(change.key, now + LATE_ORDER_TIMEOUT);
         }
-        None => {
+        Ok(_) | Err(_) => {
             fleet.start_role_change(change.key, change.to, now);
-            fleet.hold_orders_until(change.key, now + LATE_ORDER_TIMEOUT);
+            fleet.hold_orders_until(change.key, now + ORDER_BACKOFF);
         }
     }
     drop(fleet);
@@ -135,7 +135,8 @@
     change: &RoleChange,
     replica: &ReplicaFacts,
 ) -> Result<OrderAnswer, CallError> {
-    let report = fetch_report(gw, replica).await?;
+    // Without a report no order is sent.
+    let report = fetch_report(gw, replica).await.map_err(|e| CallError::NotSent(e.to_string()))?;
     if report.start_time_ms.is_some() && report.start_time_ms != replica.start_time_ms {
         // The order was meant for the engine's previous replica; the new one counts its orders from zero again.
         return Ok(OrderAnswer::OtherReplica);
