Paths: a replica that nobody reached is checked again while its service has no other

What callers saw: after a cut, VMs without a peer that could help refused requests for as long as the ejections lasted that the cut had caused, up to half a minute; nothing was tried meanwhile, since all replicas were ejected.

Cause: an ejection grows with each failure and only its end allows the next attempt. One that accepts connections and stays silent counts as reached by the check and stays ejected.

--- a/crates/core/src/fleet/path.rs
+++ b/crates/core/src/fleet/path.rs
@@ -3,7 +3,8 @@
 //! A daemon may lose its own paths to replicas that other daemons still reach. As with the indirect probes of SWIM, a
 //! replica that this daemon fails to reach is therefore asked for through peers before it counts as unreachable. No
 //! number of failures decides: each ejection starts a check, and its result sets the path. While calls go through peers,
-//! the own path is checked again from time to time.
+//! the own path is checked again from time to time. So is a replica that nobody reached, if a service has no other one:
+//! its ejection, which grows with each failure, must not outlast a cut.
 
 use std::net::SocketAddr;
 
@@ -47,6 +48,10 @@
     ThroughPeers {
         check_at: Time,
     },
+    /// Calls go directly, and the last check reached nobody.
+    Unreachable {
+        check_at: Time,
+    },
 }
 
 /// The path to one replica and whether it is being checked.
@@ -61,23 +66,29 @@
     #[must_use]
     pub const fn path(&self) -> Path {
         match self.state {
-            State::Direct => Path::Direct,
+            State::Direct | State::Unreachable { .. } => Path::Direct,
             State::ThroughPeers { .. } => Path::ThroughPeers,
         }
     }
 
+    /// Whether the last check reached nobody.
+    #[must_use]
+    pub const fn is_unreachable(&self) -> bool {
+        matches!(self.state, State::Unreachable { .. })
+    }
+
     /// Whether a check is running.
     #[must_use]
     pub const fn is_checking(&self) -> bool {
         self.is_checking
     }
 
-    /// Whether the own path is to be checked before the next call through peers.
+    /// Whether the own path is to be checked again.
     #[must_use]
     pub const fn is_check_due(&self, now: Time) -> bool {
         match self.state {
             State::Direct => false,
-            State::ThroughPeers { check_at } => check_at.is_past(now),
+            State::ThroughPeers { check_at } | State::Unreachable { check_at } => check_at.is_past(now),
         }
     }
 
@@ -86,17 +97,19 @@
         !std::mem::replace(&mut self.is_checking, true)
     }
 
-    /// Ends the running check; returns whether the path has changed.
+    /// Ends the running check; returns whether the replica is reached on another path than before, or again.
     pub fn end_check(&mut self, found: PathCheck, now: Time) -> bool {
         self.is_checking = false;
-        let before = self.path();
+        let before = *self;
+        let check_at = now + RECHECK_INTERVAL;
         self.state = match (found, self.state) {
-            (PathCheck::Direct, _) | (PathCheck::Unreachable, State::Direct) => State::Direct,
+            (PathCheck::Direct, _) => State::Direct,
             (PathCheck::PeersOnly, _) | (PathCheck::Unreachable, State::ThroughPeers { .. }) => {
-                State::ThroughPeers { check_at: now + RECHECK_INTERVAL }
+                State::ThroughPeers { check_at }
             }
+            (PathCheck::Unreachable, _) => State::Unreachable { check_at },
         };
-        self.path() != before
+        self.path() != before.path() || (before.is_unreachable() && !self.is_unreachable())
     }
 }
 
@@ -114,20 +127,40 @@
         replica.path.begin_check().then(|| replica.facts.clone())
     }
 
-    /// Applies the result of a check; returns whether the path has changed.
+    /// Applies the result of a check; returns whether the replica is reached on another path than before, or again.
     ///
-    /// A replica that only peers reach is no longer ejected, since the failures are those of the path.
+    /// A replica that only peers reach is no longer ejected, since the failures are those of the path. Nor is one that is
+    /// reached again, since the ejection was for not reaching it.
     pub fn end_path_check(&mut self, key: ReplicaKey, found: PathCheck, now: Time) -> bool {
         let Some(replica) = self.replicas.get_mut(key) else {
             return false;
         };
+        let was_unreachable = replica.path.is_unreachable();
         let changed = replica.path.end_check(found, now);
-        if changed && found == PathCheck::PeersOnly {
+        if changed && (found == PathCheck::PeersOnly || was_unreachable) {
             replica.health.readmit();
         }
         changed
     }
 
+    /// Random replicas of a service that nobody reached and that are to be checked again.
+    #[must_use]
+    pub fn sample_unreachable(&self, service: &str, count: usize, draw: u64, now: Time) -> Vec<ReplicaKey> {
+        let is_due = |key: &ReplicaKey| {
+            self.get(*key).is_some_and(|replica| {
+                replica.path.is_unreachable() && replica.path.is_check_due(now) && !replica.path.is_checking()
+            })
+        };
+        let keys = self.candidates.all(service).iter().copied().filter(is_due);
+        self.sample(keys.collect(), count, draw)
+    }
+
+    fn sample(&self, mut keys: Vec<ReplicaKey>, count: usize, draw: u64) -> Vec<ReplicaKey> {
+        keys.sort_by_cached_key(|key| self.get(*key).map(|replica| rendezvous(draw, u64::from(replica.start_id))));
+        keys.truncate(count);
+        keys
+    }
+
     /// Whether a path to a replica of a service is being checked.
     #[must_use]
     pub fn is_checking_paths(&self, service: &str) -> bool {
@@ -141,10 +174,7 @@
         let on_path = self.replicas.iter().filter(|(_, replica)| {
             replica.path.path() == path && !replica.path.is_checking() && replica.gone_at == Time::NEVER
         });
-        let mut keys: Vec<ReplicaKey> = on_path.map(|(key, _)| key).collect();
-        keys.sort_by_cached_key(|key| self.get(*key).map(|replica| rendezvous(draw, u64::from(replica.start_id))));
-        keys.truncate(count);
-        keys
+        self.sample(on_path.map(|(key, _)| key).collect(), count, draw)
     }
 
     /// The replica at an address, if there is one.
--- a/crates/daemon/src/gateway/path.rs
+++ b/crates/daemon/src/gateway/path.rs
@@ -140,6 +140,15 @@
         self.path_checks.ended.notify_waiters();
     }
 
+    /// Has replicas of a service that nobody reached checked again, since the service has no other ones.
+    pub(super) fn recheck_unreachable(&self, service: &str) {
+        let now = self.now();
+        let keys = self.fleet().sample_unreachable(service, FOLLOW_UP_CHECKS, self.random(), now);
+        for key in keys {
+            self.request_path_check(key);
+        }
+    }
+
     /// Has some other replicas checked that are called on a path.
     fn check_others(&self, path: Path) {
         let others = self.fleet().sample_on_path(path, FOLLOW_UP_CHECKS, self.random());
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -234,6 +234,7 @@
                 planned => return planned,
             };
             if !self.wait_for_path_check(wait_until).await {
+                self.gw.recheck_unreachable(&self.service);
                 return Err(refusal);
             }
         }
