Relay: a state of the link for one source address

Cause: the soak cannot partition a single daemon from all replicas. Change: set_for sets a state for one source address beside the one for all; Blackhole loses packets (connections opened meanwhile never pass, data older than the sender's user timeout is not delivered), RefuseNew resets new connections and keeps open ones. A reset passes the relay as a reset, and the end of a connection is held like data.

--- a/stand-ins/src/relay.rs
+++ b/stand-ins/src/relay.rs
@@ -1,12 +1,11 @@
-//! A TCP relay that stands in for a network link, which tests can hold, cut, reset or slow down.
+//! A TCP relay that stands in for a network link, which tests can hold, cut, reset or slow down, for all clients or for
+//! those with one source address.
 
 use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU8, Ordering},
-    },
-    time::Duration,
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
 };
 
 use socket2::SockRef;
@@ -19,50 +18,49 @@
 };
 
 /// State of the link: what the relay does with connections and data.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[repr(u8)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Link {
     /// Forwards data.
-    Pass = 0,
+    #[default]
+    Pass,
     /// Holds data: connections are accepted, but nothing is forwarded.
-    Hold = 1,
+    Hold,
     /// Closes connections at once.
-    Cut = 2,
+    Cut,
     /// Resets connections at once.
-    Reset = 3,
+    Reset,
     /// Forwards data with a delay.
-    Slow = 4,
+    Slow,
     /// Forwards data to the target, and holds the data that the target returns.
-    HoldBack = 5,
+    HoldBack,
+    /// Loses packets: data is held, and connections that are opened meanwhile never reach the target.
+    Blackhole,
+    /// Keeps open connections and resets new ones at once.
+    RefuseNew,
 }
 
 impl Link {
-    /// Returns the state with this number.
-    const fn from_number(number: u8) -> Self {
-        match number {
-            1 => Self::Hold,
-            2 => Self::Cut,
-            3 => Self::Reset,
-            4 => Self::Slow,
-            5 => Self::HoldBack,
-            _ => Self::Pass,
-        }
-    }
-
     /// Returns whether data in the given direction is held.
     fn is_held(self, is_to_client: bool) -> bool {
-        self == Self::Hold || (self == Self::HoldBack && is_to_client)
+        matches!(self, Self::Hold | Self::Blackhole) || (self == Self::HoldBack && is_to_client)
     }
 
     const fn closes(self) -> bool {
         matches!(self, Self::Cut | Self::Reset)
     }
+
+    const fn refuses(self) -> bool {
+        self.closes() || matches!(self, Self::RefuseNew)
+    }
 }
 
 /// Interval at which a connection checks the state of the link.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Delay of a slow link.
 const SLOW_DELAY: Duration = Duration::from_millis(120);
+/// Time after which a client's kernel stops sending data again that a [`Link::Blackhole`] loses; the daemons set it as
+/// their user timeout.
+const RETRANSMIT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Size of the copy buffer, in bytes.
 const BUF_BYTES: usize = 16 << 10;
 
@@ -70,7 +68,7 @@
 #[derive(Debug)]
 pub struct Relay {
     address: SocketAddr,
-    link: Arc<AtomicU8>,
+    links: Arc<Links>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -82,14 +80,15 @@
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let link = Arc::new(AtomicU8::new(Link::Pass as u8));
-        let state = Arc::clone(&link);
+        let links = Arc::<Links>::default();
+        let shared = Arc::clone(&links);
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(relay_connection(stream, target, Arc::clone(&state)));
+            while let Ok((stream, client)) = listener.accept().await {
+                let link = ConnLink { links: Arc::clone(&shared), source: client.ip() };
+                tokio::spawn(relay_connection(stream, target, link));
             }
         });
-        Ok(Self { address, link, task })
+        Ok(Self { address, links, task })
     }
 
     /// Address on which the relay listens.
@@ -106,7 +105,13 @@
 
     /// Changes the state of the link.
     pub fn set(&self, link: Link) {
-        self.link.store(link as u8, Ordering::SeqCst);
+        *self.links.all.lock().unwrap_or_else(PoisonError::into_inner) = link;
+    }
+
+    /// Changes the state of the link for clients with this source address, in addition to its state for all.
+    pub fn set_for(&self, source: IpAddr, link: Link) {
+        let mut by_source = self.links.by_source.lock().unwrap_or_else(PoisonError::into_inner);
+        by_source.insert(source, link);
     }
 }
 
@@ -116,66 +121,118 @@
     }
 }
 
-fn current(link: &AtomicU8) -> Link {
-    Link::from_number(link.load(Ordering::SeqCst))
+/// States of a link: for all clients, and for some source addresses in addition.
+#[derive(Debug, Default)]
+struct Links {
+    all: Mutex<Link>,
+    by_source: Mutex<HashMap<IpAddr, Link>>,
+}
+
+/// The link of one connection.
+struct ConnLink {
+    links: Arc<Links>,
+    source: IpAddr,
+}
+
+impl ConnLink {
+    fn any(&self, matches: impl Fn(Link) -> bool) -> bool {
+        let all = *self.links.all.lock().unwrap_or_else(PoisonError::into_inner);
+        let by_source = self.links.by_source.lock().unwrap_or_else(PoisonError::into_inner);
+        matches(all) || by_source.get(&self.source).copied().is_some_and(matches)
+    }
+
+    fn resets(&self) -> bool {
+        self.any(|link| matches!(link, Link::Reset | Link::RefuseNew))
+    }
+
+    async fn wait_while(&self, matches: impl Fn(Link) -> bool) {
+        while self.any(&matches) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    async fn wait_until_closed(&self) {
+        while !self.any(Link::closes) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits while data is held; returns whether it is then forwarded.
+    async fn deliver(&self, is_to_client: bool) -> bool {
+        let since = Instant::now();
+        let mut was_lost = false;
+        while self.any(|link| link.is_held(is_to_client)) {
+            was_lost |= self.any(|link| link == Link::Blackhole);
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        is_to_client || !was_lost || since.elapsed() < RETRANSMIT_TIMEOUT
+    }
 }
 
-async fn relay_connection(client: TcpStream, target: SocketAddr, link: Arc<AtomicU8>) {
-    if current(&link).closes() {
-        reset_if_link_resets(&client, &link);
+async fn relay_connection(mut client: TcpStream, target: SocketAddr, link: ConnLink) {
+    if link.any(Link::refuses) {
+        if link.resets() {
+            reset_on_drop(&client);
+        }
         return;
     }
-    wait_while_held(&link, false).await;
+    if link.any(|state| state == Link::Blackhole) {
+        link.wait_while(|state| state == Link::Blackhole).await;
+        reset_on_drop(&client);
+        return;
+    }
+    link.wait_while(|state| state.is_held(false)).await;
     let Ok(mut target_stream) = TcpStream::connect(target).await else {
         // A port without a listener resets the connection.
-        let _ = SockRef::from(&client).set_linger(Some(Duration::ZERO));
+        reset_on_drop(&client);
         return;
     };
-    let mut client = client;
-    {
+    let was_reset = {
         let (client_rx, client_tx) = client.split();
         let (target_rx, target_tx) = target_stream.split();
         tokio::select! {
-            () = copy(client_rx, target_tx, &link, false) => {}
-            () = copy(target_rx, client_tx, &link, true) => {}
-            () = wait_until_closed(&link) => {}
+            end = copy(client_rx, target_tx, &link, false) => end == CopyEnd::Reset,
+            end = copy(target_rx, client_tx, &link, true) => end == CopyEnd::Reset,
+            () = link.wait_until_closed() => link.any(|state| state == Link::Reset),
         }
+    };
+    if was_reset {
+        reset_on_drop(&client);
+        reset_on_drop(&target_stream);
     }
-    reset_if_link_resets(&client, &link);
-    reset_if_link_resets(&target_stream, &link);
 }
 
-/// Makes the connection reset when it is dropped, if the link is in state [`Link::Reset`].
-fn reset_if_link_resets(stream: &TcpStream, link: &AtomicU8) {
-    if current(link) == Link::Reset {
-        let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-    }
+/// Makes the connection reset when it is dropped.
+fn reset_on_drop(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+/// How one direction of a connection ended.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum CopyEnd {
+    Closed,
+    Reset,
 }
 
-async fn copy(mut rx: ReadHalf<'_>, mut tx: WriteHalf<'_>, link: &AtomicU8, is_to_client: bool) {
+async fn copy(mut rx: ReadHalf<'_>, mut tx: WriteHalf<'_>, link: &ConnLink, is_to_client: bool) -> CopyEnd {
     let mut buf = vec![0; BUF_BYTES];
-    while let Ok(n) = rx.read(&mut buf).await {
-        if n == 0 {
-            return;
-        }
-        if current(link) == Link::Slow {
+    loop {
+        let read = rx.read(&mut buf).await;
+        if link.any(|state| state == Link::Slow) {
             tokio::time::sleep(SLOW_DELAY).await;
         }
-        wait_while_held(link, is_to_client).await;
-        if tx.write_all(&buf[..n]).await.is_err() {
-            return;
+        // The end of a connection is held as data is.
+        if !link.deliver(is_to_client).await {
+            return CopyEnd::Reset;
+        }
+        match read {
+            Ok(0) => return CopyEnd::Closed,
+            Ok(n) => {
+                if tx.write_all(&buf[..n]).await.is_err() {
+                    return CopyEnd::Reset;
+                }
+            }
+            Err(_) => return CopyEnd::Reset,
         }
-    }
-}
-
-async fn wait_while_held(link: &AtomicU8, is_to_client: bool) {
-    while current(link).is_held(is_to_client) {
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
-}
-
-async fn wait_until_closed(link: &AtomicU8) {
-    while !current(link).closes() {
-        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
