--- a/crates/daemon/src/bin/dahliaseamd/routes.rs
+++ b/crates/daemon/src/bin/dahliaseamd/routes.rs
@@ -55,7 +55,7 @@
         clock: Arc::new(BootClock),
         kv: Arc::clone(&store) as _,
         feed: store,
-        dialer: Arc::new(TcpDialer),
+        dialer: Arc::new(TcpDialer { source: settings.source_address }),
         dialect: Arc::new(PlatformDialect),
         dropped_lines: Some(log.dropped()),
     };
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -2,7 +2,10 @@
 //!
 //! Such a daemon reads the routes and the replicas from the platform's key-value service, called the store.
 
-use std::{net::SocketAddr, path::Path};
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::Path,
+};
 
 use dahliaseam_core::{
     fleet::{budget::RetryBudgetTerms, policy::FleetPolicy},
@@ -35,6 +38,9 @@
     pub load_address: SocketAddr,
     /// Address at which the metrics are served.
     pub metrics_address: SocketAddr,
+    /// Source address of connections to replicas; absent if the system chooses it.
+    #[serde(default)]
+    pub source_address: Option<IpAddr>,
     /// Peer addresses of a few daemons, of which one is asked for a first snapshot; may be outdated.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
