--- a/stand-ins/src/relay.rs
+++ b/stand-ins/src/relay.rs
@@ -99,8 +99,19 @@
 
     /// Stops the relay like a process that exits: open connections are closed, new ones are refused.
     pub fn shut_down(&self) {
+        self.shut_down_with(Link::Cut);
+    }
+
+    /// Refuses new connections, and leaves open ones to this state of the link.
+    pub fn shut_down_with(&self, link: Link) {
         self.task.abort();
-        self.set(Link::Cut);
+        self.set(link);
+    }
+
+    /// State of the link for all clients.
+    #[must_use]
+    pub fn state(&self) -> Link {
+        *self.links.all.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Changes the state of the link.
@@ -193,10 +204,11 @@
         tokio::select! {
             end = copy(client_rx, target_tx, &link, false) => end == CopyEnd::Reset,
             end = copy(target_rx, client_tx, &link, true) => end == CopyEnd::Reset,
-            () = link.wait_until_closed() => link.any(|state| state == Link::Reset),
+            () = link.wait_until_closed() => false,
         }
     };
-    if was_reset {
+    // The target may have closed the connection just before.
+    if was_reset || link.any(|state| state == Link::Reset) {
         reset_on_drop(&client);
         reset_on_drop(&target_stream);
     }
