Paths: a connection that is reset once it is accepted does not show an intact path

What callers saw: at a VM whose connections to replicas open and are then reset, as by a firewall, none of 60 requests was served, by another VM 60.

Cause: a check of the own path only connected.

--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -158,7 +158,8 @@
         send_first(Conn { reusable: false, ..conn }, req, None).await
     }
 
-    /// Opens a connection without sending anything; `None` if that fails within the time limit for checks.
+    /// Opens a connection without sending anything; `None` if that fails within the time limit for checks, or if the
+    /// connection closes at once.
     pub(super) async fn dial(&self, address: SocketAddr) -> Option<TcpStream> {
         let second = async {
             tokio::time::sleep(SECOND_DIAL_DELAY).await;
@@ -171,7 +172,9 @@
                 dialed = second => dialed,
             }
         };
-        tokio::time::timeout(tunnel::CONNECT_TIMEOUT, dialed).await.ok()?.ok()
+        let mut stream = tokio::time::timeout(tunnel::CONNECT_TIMEOUT, dialed).await.ok()?.ok()?;
+        // Where a cut resets connections, some are accepted first.
+        (!closes_at_once(&mut stream).await).then_some(stream)
     }
 
     /// Whether a process still listens at an address.
