Connections to replicas: a second of silence ends none that waits

Cause: the user timeout decides when keepalive probes give up, whatever their count. With probes a second apart and 3 s, a replica that was silent for two probes, a little over a second, lost its waiting connections without a third probe. With 4 s it must be silent for three, over two seconds.

By arithmetic, from the page of the kernel's socket options; not measured, since no test loses packets below TCP.

--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -37,8 +37,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Delay of the second attempt when a path is checked.
 const SECOND_DIAL_DELAY: Duration = Duration::from_millis(25);
-/// Time after which unacknowledged data fails a connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which unacknowledged data fails a connection. Keepalive probes give up by it too, whatever their number: a
+/// connection that waits fails if all probes of two seconds are lost, so one second of silence does not end it.
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Idle time after which TCP keepalive probes start, and the interval between them.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time within which a connection closes that a terminating process has just accepted; a round trip takes a few
