Paths: what a peer cannot tell counts neither against replicas nor against requests

What callers saw, by a review and a test: where VMs lose their paths together, a request whose stream broke was counted as one that crashes replicas, and refused on all VMs; a replica was ejected because a peer was full or had lost its paths too.

Cause: an own failure or a peer's was still taken for the replica's in some places. A peer states that nothing listens at an address only if it reaches another replica itself; if no peer can tell, nothing counts as a crash. A call for which no peer opened a tunnel says nothing about the replica (NoTunnel). A peer is avoided only if it does not respond, is full or knows that its own path is cut, and silent ones are asked last. A replica that is reached on another path is no longer ejected, and ejected ones that were called through peers are checked again too.

With it: a call that times out has its path checked; a refused request waits for checks only if it could still be sent, and is woken by the last one or by a change; a prefill through a peer goes on when the own path is back; replicas that are gone open no tunnel.

--- a/crates/core/src/fleet/path.rs
+++ b/crates/core/src/fleet/path.rs
@@ -129,27 +129,24 @@
 
     /// Applies the result of a check; returns whether the replica is reached on another path than before, or again.
     ///
-    /// A replica that only peers reach is no longer ejected, since the failures are those of the path. Nor is one that is
-    /// reached again, since the ejection was for not reaching it.
+    /// A replica that is reached so is no longer ejected, since its failures were those of the former path.
     pub fn end_path_check(&mut self, key: ReplicaKey, found: PathCheck, now: Time) -> bool {
         let Some(replica) = self.replicas.get_mut(key) else {
             return false;
         };
-        let was_unreachable = replica.path.is_unreachable();
         let changed = replica.path.end_check(found, now);
-        if changed && (found == PathCheck::PeersOnly || was_unreachable) {
+        if changed {
             replica.health.readmit();
         }
         changed
     }
 
-    /// Random replicas of a service that nobody reached and that are to be checked again.
+    /// Random replicas of a service that are to be checked again: nobody reached them, or those that were called through
+    /// peers are ejected, so that no call has their paths checked.
     #[must_use]
     pub fn sample_unreachable(&self, service: &str, count: usize, draw: u64, now: Time) -> Vec<ReplicaKey> {
         let is_due = |key: &ReplicaKey| {
-            self.get(*key).is_some_and(|replica| {
-                replica.path.is_unreachable() && replica.path.is_check_due(now) && !replica.path.is_checking()
-            })
+            self.get(*key).is_some_and(|replica| replica.path.is_check_due(now) && !replica.path.is_checking())
         };
         let keys = self.candidates.all(service).iter().copied().filter(is_due);
         self.sample(keys.collect(), count, draw)
@@ -180,13 +177,16 @@
     /// The replica at an address, if there is one.
     #[must_use]
     pub fn at_address(&self, address: SocketAddr) -> Option<ReplicaKey> {
-        let at_address = |(_, replica): &(ReplicaKey, &Replica)| replica.facts.address == address;
+        let at_address =
+            |(_, replica): &(ReplicaKey, &Replica)| replica.facts.address == address && replica.gone_at == Time::NEVER;
         self.replicas.iter().find(at_address).map(|(key, _)| key)
     }
 
     /// Number of replicas that are called through peers.
     #[must_use]
     pub fn count_through_peers(&self) -> usize {
-        self.replicas.values().filter(|replica| replica.path.path() == Path::ThroughPeers).count()
+        let through_peers =
+            |replica: &&Replica| replica.path.path() == Path::ThroughPeers && replica.gone_at == Time::NEVER;
+        self.replicas.values().filter(through_peers).count()
     }
 }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -53,6 +53,8 @@
     NobodyListens,
     /// Nothing was sent: the connection could not be established.
     NotSent(String),
+    /// Nothing was sent: no peer opened a tunnel, which says nothing about the replica.
+    NoTunnel,
     /// The replica states that it did not run the request.
     Rejected(u16),
     /// Another replica listens at the address.
@@ -71,7 +73,7 @@
     pub(super) const fn name(&self) -> &'static str {
         match self {
             Self::NotTried(_) => "not_tried",
-            Self::NobodyListens | Self::NotSent(_) => "not_sent",
+            Self::NobodyListens | Self::NotSent(_) | Self::NoTunnel => "not_sent",
             Self::Rejected(_) => "rejected",
             Self::OtherReplica => "other_replica",
             Self::Broke(_) | Self::Lost(_) => "lost",
@@ -82,7 +84,7 @@
 
     /// Whether the replica received the call.
     pub(super) const fn arrived(&self) -> bool {
-        !matches!(self, Self::NobodyListens | Self::NotSent(_) | Self::NotTried(_))
+        !matches!(self, Self::NobodyListens | Self::NotSent(_) | Self::NoTunnel | Self::NotTried(_))
     }
 
     /// Whether the replica may have run the request.
@@ -93,7 +95,7 @@
     /// What the failure says about the replica, after waiting for `waited`.
     fn step_end(&self, waited: Span) -> StepEnd {
         match self {
-            Self::NotTried(_) | Self::Overdue => StepEnd::Unknown,
+            Self::NotTried(_) | Self::NoTunnel | Self::Overdue => StepEnd::Unknown,
             Self::Rejected(_) => StepEnd::Rejected,
             Self::NobodyListens | Self::NotSent(_) => StepEnd::Silent,
             Self::TimedOut if waited >= SILENCE_TIMEOUT => StepEnd::Silent,
@@ -265,9 +267,14 @@
         self.gw.link.record_send(self.body.len(), now);
         let sending = self.gw.send(replica, req);
         let Received { resp, conn, connect_time } = match self.gw.timeout_at(call_deadline, sending).await {
-            None => return Err(CallFailure::TimedOut),
+            None => {
+                // The connection may hang because of a cut path.
+                self.gw.request_check_of(replica);
+                return Err(CallFailure::TimedOut);
+            }
             Some(Err(SendError::NobodyListens)) => return Err(CallFailure::NobodyListens),
             Some(Err(SendError::NotSent(why))) => return Err(CallFailure::NotSent(why)),
+            Some(Err(SendError::NoTunnel)) => return Err(CallFailure::NoTunnel),
             Some(Err(SendError::Broke(why))) => return Err(CallFailure::Broke(why)),
             Some(Err(SendError::Lost(why))) => return Err(CallFailure::Lost(why)),
             Some(Ok(received)) => received,
--- a/crates/daemon/src/gateway/path.rs
+++ b/crates/daemon/src/gateway/path.rs
@@ -5,7 +5,10 @@
 //! last check is some time ago. A cut rarely concerns one replica, so each one whose path changes has some others
 //! checked.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
 
 use bytes::Bytes;
 use dahliaseam_core::fleet::{
@@ -37,13 +40,15 @@
 #[derive(Debug)]
 pub(super) struct PathChecks {
     requested: UnboundedSender<ReplicaKey>,
-    /// Wakes all requests that wait for a check when one has ended.
+    /// Number of checks that are requested or running.
+    running: AtomicUsize,
+    /// Wakes all requests that wait for a check when one has found another path, or the last one has ended.
     pub(super) ended: Notify,
 }
 
 impl PathChecks {
     pub(super) fn new(requested: UnboundedSender<ReplicaKey>) -> Self {
-        Self { requested, ended: Notify::new() }
+        Self { requested, running: AtomicUsize::new(0), ended: Notify::new() }
     }
 }
 
@@ -58,7 +63,13 @@
         };
         let Some(key) = key else { return };
         let gw = Arc::clone(&gw);
-        checks.spawn(async move { gw.check_path(key).await });
+        checks.spawn(async move {
+            let changed = gw.check_path(key).await;
+            let was_last = gw.path_checks.running.fetch_sub(1, Ordering::Relaxed) == 1;
+            if changed || was_last {
+                gw.path_checks.ended.notify_waiters();
+            }
+        });
     }
 }
 
@@ -75,7 +86,7 @@
         match self.open_tunnel(replica.address).await {
             Ok(stream) => self.upstream.send_on(stream, req).await,
             Err(TunnelError::NobodyListens) => Err(SendError::NobodyListens),
-            Err(TunnelError::Unreachable) => Err(SendError::NotSent("no peer reaches the replica".to_owned())),
+            Err(TunnelError::Unreachable) => Err(SendError::NoTunnel),
         }
     }
 
@@ -97,22 +108,24 @@
     pub(super) fn request_path_check(&self, key: ReplicaKey) {
         let is_new = self.fleet().begin_path_check(key).is_some();
         if is_new {
+            self.path_checks.running.fetch_add(1, Ordering::Relaxed);
             // Fails only when the daemon has shut down.
             let _ = self.path_checks.requested.send(key);
         }
     }
 
-    fn request_check_of(&self, replica: &ReplicaFacts) {
+    /// Has the paths to a replica checked, if it is still known.
+    pub(super) fn request_check_of(&self, replica: &ReplicaFacts) {
         let key = self.fleet().key(&replica.id);
         if let Some(key) = key {
             self.request_path_check(key);
         }
     }
 
-    /// Checks the paths to a replica and applies the result.
-    async fn check_path(&self, key: ReplicaKey) {
+    /// Checks the paths to a replica and applies the result; returns whether it is reached on another path, or again.
+    async fn check_path(&self, key: ReplicaKey) -> bool {
         let facts = self.fleet().get(key).map(|replica| (replica.facts.clone(), replica.path.path()));
-        let Some((facts, path)) = facts else { return };
+        let Some((facts, path)) = facts else { return false };
         let direct = self.upstream.dial(facts.address).await;
         let found = match (&direct, path) {
             (Some(_), _) => PathCheck::Direct,
@@ -137,7 +150,7 @@
             self.check_others(path);
         }
         self.load_changed.notify_one();
-        self.path_checks.ended.notify_waiters();
+        changed
     }
 
     /// Has replicas of a service that nobody reached checked again, since the service has no other ones.
@@ -166,7 +179,12 @@
         let is_gone = match self.upstream.presence(replica.address).await {
             Presence::Present => return false,
             Presence::Unknown => false,
-            Presence::Gone => self.presence_for_peers(replica).await != Presence::Present,
+            Presence::Gone => match self.presence_for_peers(replica).await {
+                Presence::Present => false,
+                Presence::Gone => true,
+                // Peers that cannot tell may have lost the same paths.
+                Presence::Unknown => !self.has_tunnel_peers(),
+            },
         };
         if !is_gone {
             self.request_check_of(replica);
--- a/crates/daemon/src/gateway/reading.rs
+++ b/crates/daemon/src/gateway/reading.rs
@@ -21,6 +21,7 @@
         orders,
         request::ActiveRequest,
         state::Gateway,
+        tunnel,
         upstream::Received,
     },
 };
@@ -126,10 +127,14 @@
     }
 
     /// Returns when the engine does not respond to a cheap status request, has been restarted, or is no longer reached
-    /// on the path of the call.
+    /// on the path of the call. A call through a peer goes on when the own path is back.
     async fn until_unresponsive(&self, replica: &ReplicaFacts, path: Path) {
-        while self.gw.fleet().path(replica) == path {
-            let report = tokio::time::timeout(duration(SILENCE_TIMEOUT), orders::fetch_report(&self.gw, replica)).await;
+        while path == Path::ThroughPeers || self.gw.fleet().path(replica) == Path::Direct {
+            let timeout = match path {
+                Path::Direct => duration(SILENCE_TIMEOUT),
+                Path::ThroughPeers => duration(SILENCE_TIMEOUT) + tunnel::OPEN_TIMEOUT,
+            };
+            let report = tokio::time::timeout(timeout, orders::fetch_report(&self.gw, replica)).await;
             match report {
                 Ok(Ok(report)) if report.start_time_ms.is_none() || report.start_time_ms == replica.start_time_ms => {}
                 _ => return,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -230,7 +230,8 @@
         loop {
             self.readmit_reachable();
             let refusal = match self.plan().await {
-                Err(refusal @ (Refusal::NoReplica | Refusal::Rejected)) => refusal,
+                Err(refusal @ Refusal::NoReplica) => refusal,
+                Err(refusal @ Refusal::Rejected) if !self.unsent.is_empty() => refusal,
                 planned => return planned,
             };
             if !self.wait_for_path_check(wait_until).await {
@@ -448,7 +449,7 @@
             self.charged_retries = 0;
         }
         self.tried.push(failure.replica);
-        if matches!(failure.why, CallFailure::NobodyListens | CallFailure::NotSent(_))
+        if matches!(failure.why, CallFailure::NobodyListens | CallFailure::NotSent(_) | CallFailure::NoTunnel)
             && !self.readmitted.contains(&failure.replica)
         {
             self.unsent.push((failure.replica, failure.why == CallFailure::NobodyListens));
--- a/crates/daemon/src/gateway/tunnel/client.rs
+++ b/crates/daemon/src/gateway/tunnel/client.rs
@@ -33,7 +33,7 @@
 /// Time limit for a peer to open a tunnel: the limit of its connection to the replica, and two round trips.
 const PEER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time limit for opening a tunnel, whatever the number of peers. Callers wait for it.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
+pub(in crate::gateway) const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which another peer is asked as well, if the previous one has not responded.
 const NEXT_PEER_DELAY: Duration = Duration::from_millis(30);
 /// Time for which a peer that opened no tunnel is asked only if no others are left. Paths are cut for seconds.
@@ -93,12 +93,7 @@
             }
             let answered = tokio::select! {
                 answered = asked.next() => answered,
-                () = tokio::time::sleep(NEXT_PEER_DELAY), if peers.len() > 0 => {
-                    if let Some(slow) = next {
-                        self.tunnels.avoid(slow, self.now());
-                    }
-                    continue;
-                }
+                () = tokio::time::sleep(NEXT_PEER_DELAY), if peers.len() > 0 => continue,
             };
             match answered {
                 Some(Ok(stream)) => return Ok(stream),
@@ -109,6 +104,12 @@
         }
     }
 
+    /// Whether there are peers that may open tunnels.
+    pub(in crate::gateway) fn has_tunnel_peers(&self) -> bool {
+        let peers = self.peers.all_with_silence(self.settings.load_address, self.now());
+        peers.into_iter().any(|(_, is_silent)| !is_silent)
+    }
+
     /// The peers to ask, best first.
     fn tunnel_peers(&self) -> Vec<SocketAddr> {
         let now = self.now();
@@ -117,16 +118,16 @@
         let mut peers = self.peers.all_with_silence(self.settings.load_address, now);
         peers.sort_by_cached_key(|(peer, is_silent)| {
             let is_avoided = avoided.get(peer).is_some_and(|until| !until.is_past(now));
-            (is_avoided, *is_silent, rendezvous(draw, hash::bytes(peer.to_string().as_bytes())))
+            (*is_silent, is_avoided, rendezvous(draw, hash::bytes(peer.to_string().as_bytes())))
         });
         peers.into_iter().take(MAX_PEERS).map(|(peer, _)| peer).collect()
     }
 
     async fn ask_peer(&self, peer: SocketAddr, replica: SocketAddr) -> Result<TcpStream, Outcome> {
         let opened = tokio::time::timeout(PEER_TIMEOUT, connect_through(peer, replica)).await;
-        let opened = opened.unwrap_or(Err(Outcome::Unreachable));
+        let opened = opened.unwrap_or(Err(Outcome::NoResponse));
         let outcome = opened.as_ref().map_or_else(|outcome| *outcome, |_| Outcome::Opened);
-        if !matches!(outcome, Outcome::Opened | Outcome::NobodyListens) {
+        if matches!(outcome, Outcome::Busy | Outcome::NoResponse) {
             self.tunnels.avoid(peer, self.now());
         }
         self.metrics.tunnel_requested(outcome.name());
@@ -137,10 +138,10 @@
 
 /// Opens a tunnel to a replica through one peer.
 async fn connect_through(peer: SocketAddr, replica: SocketAddr) -> Result<TcpStream, Outcome> {
-    let stream = TcpStream::connect(peer).await.map_err(|_| Outcome::Unreachable)?;
-    configure_socket(&stream).map_err(|_| Outcome::Unreachable)?;
+    let stream = TcpStream::connect(peer).await.map_err(|_| Outcome::NoResponse)?;
+    configure_socket(&stream).map_err(|_| Outcome::NoResponse)?;
     let handshake = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await;
-    let (mut conn, driver) = handshake.map_err(|_| Outcome::Unreachable)?;
+    let (mut conn, driver) = handshake.map_err(|_| Outcome::NoResponse)?;
     tokio::spawn(async move {
         // The task that waits for the response gets the error.
         let _ = driver.with_upgrades().await;
@@ -151,7 +152,7 @@
         .header(header::HOST, replica.to_string())
         .body(Empty::new())
         .map_err(|_| Outcome::Forbidden)?;
-    let resp = conn.send_request(req).await.map_err(|_| Outcome::Unreachable)?;
+    let resp = conn.send_request(req).await.map_err(|_| Outcome::NoResponse)?;
     match resp.status() {
         StatusCode::OK => {}
         StatusCode::BAD_GATEWAY if states_nobody_listens(resp.headers()) => return Err(Outcome::NobodyListens),
--- a/crates/daemon/src/gateway/tunnel/mod.rs
+++ b/crates/daemon/src/gateway/tunnel/mod.rs
@@ -12,7 +12,7 @@
 mod client;
 mod server;
 
-pub(super) use client::{TunnelError, Tunnels};
+pub(super) use client::{OPEN_TIMEOUT, TunnelError, Tunnels};
 pub(super) use server::run;
 
 /// Time limit for a connection to a replica that is opened for a peer, or to check a path. A round trip takes a few
@@ -35,8 +35,10 @@
     Opened,
     /// The request is not for a replica of the fleet, or is none for a tunnel.
     Forbidden,
-    /// The daemon is stopping, or serves too many tunnels.
+    /// The daemon is stopping, serves too many tunnels, or has no path to the replica itself.
     Busy,
+    /// The daemon does not respond.
+    NoResponse,
     NobodyListens,
     Unreachable,
 }
@@ -47,6 +49,7 @@
             Self::Opened => "opened",
             Self::Forbidden => "forbidden",
             Self::Busy => "busy",
+            Self::NoResponse => "no_response",
             Self::NobodyListens => "nobody_listens",
             Self::Unreachable => "unreachable",
         }
--- a/crates/daemon/src/gateway/tunnel/server.rs
+++ b/crates/daemon/src/gateway/tunnel/server.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use dahliaseam_core::fleet::path::Path;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Empty;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn, upgrade::OnUpgrade};
@@ -34,6 +35,8 @@
 /// Time for which a peer may take to close a tunnel after the replica has. Closing it first while the rest of a request
 /// arrives would reset it, and the peer could lose the end of the response.
 const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Number of other replicas of which one must be reached before a refused connection counts as the replica's.
+const OTHERS_TO_REACH: usize = 3;
 /// Size of the buffer for requests, in bytes.
 const BUF_BYTES: usize = 8 << 10;
 /// Delay after accepting a connection failed, for example because no file descriptors are left.
@@ -97,7 +100,7 @@
     *resp.status_mut() = match outcome {
         Outcome::Opened => StatusCode::OK,
         Outcome::Forbidden => StatusCode::FORBIDDEN,
-        Outcome::Busy => StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::Busy | Outcome::NoResponse => StatusCode::SERVICE_UNAVAILABLE,
         Outcome::NobodyListens => StatusCode::BAD_GATEWAY,
         Outcome::Unreachable => StatusCode::GATEWAY_TIMEOUT,
     };
@@ -116,22 +119,41 @@
         let replica = address.and_then(|address| fleet.get(fleet.at_address(address)?)).ok_or(Outcome::Forbidden)?;
         (replica.facts.address, replica.path.path())
     };
-    if gw.stop.begun.is_cancelled() {
+    if gw.stop.begun.is_cancelled() || path == Path::ThroughPeers {
         return Err(Outcome::Busy);
     }
-    if path == Path::ThroughPeers {
-        return Err(Outcome::Unreachable);
-    }
     match tokio::time::timeout(CONNECT_TIMEOUT, gw.deps.dialer.connect(address)).await {
         Ok(Ok(stream)) if configure_socket(&stream).is_ok() => Ok(stream),
-        // While this daemon's own paths are cut, a refusal says nothing about the replica.
-        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused && gw.fleet().count_through_peers() == 0 => {
+        // If this daemon's own paths are cut, a refusal says nothing about the replica.
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused && reaches_others(gw, address).await => {
             Err(Outcome::NobodyListens)
         }
         _ => Err(Outcome::Unreachable),
     }
 }
 
+/// Whether this daemon reaches any of some other replicas itself, or knows no other one.
+async fn reaches_others(gw: &Gateway, address: SocketAddr) -> bool {
+    let others: Vec<SocketAddr> = {
+        let fleet = gw.fleet();
+        let all = fleet.sample_on_path(Path::Direct, OTHERS_TO_REACH + 1, gw.random()).into_iter();
+        all.filter_map(|key| Some(fleet.get(key)?.facts.address)).filter(|other| *other != address).collect()
+    };
+    if others.is_empty() {
+        return gw.fleet().count_through_peers() == 0;
+    }
+    let mut connecting: FuturesUnordered<_> = others.into_iter().map(|other| gw.deps.dialer.connect(other)).collect();
+    let any = async {
+        while let Some(connected) = connecting.next().await {
+            if connected.is_ok() {
+                return true;
+            }
+        }
+        false
+    };
+    tokio::time::timeout(CONNECT_TIMEOUT, any).await.unwrap_or(false)
+}
+
 async fn relay(upgrade: OnUpgrade, mut replica: TcpStream) {
     let Ok(upgraded) = upgrade.await else { return };
     let Ok(parts) = upgraded.downcast::<TokioIo<TcpStream>>() else { return };
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -76,6 +76,8 @@
     NobodyListens,
     /// No byte of the request was sent.
     NotSent(String),
+    /// Nothing was sent, since no peer opened a tunnel to the replica.
+    NoTunnel,
     /// The request was sent, at least in part, and the connection ended.
     Broke(String),
     /// The request was sent, and what arrived is not a response.
