Tunnels: one that this process leaves open ends with a reset

Cause: the system closes the sockets of a process regularly, and a regular end of a tunnel says that the replica has closed its connection.

--- a/crates/daemon/src/gateway/tunnel/server.rs
+++ b/crates/daemon/src/gateway/tunnel/server.rs
@@ -12,6 +12,7 @@
 use http_body_util::Empty;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn, upgrade::OnUpgrade};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -158,13 +159,13 @@
     let Ok(upgraded) = upgrade.await else { return };
     let Ok(parts) = upgraded.downcast::<TokioIo<TcpStream>>() else { return };
     let mut client = parts.io.into_inner();
-    if replica.write_all(&parts.read_buf).await.is_err() {
-        reset(&client);
+    // Also if this process ends, the tunnel must not end as if the replica had closed it. With a linger time of zero,
+    // closing the socket resets the connection.
+    if client.set_zero_linger().is_err() || replica.write_all(&parts.read_buf).await.is_err() {
         return;
     }
     match copy_until_end(&mut client, &mut replica).await {
-        End::ClientLeft => {}
-        End::ReplicaBroke => reset(&client),
+        End::ClientLeft | End::ReplicaBroke => {}
         End::ReplicaClosed => {
             drop(replica);
             let _ = tokio::time::timeout(LINGER_TIME, close(&mut client)).await;
@@ -204,16 +205,11 @@
     }
 }
 
-/// Closes a connection after the other side has read everything and closed it.
+/// Closes a connection regularly, after the other side has read everything and closed it.
 async fn close(stream: &mut TcpStream) -> io::Result<()> {
+    SockRef::from(&*stream).set_linger(None)?;
     stream.shutdown().await?;
     let mut buf = [0; 1_024];
     while stream.read(&mut buf).await? > 0 {}
     Ok(())
 }
-
-/// Makes a connection reset when it is dropped.
-fn reset(stream: &TcpStream) {
-    // If this fails, the connection is already broken.
-    let _ = stream.set_zero_linger();
-}
