HTTP client: a call ends with its connection

What callers saw: a call to the store, an engine, a daemon or the list of VMs waited for its time limit, without one for ever, and counted as lost, although nothing of it was sent. The test a_call_whose_connection_closes_before_it_is_sent_was_not_sent hung twice.

Cause: hyper passes a request to the task of its connection through an unbounded channel of tokio. Sending counts the message and then stores it. If the task drops the receiver in between, it finds the channel empty, and the message is dropped only with the last sender. The call that waits for the response holds that sender.

Fix: a call owns the sender of its connection and awaits the connection's task beside the response. Once the task has ended it drops the sender, which returns a request that was not taken. The client keeps connections itself, since that of hyper-util holds the sender while it waits. A kept connection that ended before anything was sent is replaced by another one; a request is never sent twice.

--- a/crates/border/src/http.rs
+++ b/crates/border/src/http.rs
@@ -1,17 +1,24 @@
-//! HTTP client that never retries a request by itself.
+//! HTTP client that never sends a request twice.
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, Weak},
+    time::Duration,
+};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
+use http::{
+    HeaderValue, Request, Response, StatusCode, Uri,
+    header::{CONTENT_TYPE, HOST},
+    uri::{Authority, PathAndQuery},
 };
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::Builder;
+use hyper_util::client::legacy::connect::HttpConnector;
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::Instant;
+use tower::ServiceExt;
 
-use crate::{error::CallError, framing};
+use crate::{connection::Connection, error::CallError, framing, idle::IdleConnections};
 
 pub use hyper::body::Incoming;
 
@@ -38,9 +45,12 @@
 /// HTTP client.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    inner: Client<HttpConnector, Full<Bytes>>,
+    connector: HttpConnector,
+    idle: Option<Arc<Idle>>,
 }
 
+type Idle = IdleConnections<Authority, Full<Bytes>, Instant>;
+
 impl HttpClient {
     /// Creates a client.
     #[must_use]
@@ -49,30 +59,62 @@
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-        let max_idle = match reuse {
-            Reuse::Keep => usize::MAX,
-            Reuse::Fresh => 0,
+        let idle = match reuse {
+            Reuse::Keep => Some(Arc::default()),
+            Reuse::Fresh => None,
         };
-        let inner = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .pool_max_idle_per_host(max_idle)
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_timer(TokioTimer::new())
-            .build(connector);
-        Self { inner }
+        Self { connector, idle }
     }
 
     /// Sends a request and returns the response once its head has arrived; the body is still to be read.
     ///
+    /// A kept connection that ends before anything was sent is replaced by another.
+    ///
     /// # Errors
-    /// [`CallError::NotSent`] if no connection was established, or a kept one closed before anything was sent; otherwise
+    /// [`CallError::NotSent`] if no connection was established, or a new one ended before anything was sent; otherwise
     /// [`CallError::Lost`], also if the head does not state where the body ends.
     pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
-        let resp = self.inner.request(req).await.map_err(|e| {
-            let why = error_chain(&e);
-            if e.is_connect() || is_cancelled(&e) { CallError::NotSent(why) } else { CallError::Lost(why) }
+        let target = req.uri().clone();
+        let authority = target.authority().ok_or_else(|| CallError::NotSent(format!("{target} has no host")))?;
+        let mut req = with_host(req, authority)?;
+        while let Some(conn) = self.idle.as_ref().and_then(|idle| idle.take(authority, Instant::now())) {
+            match conn.send(req).await {
+                Ok((resp, conn)) => return self.received(authority, resp, conn),
+                Err(mut e) => match e.take_message() {
+                    Some(unsent) => req = unsent,
+                    None => return Err(CallError::Lost(error_chain(&e.into_error()))),
+                },
+            }
+        }
+        let conn = self.connect(target.clone()).await?;
+        let (resp, conn) = conn.send(req).await.map_err(|mut e| {
+            let is_unsent = e.take_message().is_some();
+            let why = error_chain(&e.into_error());
+            if is_unsent { CallError::NotSent(why) } else { CallError::Lost(why) }
         })?;
+        self.received(authority, resp, conn)
+    }
+
+    async fn connect(&self, target: Uri) -> Result<Connection<Full<Bytes>>, CallError> {
+        let stream = self.connector.clone().oneshot(target).await.map_err(|e| CallError::NotSent(error_chain(&e)))?;
+        let conn = Connection::start(stream.into_inner(), &Builder::new()).await;
+        conn.map_err(|e| CallError::NotSent(error_chain(&e)))
+    }
+
+    /// Keeps the connection of a response, which accepts the next request once the body was read.
+    fn received(
+        &self,
+        authority: &Authority,
+        resp: Response<Incoming>,
+        conn: Option<Connection<Full<Bytes>>>,
+    ) -> Result<Response<Incoming>, CallError> {
         framing::check(resp.headers()).map_err(|e| CallError::Lost(e.to_string()))?;
+        if let (Some(idle), Some(conn)) = (&self.idle, conn) {
+            let is_first = idle.keep(authority.clone(), conn, Instant::now() + IDLE_TIMEOUT, usize::MAX);
+            if is_first {
+                tokio::spawn(close_expired(Arc::downgrade(idle)));
+            }
+        }
         Ok(resp)
     }
 
@@ -136,10 +178,26 @@
     serde_json::from_slice(&body).map_err(|e| CallError::Lost(format!("unreadable answer: {e}")))
 }
 
-/// Whether a request was cancelled before it was written to its connection.
-fn is_cancelled(error: &dyn std::error::Error) -> bool {
-    let source = error.source().and_then(|e| e.downcast_ref::<hyper::Error>());
-    source.is_some_and(hyper::Error::is_canceled)
+/// Adds the `Host` header, and reduces the target to its path, as HTTP/1.1 servers expect it.
+fn with_host(mut req: Request<Full<Bytes>>, authority: &Authority) -> Result<Request<Full<Bytes>>, CallError> {
+    if !req.headers().contains_key(HOST) {
+        let host = HeaderValue::from_str(authority.as_str()).map_err(|e| CallError::NotSent(e.to_string()))?;
+        req.headers_mut().insert(HOST, host);
+    }
+    let path = req.uri().path_and_query().cloned();
+    *req.uri_mut() = path.unwrap_or_else(|| PathAndQuery::from_static("/")).into();
+    Ok(req)
+}
+
+/// Closes connections when they expire, as long as any are kept.
+async fn close_expired(idle: Weak<Idle>) {
+    loop {
+        tokio::time::sleep(IDLE_TIMEOUT).await;
+        let is_any_left = idle.upgrade().is_some_and(|idle| idle.close_expired(Instant::now()));
+        if !is_any_left {
+            return;
+        }
+    }
 }
 
 fn error_chain(error: &dyn std::error::Error) -> String {
--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -8,7 +8,9 @@
 //! - [`dialer`]: opens connections to replicas.
 //! - [`once`]: HTTP calls of which no data may arrive after their timeout.
 //! - [`http`]: the HTTP client of all other calls.
+//! - [`connection`]: HTTP connections that a task of their own drives; [`idle`] keeps them between requests.
 
+pub mod connection;
 pub mod dialect;
 pub mod dialer;
 pub mod error;
@@ -16,6 +18,7 @@
 pub mod feed;
 pub mod framing;
 pub mod http;
+pub mod idle;
 pub mod kv;
 pub mod once;
 pub mod vms;
