Connections to replicas: a request ends with its connection

What callers saw: 504 when the route's time limit was over, for a request that no replica received. It was not tried again, since it counted as one that may have run.

Cause: as in the HTTP client. The daemon awaited the response while it held the sender of a kept connection, and the replica closed that connection while the request was being queued.

Fix: connections to replicas are those of the border, whose calls end with their task; idle ones are kept by the same type as in the HTTP client.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -109,7 +109,7 @@
 pub(super) struct UpstreamResponse {
     pub(super) head: response::Parts,
     pub(super) body: ReplicaBody,
-    /// Taken when the connection is kept for reuse.
+    /// The connection, if it may be kept; taken once it is.
     pub(super) conn: Option<Conn>,
     pub(super) replica: ReplicaFacts,
     pub(super) in_flight: InFlightCall,
@@ -209,7 +209,7 @@
         match self.call(&call, call_deadline).await {
             Ok((head, body, conn)) => {
                 let body = ReplicaBody::new(&head, body, self.is_stream(&head));
-                Ok(UpstreamResponse { head, body, conn: Some(conn), replica, in_flight })
+                Ok(UpstreamResponse { head, body, conn, replica, in_flight })
             }
             Err(why) => {
                 self.record_call_failure(&replica, &mut in_flight, &why, "serve").await;
@@ -243,7 +243,7 @@
         &self,
         &Call { replica, task, priority }: &Call<'_>,
         call_deadline: Time,
-    ) -> Result<(response::Parts, Incoming, Conn), CallFailure> {
+    ) -> Result<(response::Parts, Incoming, Option<Conn>), CallFailure> {
         let now = self.gw.now();
         let time_left = self.deadline.since(now);
         if time_left <= MIN_SEND_TIME {
@@ -379,7 +379,7 @@
 }
 
 /// Reads a short response to its end so that its connection can be kept.
-pub(super) async fn drain_short_response(gw: &Gateway, replica: &ReplicaFacts, body: Incoming, conn: Conn) {
+pub(super) async fn drain_short_response(gw: &Gateway, replica: &ReplicaFacts, body: Incoming, conn: Option<Conn>) {
     let rest = Limited::new(body, MAX_SHORT_RESPONSE_BYTES).collect();
     if matches!(tokio::time::timeout(SHORT_RESPONSE_TIMEOUT, rest).await, Ok(Ok(_))) {
         gw.upstream.keep(replica.address, conn);
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -81,9 +81,7 @@
 
 /// Keeps the connection of a response that was read to its end.
 fn keep_connection(req: &ActiveRequest, resp: &mut UpstreamResponse) {
-    if let Some(conn) = resp.conn.take() {
-        req.gw.upstream.keep(resp.replica.address, conn);
-    }
+    req.gw.upstream.keep(resp.replica.address, resp.conn.take());
 }
 
 enum BodyStart {
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -3,25 +3,14 @@
 //! This module never sends a request twice. A connection is kept only after a response has been read to its end, and is
 //! reused only for a short time, since a replica may close an idle connection at any moment.
 
-use std::{
-    collections::HashMap,
-    fmt,
-    io::ErrorKind,
-    net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+use std::{fmt, io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use dahliaseam_border::{dialer::Dialer, framing};
+use dahliaseam_border::{connection::Connection, dialer::Dialer, framing, idle::IdleConnections};
 use dahliaseam_core::time::{Span, Time};
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{Builder, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use hyper::{body::Incoming, client::conn::http1::Builder};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{io::AsyncReadExt, net::TcpStream};
 
@@ -52,12 +41,7 @@
 const MAX_BUFFER_BYTES: usize = 32 << 10;
 
 /// A connection that accepts requests.
-#[derive(Debug)]
-pub(super) struct Conn {
-    requests: SendRequest<Full<Bytes>>,
-    /// Whether it may be kept after its response.
-    reusable: bool,
-}
+pub(super) type Conn = Connection<Full<Bytes>>;
 
 /// Whether a process listens at an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,30 +79,25 @@
 #[derive(Debug)]
 pub(super) struct Received {
     pub(super) resp: Response<Incoming>,
-    pub(super) conn: Conn,
+    /// The connection, if it may be kept after the response.
+    pub(super) conn: Option<Conn>,
     /// How long connecting took; `None` for a reused connection and through a peer.
     pub(super) connect_time: Option<Span>,
 }
 
 impl Received {
     /// Checks that the head states where the body ends.
-    fn new(resp: Response<Incoming>, conn: Conn, connect_time: Option<Span>) -> Result<Self, SendError> {
+    fn new(resp: Response<Incoming>, conn: Option<Conn>, connect_time: Option<Span>) -> Result<Self, SendError> {
         framing::check(resp.headers()).map_err(|e| SendError::Lost(e.to_string()))?;
         Ok(Self { resp, conn, connect_time })
     }
 }
 
-#[derive(Debug)]
-struct IdleConn {
-    conn: Conn,
-    expires_at: Time,
-}
-
 /// Connections to all replicas.
 pub(super) struct Upstream {
     clock: Arc<dyn Clock>,
     dialer: Arc<dyn Dialer>,
-    idle: Mutex<HashMap<SocketAddr, Vec<IdleConn>>>,
+    idle: IdleConnections<SocketAddr, Full<Bytes>, Time>,
 }
 
 impl fmt::Debug for Upstream {
@@ -129,7 +108,7 @@
 
 impl Upstream {
     pub(super) fn new(clock: Arc<dyn Clock>, dialer: Arc<dyn Dialer>) -> Self {
-        Self { clock, dialer, idle: Mutex::default() }
+        Self { clock, dialer, idle: IdleConnections::default() }
     }
 
     /// Sends a request; returns the head of the response and the connection.
@@ -140,9 +119,9 @@
         let mut req = req;
         // A reused connection may turn out to be closed before anything was written; the next one is then used. This
         // does not send the request twice.
-        while let Some(mut conn) = self.take_idle(address) {
-            match conn.requests.try_send_request(req).await {
-                Ok(resp) => return Received::new(resp, conn, None),
+        while let Some(conn) = self.idle.take(&address, self.clock.now()) {
+            match conn.send(req).await {
+                Ok((resp, conn)) => return Received::new(resp, conn, None),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => req = unsent,
                     None => return Err(SendError::after_send(&e.into_error())),
@@ -158,7 +137,8 @@
     /// Sends a request on a connection that is used for nothing else.
     pub(super) async fn send_on(&self, stream: TcpStream, req: Request<Full<Bytes>>) -> Result<Received, SendError> {
         let conn = start_http(stream).await?;
-        send_first(Conn { reusable: false, ..conn }, req, None).await
+        let received = send_first(conn, req, None).await?;
+        Ok(Received { conn: None, ..received })
     }
 
     /// Opens a connection without sending anything; `None` if that fails within the time limit for checks, or if the
@@ -202,52 +182,25 @@
     /// Keeps a connection on which nothing has been sent.
     pub(super) async fn keep_new(&self, address: SocketAddr, stream: TcpStream) {
         if let Ok(conn) = start_http(stream).await {
-            self.keep(address, conn);
+            self.keep(address, Some(conn));
         }
     }
 
-    /// Keeps a connection whose response was read to its end.
-    pub(super) fn keep(&self, address: SocketAddr, conn: Conn) {
-        if !conn.reusable || conn.requests.is_closed() {
-            return;
-        }
-        let expires_at = self.clock.now() + MAX_IDLE_TIME;
-        let mut idle = self.lock();
-        let conns = idle.entry(address).or_default();
-        if conns.len() < MAX_IDLE_PER_REPLICA {
-            conns.push(IdleConn { conn, expires_at });
+    /// Keeps the connection, if any, of a response that was read to its end.
+    pub(super) fn keep(&self, address: SocketAddr, conn: Option<Conn>) {
+        if let Some(conn) = conn {
+            self.idle.keep(address, conn, self.clock.now() + MAX_IDLE_TIME, MAX_IDLE_PER_REPLICA);
         }
     }
 
     /// Closes the idle connections to an address where another process listens now.
     pub(super) fn close_idle(&self, address: SocketAddr) {
-        self.lock().remove(&address);
+        self.idle.close(&address);
     }
 
     /// Closes connections that have been idle for too long.
     pub(super) fn close_expired(&self) {
-        let now = self.clock.now();
-        let mut idle = self.lock();
-        idle.retain(|_, conns| {
-            conns.retain(|entry| !entry.expires_at.is_past(now) && !entry.conn.requests.is_closed());
-            !conns.is_empty()
-        });
-    }
-
-    fn take_idle(&self, address: SocketAddr) -> Option<Conn> {
-        let now = self.clock.now();
-        let mut idle = self.lock();
-        let conns = idle.get_mut(&address)?;
-        while let Some(entry) = conns.pop() {
-            if !entry.expires_at.is_past(now) && entry.conn.requests.is_ready() {
-                return Some(entry.conn);
-            }
-        }
-        None
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConn>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        self.idle.close_expired(self.clock.now());
     }
 }
 
@@ -265,23 +218,14 @@
 async fn start_http(stream: TcpStream) -> Result<Conn, SendError> {
     let unsent = |e: &dyn std::error::Error| SendError::NotSent(e.to_string());
     configure_socket(&stream).map_err(|e| unsent(&e))?;
-    let handshake = Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream));
-    let (requests, driver) = handshake.await.map_err(|e| unsent(&e))?;
-    tokio::spawn(async move {
-        // The task that waits for a response on the connection gets the error.
-        let _ = driver.await;
-    });
-    Ok(Conn { requests, reusable: true })
+    let conn = Connection::start(stream, Builder::new().max_buf_size(MAX_BUFFER_BYTES)).await;
+    conn.map_err(|e| unsent(&e))
 }
 
 /// Sends the first request on a connection.
-async fn send_first(
-    mut conn: Conn,
-    req: Request<Full<Bytes>>,
-    connect_time: Option<Span>,
-) -> Result<Received, SendError> {
-    match conn.requests.try_send_request(req).await {
-        Ok(resp) => Received::new(resp, conn, connect_time),
+async fn send_first(conn: Conn, req: Request<Full<Bytes>>, connect_time: Option<Span>) -> Result<Received, SendError> {
+    match conn.send(req).await {
+        Ok((resp, conn)) => Received::new(resp, conn, connect_time),
         Err(mut e) => match e.take_message() {
             Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
             None => Err(SendError::after_send(&e.into_error())),
