Tunnels: a request for one ends with its connection

A peer that closed the connection while the CONNECT was being queued cost the 100 ms of the time limit; it now counts at once as one that does not respond, and the next peer is asked.

Read in the code; the moment was not provoked for tunnels. The tests of tunnels pass.

--- a/crates/daemon/src/gateway/tunnel/client.rs
+++ b/crates/daemon/src/gateway/tunnel/client.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::Bytes;
+use dahliaseam_border::connection::Connection;
 use dahliaseam_core::{
     hash::{self, rendezvous},
     time::{Span, Time},
@@ -15,7 +16,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Empty;
-use hyper::client::conn::http1;
+use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
@@ -140,19 +141,14 @@
 async fn connect_through(peer: SocketAddr, replica: SocketAddr) -> Result<TcpStream, Outcome> {
     let stream = TcpStream::connect(peer).await.map_err(|_| Outcome::NoResponse)?;
     configure_socket(&stream).map_err(|_| Outcome::NoResponse)?;
-    let handshake = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await;
-    let (mut conn, driver) = handshake.map_err(|_| Outcome::NoResponse)?;
-    tokio::spawn(async move {
-        // The task that waits for the response gets the error.
-        let _ = driver.with_upgrades().await;
-    });
+    let conn = Connection::start(stream, &Builder::new()).await.map_err(|_| Outcome::NoResponse)?;
     let req = Request::builder()
         .method(Method::CONNECT)
         .uri(replica.to_string())
         .header(header::HOST, replica.to_string())
-        .body(Empty::new())
+        .body(Empty::<Bytes>::new())
         .map_err(|_| Outcome::Forbidden)?;
-    let resp = conn.send_request(req).await.map_err(|_| Outcome::NoResponse)?;
+    let (resp, _conn) = conn.send(req).await.map_err(|_| Outcome::NoResponse)?;
     match resp.status() {
         StatusCode::OK => {}
         StatusCode::BAD_GATEWAY if states_nobody_listens(resp.headers()) => return Err(Outcome::NobodyListens),
