Peers: JSON-RPC calls end with their connections

The transport of jsonrpsee holds the sender of its connection while it waits, so a probe whose connection ended while it was being queued took its whole time limit and counted as unanswered.

Change: calls to other daemons go through the project's HTTP client. Read in the code; the moment was not provoked for these calls. The tests of membership pass.

--- a/crates/daemon/src/membership/mod.rs
+++ b/crates/daemon/src/membership/mod.rs
@@ -3,4 +3,5 @@
 
 pub mod identity;
 pub mod peer_server;
+pub mod peer_transport;
 pub mod peers;
--- a/crates/daemon/src/membership/peers.rs
+++ b/crates/daemon/src/membership/peers.rs
@@ -14,9 +14,13 @@
 use dahliaseam_wire::peer::{Digest, EndpointLoad, PeerClient, Probe, ProbeAnswer};
 use futures_util::future::join_all;
 use http::{HeaderMap, HeaderValue, header::AUTHORIZATION};
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee::{
+    core::middleware::layer::RpcLogger,
+    http_client::{HttpClient, HttpClientBuilder, RpcService},
+};
+use tower::ServiceBuilder;
 
-use crate::{configuration::configure, emit, endpoint::duties, node::Node};
+use crate::{configuration::configure, emit, endpoint::duties, membership::peer_transport::PeerTransport, node::Node};
 
 /// Maximum number of load reports in one message.
 const MAX_LOAD_REPORTS: usize = 64;
@@ -27,16 +31,20 @@
 /// Number of times per probing period that the loop checks whether a probe is due.
 const CHECKS_PER_PERIOD: u64 = 4;
 
-/// Connections to other daemons, by address.
+/// JSON-RPC client of one other daemon.
+pub type PeerRpc = HttpClient<RpcLogger<RpcService<PeerTransport>>>;
+
+/// Clients of other daemons, by address.
 #[derive(Debug, Default)]
 pub struct PeerClients {
-    by_address: Mutex<HashMap<String, HttpClient>>,
+    transport: PeerTransport,
+    by_address: Mutex<HashMap<String, PeerRpc>>,
 }
 
 impl PeerClients {
     /// The client for the daemon at `address`.
     #[must_use]
-    pub fn get(&self, node: &Node, address: &str) -> Option<HttpClient> {
+    pub fn get(&self, node: &Node, address: &str) -> Option<PeerRpc> {
         let mut clients = self.by_address.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(client) = clients.get(address) {
             return Some(client.clone());
@@ -46,6 +54,7 @@
         let client = HttpClientBuilder::default()
             .request_timeout(Duration::from_millis(node.settings.timing.peer_call_ms))
             .set_headers(headers)
+            .set_http_middleware(ServiceBuilder::new().layer(self.transport.clone()))
             .build(format!("http://{address}"))
             .ok()?;
         clients.insert(address.to_owned(), client.clone());
