Single calls: one whose connection was closed first was not sent

What the leader saw: an order whose connection the engine had closed before anything was sent counted as lost, as if it may have taken effect.

Cause: the error of a request that was not taken was not told from that of one that was sent.

Fix: a request that comes back with its error was not sent. A connection that has ended is dropped before the answer is awaited, so a request left in its queue comes back.

--- a/crates/border/src/once.rs
+++ b/crates/border/src/once.rs
@@ -48,23 +48,23 @@
         SockRef::from(&stream).set_linger(Some(Duration::ZERO)).map_err(|e| not_sent(&e))?;
         let (mut conn, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(&e))?;
         let answer = async {
-            let resp = conn.send_request(req).await.map_err(|e| lost(&e))?;
+            let resp = conn.try_send_request(req).await.map_err(|mut e| match e.take_message() {
+                Some(_) => not_sent(&e.into_error()),
+                None => lost(&e.into_error()),
+            })?;
             framing::check(resp.headers()).map_err(|e| lost(&e))?;
             let status = resp.status();
             let body = Limited::new(resp.into_body(), MAX_ANSWER_BYTES).collect().await;
             let body = body.map_err(|e| CallError::Lost(e.to_string()))?;
             Ok((status, body.to_bytes()))
         };
-        // The connection is driven here and not in a separate task, so that it is closed when the call ends.
-        let mut driver = std::pin::pin!(driver);
+        // The connection is driven here and not in a separate task, so that it is closed when the call ends. One that ends
+        // first is dropped before the answer is awaited, which returns a request that it has not taken.
         let mut answer = std::pin::pin!(answer);
         tokio::select! {
             biased;
             answer = &mut answer => answer,
-            end = &mut driver => match end {
-                Ok(()) => answer.await,
-                Err(e) => Err(lost(&e)),
-            },
+            _ = driver => answer.await,
         }
     };
     tokio::time::timeout(timeout, call).await.unwrap_or_else(|_| Err(CallError::Lost("no answer in time".to_owned())))
--- a/crates/border/tests/connection_end.rs
+++ b/crates/border/tests/connection_end.rs
@@ -15,7 +15,11 @@
 };
 
 use bytes::Bytes;
-use dahliaseam_border::http::{HttpClient, Reuse};
+use dahliaseam_border::{
+    error::CallError,
+    http::{HttpClient, Reuse},
+    once,
+};
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use tokio::{
@@ -133,3 +137,19 @@
     assert_eq!(connections.load(Ordering::SeqCst), 2, "connections");
     assert_eq!(requests.load(Ordering::SeqCst), QUEUE_BLOCK + 1, "requests");
 }
+
+/// Guards against a single call that waits for its time limit and counts as sent, since its connection was closed before
+/// the call.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_single_call_on_a_closed_connection_was_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let connecting = async {
+        let stream = TcpStream::connect(address).await?;
+        drop(listener.accept().await?);
+        tokio::time::sleep(IDLE_DELAY).await;
+        Ok(stream)
+    };
+    let result = once::call_on(connecting, request("/"), TIMEOUT).await;
+    assert!(matches!(result, Err(CallError::NotSent(_))), "{result:?}");
+}
