Crashes under responses that end with their connection count

What callers saw: a request that crashes each replica which runs it was sent to one replica after the other, 12 of 12 on each of four routes, if the replicas' responses had neither a length nor chunks. Others lost their answers with these replicas.

Cause: the end of the connection is the regular end of such a response, so a crash between two events or under a plain response counted as a complete answer, which also cleared the request of earlier crashes.

Fix: after such a response the daemon connects to the replica. Present: the response counts, and the connection is kept for the next request. Gone, for this daemon and its peers: the replica crashed, unless it is draining or no longer listed.

--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -170,6 +170,12 @@
         }
     }
 
+    /// Whether replicas crashed during the request since it was last cleared.
+    #[must_use]
+    pub fn is_suspected(&self, content: ContentHash) -> bool {
+        self.records.get(&content).is_some_and(|record| record.crash_count() > 0)
+    }
+
     /// Lifts the refusal of a request; returns whether it was refused.
     pub fn lift(&mut self, content: ContentHash, now: Time) -> bool {
         let Some(record) = self.records.get_mut(&content).filter(|record| record.refused.is_some()) else {
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -471,6 +471,13 @@
         replica.is_some_and(|replica| !replica.facts.is_same_start(facts))
     }
 
+    /// Whether the replica is draining or no longer listed, so that its process ends as planned.
+    #[must_use]
+    pub fn has_left(&self, facts: &ReplicaFacts) -> bool {
+        let replica = self.key(&facts.id).and_then(|key| self.replicas.get(key));
+        replica.is_none_or(|replica| replica.facts.draining || replica.gone_at != Time::NEVER)
+    }
+
     /// Learns from a plain call that took `took`.
     pub fn learn_plain_call(&mut self, sent: &SentStep, took: Span, now: Time) {
         let Some(replica) = self.replicas.get_mut(sent.key) else {
--- a/crates/daemon/src/gateway/endings.rs
+++ b/crates/daemon/src/gateway/endings.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock::duration,
     emit,
-    gateway::{answer::Refusal, attempt::CallFailure, request::ActiveRequest, state::Gateway},
+    gateway::{answer::Refusal, attempt::CallFailure, body::Framing, request::ActiveRequest, state::Gateway},
 };
 
 /// Maximum time for which the next attempt of a request waits to learn whether its replica crashed: a few round trips
@@ -63,6 +63,23 @@
         }
     }
 
+    /// Records that a replica completed its response. If the response ended with its connection, that is not certain before
+    /// the replica is found present.
+    pub(super) async fn record_completed(&self, replica: &ReplicaFacts, framing: Framing) {
+        if framing != Framing::Close {
+            let now = self.gw.now();
+            self.gw.fleet().crashes.record_answer(self.content, now);
+            return;
+        }
+        let is_suspected = self.gw.fleet().crashes.is_suspected(self.content);
+        let check = record_closed(Arc::clone(&self.gw), self.content, self.caller.id.clone(), replica.clone());
+        let check = tokio::spawn(check);
+        if is_suspected {
+            // The caller may repeat the request as soon as it has the response.
+            let _ = tokio::time::timeout(CHECK_TIMEOUT, check).await;
+        }
+    }
+
     /// Determines whether the request may be sent to a replica, and how. Waits while other daemons' reports of its last
     /// crash may still arrive.
     ///
@@ -105,6 +122,20 @@
     }
 }
 
+/// Records whether a replica completed a response that ended with its connection, or crashed.
+async fn record_closed(gw: Arc<Gateway>, content: ContentHash, request: String, replica: ReplicaFacts) {
+    if gw.is_present(&replica).await && !gw.fleet().is_replaced(&replica) {
+        let now = gw.now();
+        gw.fleet().crashes.record_answer(content, now);
+        return;
+    }
+    // A replica that leaves as planned closes its connections too.
+    let has_left = gw.fleet().has_left(&replica);
+    if !has_left {
+        record_if_crashed(gw, content, request, replica).await;
+    }
+}
+
 async fn record_if_crashed(gw: Arc<Gateway>, content: ContentHash, request: String, replica: ReplicaFacts) {
     let broken_at = gw.now();
     // If a newer start of the replica listens there, the previous process is gone as well.
--- a/crates/daemon/src/gateway/path.rs
+++ b/crates/daemon/src/gateway/path.rs
@@ -192,6 +192,16 @@
         is_gone
     }
 
+    /// Whether a process listens at the address of a replica. Keeps the connection that shows it.
+    pub(super) async fn is_present(&self, replica: &ReplicaFacts) -> bool {
+        if self.path_in_use(replica) == Path::ThroughPeers {
+            return self.presence_for_peers(replica).await == Presence::Present;
+        }
+        let Some(stream) = self.upstream.dial(replica.address).await else { return false };
+        self.upstream.keep_new(replica.address, stream).await;
+        true
+    }
+
     /// Whether peers find a process at the address of a replica.
     async fn presence_for_peers(&self, replica: &ReplicaFacts) -> Presence {
         for _ in 0..MAX_PROBES {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -58,12 +58,12 @@
     let failure = match start {
         Some(Ok(BodyStart::Complete(bytes))) => {
             keep_connection(req, &mut resp);
+            req.record_completed(&resp.replica, resp.body.framing()).await;
             let UpstreamResponse { head, mut in_flight, .. } = resp;
             if req.caller.prompt.is_none() && head.status.is_success() {
                 in_flight.record_plain_call();
             }
             in_flight.set_end(StepEnd::Done);
-            req.record_completed();
             return Ok(ResponseStart::Complete(head, bytes));
         }
         Some(Ok(BodyStart::Stream(bytes))) => {
@@ -168,7 +168,7 @@
             let why = match self.req.gw.timeout_at(self.req.deadline, self.resp.body.next()).await {
                 None => return Some(Err(self.fail(RelayError::TimedOut))),
                 Some(None) => {
-                    self.finish();
+                    self.finish().await;
                     return None;
                 }
                 Some(Some(Ok(bytes))) => {
@@ -187,11 +187,10 @@
     }
 
     /// Records that the replica has completed its response.
-    fn finish(&mut self) {
+    async fn finish(&mut self) {
         self.is_done = true;
         keep_connection(&self.req, &mut self.resp);
         self.resp.in_flight.set_end(StepEnd::Done);
-        self.req.record_completed();
         if !self.resp.in_flight.was_suspended() {
             let mut fleet = self.req.gw.fleet();
             if self.req.caller.prompt.is_some() {
@@ -201,6 +200,7 @@
         }
         self.log_entry.record_stream_end(self.resp.body.framing());
         self.log_entry.set_outcome("answered", self.resp.head.status.as_u16());
+        self.req.record_completed(&self.resp.replica, self.resp.body.framing()).await;
     }
 
     /// Resumes the stream at another replica after the last whole event.
@@ -270,11 +270,3 @@
         e
     }
 }
-
-impl ActiveRequest {
-    /// Records that a replica completed its response.
-    fn record_completed(&self) {
-        let now = self.gw.now();
-        self.gw.fleet().crashes.record_answer(self.content, now);
-    }
-}
