Tunnels: peers that are stopping open them as a last resort

What callers saw: 503 for every request at a VM without network paths to replicas, while all of its peers were stopping.

Cause: a daemon that was told to stop refused tunnels at once, although it accepts requests of its own callers for three seconds more.

Fix: it opens tunnels as long as it accepts requests, and states in the response that it is stopping. The daemon that asked then goes on to the other peers and uses such a tunnel only if no other one is opened, since the exit of the peer cuts a request that takes too long.

a_vm_without_paths_serves_requests_while_all_peers_stop failed before at its first request, with 503.

--- a/crates/daemon/src/gateway/tunnel/client.rs
+++ b/crates/daemon/src/gateway/tunnel/client.rs
@@ -24,7 +24,7 @@
     emit,
     gateway::{
         state::Gateway,
-        tunnel::{Outcome, states_nobody_listens},
+        tunnel::{Outcome, states_nobody_listens, states_stopping},
         upstream::configure_socket,
     },
 };
@@ -37,7 +37,7 @@
 pub(in crate::gateway) const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which another peer is asked as well, if the previous one has not responded.
 const NEXT_PEER_DELAY: Duration = Duration::from_millis(30);
-/// Time for which a peer that opened no tunnel is asked only if no others are left. Paths are cut for seconds.
+/// Time for which a peer that opened no tunnel, or is stopping, is asked after all others. Paths are cut for seconds.
 const AVOID_TIME: Span = Span::millis(1_000);
 
 /// Why no tunnel was opened.
@@ -49,6 +49,13 @@
     Unreachable,
 }
 
+/// An open tunnel.
+struct Tunnel {
+    stream: TcpStream,
+    /// Whether the peer is stopping. A request that takes long may be cut when its process exits.
+    is_stopping: bool,
+}
+
 /// What is known of the peers that open tunnels.
 #[derive(Debug, Default)]
 pub(in crate::gateway) struct Tunnels {
@@ -74,16 +81,23 @@
     /// # Errors
     /// Why no peer opened one.
     pub(in crate::gateway) async fn open_tunnel(&self, replica: SocketAddr) -> Result<TcpStream, TunnelError> {
-        let opened = tokio::time::timeout(OPEN_TIMEOUT, self.ask_peers(replica)).await;
-        let opened = opened.unwrap_or(Err(TunnelError::Unreachable));
+        let mut through_stopping = None;
+        let asking = self.ask_peers(replica, &mut through_stopping);
+        let opened = tokio::time::timeout(OPEN_TIMEOUT, asking).await.unwrap_or(Err(TunnelError::Unreachable));
+        let opened = opened.or_else(|why| through_stopping.ok_or(why));
         if let Err(why) = opened {
             emit!(debug, TUNNEL_FAILED, replica = %replica, why = ?why);
         }
         opened
     }
 
-    /// Asks one peer after the other, the next one as soon as the previous one fails or takes long.
-    async fn ask_peers(&self, replica: SocketAddr) -> Result<TcpStream, TunnelError> {
+    /// Asks one peer after the other, the next one as soon as the previous one fails or takes long. A tunnel through a
+    /// peer that is stopping is left in `through_stopping`, as a last resort.
+    async fn ask_peers(
+        &self,
+        replica: SocketAddr,
+        through_stopping: &mut Option<TcpStream>,
+    ) -> Result<TcpStream, TunnelError> {
         let mut peers = self.tunnel_peers().into_iter();
         let mut asked = FuturesUnordered::new();
         let mut failure = TunnelError::Unreachable;
@@ -97,7 +111,8 @@
                 () = tokio::time::sleep(NEXT_PEER_DELAY), if peers.len() > 0 => continue,
             };
             match answered {
-                Some(Ok(stream)) => return Ok(stream),
+                Some(Ok(Tunnel { stream, is_stopping: false })) => return Ok(stream),
+                Some(Ok(tunnel)) => *through_stopping = Some(tunnel.stream),
                 Some(Err(Outcome::NobodyListens)) => failure = TunnelError::NobodyListens,
                 Some(Err(_)) => {}
                 None => return Err(failure),
@@ -124,11 +139,12 @@
         peers.into_iter().take(MAX_PEERS).map(|(peer, _)| peer).collect()
     }
 
-    async fn ask_peer(&self, peer: SocketAddr, replica: SocketAddr) -> Result<TcpStream, Outcome> {
+    async fn ask_peer(&self, peer: SocketAddr, replica: SocketAddr) -> Result<Tunnel, Outcome> {
         let opened = tokio::time::timeout(PEER_TIMEOUT, connect_through(peer, replica)).await;
         let opened = opened.unwrap_or(Err(Outcome::NoResponse));
         let outcome = opened.as_ref().map_or_else(|outcome| *outcome, |_| Outcome::Opened);
-        if matches!(outcome, Outcome::Busy | Outcome::NoResponse) {
+        let is_stopping = opened.as_ref().is_ok_and(|tunnel| tunnel.is_stopping);
+        if is_stopping || matches!(outcome, Outcome::Busy | Outcome::NoResponse) {
             self.tunnels.avoid(peer, self.now());
         }
         self.metrics.tunnel_requested(outcome.name());
@@ -138,7 +154,7 @@
 }
 
 /// Opens a tunnel to a replica through one peer.
-async fn connect_through(peer: SocketAddr, replica: SocketAddr) -> Result<TcpStream, Outcome> {
+async fn connect_through(peer: SocketAddr, replica: SocketAddr) -> Result<Tunnel, Outcome> {
     let stream = TcpStream::connect(peer).await.map_err(|_| Outcome::NoResponse)?;
     configure_socket(&stream).map_err(|_| Outcome::NoResponse)?;
     let conn = Connection::start(stream, &Builder::new()).await.map_err(|_| Outcome::NoResponse)?;
@@ -156,8 +172,12 @@
         StatusCode::FORBIDDEN => return Err(Outcome::Forbidden),
         _ => return Err(Outcome::Unreachable),
     }
+    let is_stopping = states_stopping(resp.headers());
     let upgraded = hyper::upgrade::on(resp).await.map_err(|_| Outcome::Unreachable)?;
     let parts = upgraded.downcast::<TokioIo<TcpStream>>().map_err(|_| Outcome::Unreachable)?;
     // A replica sends nothing before it has a request.
-    if parts.read_buf.is_empty() { Ok(parts.io.into_inner()) } else { Err(Outcome::Unreachable) }
+    if !parts.read_buf.is_empty() {
+        return Err(Outcome::Unreachable);
+    }
+    Ok(Tunnel { stream: parts.io.into_inner(), is_stopping })
 }
--- a/crates/daemon/src/gateway/tunnel/mod.rs
+++ b/crates/daemon/src/gateway/tunnel/mod.rs
@@ -3,7 +3,8 @@
 //! A tunnel is an HTTP `CONNECT` request (RFC 9110, section 9.3.6) to the load address of a peer, which serves it by TCP.
 //! [`client`] opens tunnels and [`server`] serves them. On top of a tunnel the daemon speaks HTTP with the replica as on a
 //! connection of its own, so all that is said about its response applies unchanged. A tunnel carries one request and is
-//! never kept, so that a peer that stops has only running requests to finish.
+//! never kept, so that a peer that stops has only running requests to finish. Such a peer opens tunnels as long as it accepts
+//! requests of its own callers, and states that it is stopping, so that others are preferred.
 
 use std::{fmt, time::Duration};
 
@@ -24,18 +25,26 @@
 /// Its value if nothing listens at the replica's address.
 const NOBODY_LISTENS: HeaderValue = HeaderValue::from_static("dahliaseamd; error=connection_refused");
 
+/// Its value if the tunnel was opened by a daemon that is stopping.
+const STOPPING: HeaderValue = HeaderValue::from_static("dahliaseamd; details=\"stopping\"");
+
 /// Whether a response states that nothing listens at the replica's address.
 fn states_nobody_listens(headers: &HeaderMap) -> bool {
     headers.get(PROXY_STATUS) == Some(&NOBODY_LISTENS)
 }
 
+/// Whether a response states that the daemon which opened the tunnel is stopping.
+fn states_stopping(headers: &HeaderMap) -> bool {
+    headers.get(PROXY_STATUS) == Some(&STOPPING)
+}
+
 /// Result of a request for a tunnel, in logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
     Opened,
     /// The request is not for a replica of the fleet, or is none for a tunnel.
     Forbidden,
-    /// The daemon is stopping, serves too many tunnels, or has no path to the replica itself.
+    /// The daemon serves too many tunnels, or has no path to the replica itself.
     Busy,
     /// The daemon does not respond.
     NoResponse,
--- a/crates/daemon/src/gateway/tunnel/server.rs
+++ b/crates/daemon/src/gateway/tunnel/server.rs
@@ -26,7 +26,7 @@
     emit,
     gateway::{
         state::Gateway,
-        tunnel::{CONNECT_TIMEOUT, NOBODY_LISTENS, Outcome, PROXY_STATUS},
+        tunnel::{CONNECT_TIMEOUT, NOBODY_LISTENS, Outcome, PROXY_STATUS, STOPPING},
         upstream::configure_socket,
     },
 };
@@ -105,8 +105,14 @@
         Outcome::NobodyListens => StatusCode::BAD_GATEWAY,
         Outcome::Unreachable => StatusCode::GATEWAY_TIMEOUT,
     };
-    if outcome == Outcome::NobodyListens {
-        resp.headers_mut().insert(PROXY_STATUS, NOBODY_LISTENS);
+    match outcome {
+        Outcome::NobodyListens => {
+            resp.headers_mut().insert(PROXY_STATUS, NOBODY_LISTENS);
+        }
+        Outcome::Opened if gw.stop.begun.is_cancelled() => {
+            resp.headers_mut().insert(PROXY_STATUS, STOPPING);
+        }
+        _ => {}
     }
     Ok(resp)
 }
@@ -120,7 +126,7 @@
         let replica = address.and_then(|address| fleet.get(fleet.at_address(address)?)).ok_or(Outcome::Forbidden)?;
         (replica.facts.address, replica.path.path())
     };
-    if gw.stop.begun.is_cancelled() || path == Path::ThroughPeers {
+    if path == Path::ThroughPeers {
         return Err(Outcome::Busy);
     }
     match tokio::time::timeout(CONNECT_TIMEOUT, gw.deps.dialer.connect(address)).await {
