Endings: a failing test of refusals that are read from the store

Cause, shown by the test: the stored refusal of the request that crashes replicas has the number of its crashes and not the replicas, so it explains no crash of another request whose stored suspicion names the same replicas. A tracker that was not restarted treats that request as clear after one more crash; one that reads both entries refuses it until 600 s later.

--- a/crates/core/tests/endings/rules.rs
+++ b/crates/core/tests/endings/rules.rs
@@ -91,6 +91,25 @@
     assert_eq!(treatment(&mut tracker, OTHER, now), Treatment::Clear);
 }
 
+/// Guards against refusing a request for crashes of another one, whose refusal a daemon has read from the store.
+#[test]
+fn a_refusal_from_the_store_explains_the_crashes_of_other_requests() {
+    let mut before = CrashTracker::default();
+    let now = crash_replicas(&mut before, &[FATAL, OTHER], &["a", "b"], START);
+    let stored = before.suspected(now).find(|(content, _)| *content == OTHER).expect("the request is suspected").1;
+    let now = crash_replicas(&mut before, &[FATAL], &["c"], now);
+    assert!(is_refused(&mut before, FATAL, now));
+    let (_, refused) = before.refused().next().expect("a request is refused");
+
+    let mut after = CrashTracker::default();
+    after.apply_stored_suspicion(OTHER, &stored, now);
+    after.apply_stored_refusal(FATAL, refused.crashes, now.since(refused.since), refused.until.since(now), now);
+    for tracker in [&mut before, &mut after] {
+        let now = crash_replicas(tracker, &[OTHER], &["d"], now);
+        assert_eq!(treatment(tracker, OTHER, now), Treatment::Clear);
+    }
+}
+
 #[test]
 fn a_second_trial_does_not_start_while_one_is_running() {
     let mut tracker = CrashTracker::default();
