Retry budget: a failing test of two bursts within one window

A daemon's own window covers nine to ten of the ten seconds, so its share of the slack can be spent again 9.01 s later: 56 retries where 40 are allowed. The fix is open.

--- a/crates/core/tests/fleet/retry_budget.rs
+++ b/crates/core/tests/fleet/retry_budget.rs
@@ -92,3 +92,17 @@
     let share = BudgetShare { daemons: 3, started_at: START };
     assert!(RetryBudget::default().take(1, &TERMS, share, START));
 }
+
+/// Guards against a daemon that spends its share twice within a window, as its own windows are not aligned with it.
+#[test]
+fn two_bursts_within_a_window_stay_within_the_budget() {
+    let share = BudgetShare { daemons: 1, started_at: Time(0) };
+    let mut budget = RetryBudget::default();
+    let mut sent = Sent::default();
+    for ms in [990, 10_000] {
+        while budget.take(1, &TERMS, share, START + Span::millis(ms)) {
+            sent.retries.push(ms);
+        }
+    }
+    sent.check(0);
+}
