--- a/crates/core/src/prompt.rs
+++ b/crates/core/src/prompt.rs
@@ -1,9 +1,20 @@
 //! A prompt as a sequence of parts, some of which an engine may have cached.
 
-use std::hash::Hasher;
+use std::{fmt, hash::Hasher};
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+/// Identifier of a part, as callers state it; the same in every prompt that contains the part, at any place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
@@ -18,6 +29,8 @@
 pub struct Prompt {
     /// Parts in order. The last one belongs to this request or its session alone.
     pub parts: Vec<Part>,
+    /// Identifiers of these parts.
+    pub part_ids: Vec<PartId>,
     /// Number of tokens in the whole prompt.
     pub tokens: u32,
     /// Maximum number of tokens in the answer.
@@ -32,11 +45,13 @@
     pub fn new(model: &str, parts: impl Iterator<Item = (u64, u32)>, tokens: u32, max_output: u32) -> Self {
         let mut hash = Xxh3::new();
         hash.write(model.as_bytes());
+        let mut part_ids = Vec::new();
         let chained = parts.map(|(id, tokens)| {
             hash.write_u64(id);
+            part_ids.push(PartId(id));
             Part { prefix_hash: hash.finish(), tokens }
         });
-        Self { parts: chained.collect(), tokens, max_output, output_hint: None }
+        Self { parts: chained.collect(), part_ids, tokens, max_output, output_hint: None }
     }
 
     /// Adds the caller's estimate of the answer's tokens.
@@ -51,4 +66,10 @@
     pub fn shared(&self) -> &[Part] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
+
+    /// Identifiers of the parts that other requests may share.
+    #[must_use]
+    pub fn shared_ids(&self) -> &[PartId] {
+        self.part_ids.split_last().map_or(&[], |(_, shared)| shared)
+    }
 }
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -53,7 +53,7 @@
     REFUSED_STOPPING = 230, "This daemon is stopping and would not finish the long answer; the request was refused without being sent.";
     NOT_SENT_ON = 231, "The head of a caller's request cannot be forwarded to a replica.";
     READ_OVERDUE = 232, "The prefill of a prompt takes longer than predicted, but its engine answers, so the request keeps waiting. At debug level.";
-    REPLICA_ENDED = 233, "A replica crashed while it had this request; `ends` is the number of crashes known for its content. With `why` instead, the check for a crash failed.";
+    REPLICA_ENDED = 233, "A replica crashed while it had this request; `ends` is the number of crashes known for its content, `parts` are the parts of its prompt that other requests may share. With `why` instead, the check for a crash failed.";
     REQUEST_BLAMED = 234, "Replicas crash under requests with this content; such requests are refused from now on, for `left_ms`.";
     REFUSED_BLAMED = 235, "A request was refused because replicas crashed under its content; `known_by` names the source of that knowledge.";
     BLAME_LIFTED = 236, "Requests with this content are no longer refused: the refusal expired, an operator lifted it, or a replica answered such a request.";
--- a/crates/daemon/src/gateway/endings.rs
+++ b/crates/daemon/src/gateway/endings.rs
@@ -8,6 +8,7 @@
         endings::{Refused, Treatment},
         replica::ReplicaFacts,
     },
+    prompt::PartId,
 };
 
 use crate::{
@@ -21,6 +22,22 @@
 /// result.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(30);
 
+/// What identifies a request when its replica crashes.
+#[derive(Clone, Debug)]
+struct Run {
+    request: String,
+    content: ContentHash,
+    parts: Arc<[PartId]>,
+}
+
+impl Run {
+    /// Identifiers of the prompt's shared parts, for logs.
+    fn part_names(&self) -> String {
+        let names: Vec<String> = self.parts.iter().map(PartId::to_string).collect();
+        names.join(",")
+    }
+}
+
 /// A run that serves to find out whether a request crashes replicas. Dropping it ends the trial.
 #[derive(Debug)]
 pub(super) struct Trial {
@@ -45,6 +62,10 @@
         Some(Trial { gw: Arc::clone(&self.gw), content: self.content })
     }
 
+    fn run(&self) -> Run {
+        Run { request: self.caller.id.clone(), content: self.content, parts: Arc::clone(&self.parts) }
+    }
+
     /// Checks whether the replica crashed, if the connection to it broke.
     pub(super) async fn check_replica_if_broken(&self, replica: &ReplicaFacts, why: &CallFailure) {
         if matches!(why, CallFailure::Broke(_)) {
@@ -54,7 +75,7 @@
 
     /// Checks whether a replica crashed after the connection to it broke, and records that.
     pub(super) async fn check_replica(&self, replica: ReplicaFacts) {
-        let check = record_if_crashed(Arc::clone(&self.gw), self.content, self.caller.id.clone(), replica);
+        let check = record_if_crashed(Arc::clone(&self.gw), self.run(), replica);
         // Runs as a separate task so that the result is recorded even if the caller disconnects or the check takes
         // longer than the timeout.
         let check = tokio::spawn(check);
@@ -72,7 +93,7 @@
             return;
         }
         let is_suspected = self.gw.fleet().crashes.is_suspected(self.content);
-        let check = record_closed(Arc::clone(&self.gw), self.content, self.caller.id.clone(), replica.clone());
+        let check = record_closed(Arc::clone(&self.gw), self.run(), replica.clone());
         let check = tokio::spawn(check);
         if is_suspected {
             // The caller may repeat the request as soon as it has the response.
@@ -123,20 +144,20 @@
 }
 
 /// Records whether a replica completed a response that ended with its connection, or crashed.
-async fn record_closed(gw: Arc<Gateway>, content: ContentHash, request: String, replica: ReplicaFacts) {
+async fn record_closed(gw: Arc<Gateway>, run: Run, replica: ReplicaFacts) {
     if gw.is_present(&replica).await && !gw.fleet().is_replaced(&replica) {
         let now = gw.now();
-        gw.fleet().crashes.record_answer(content, now);
+        gw.fleet().crashes.record_answer(run.content, now);
         return;
     }
     // A replica that leaves as planned closes its connections too.
     let has_left = gw.fleet().has_left(&replica);
     if !has_left {
-        record_if_crashed(gw, content, request, replica).await;
+        record_if_crashed(gw, run, replica).await;
     }
 }
 
-async fn record_if_crashed(gw: Arc<Gateway>, content: ContentHash, request: String, replica: ReplicaFacts) {
+async fn record_if_crashed(gw: Arc<Gateway>, run: Run, replica: ReplicaFacts) {
     let broken_at = gw.now();
     // If a newer start of the replica listens there, the previous process is gone as well.
     if !gw.is_gone(&replica).await && !gw.fleet().is_replaced(&replica) {
@@ -144,12 +165,21 @@
     }
     let (crashes, left_out) = {
         let mut fleet = gw.fleet();
-        (fleet.crashes.record_crash(content, replica.start_id(), broken_at), fleet.mark_unreachable(&replica, gw.now()))
+        (fleet.crashes.record_crash(run.content, replica.start_id(), broken_at), fleet.mark_unreachable(&replica, gw.now()))
     };
     gw.load_changed.notify_one();
     if left_out {
         emit!(warn, REPLICA_LEFT_OUT, replica = %replica.id, end = "nobody listens");
     }
     gw.metrics.lost_request();
-    emit!(info, REPLICA_ENDED, request, content = %content, replica = %replica.id, hall = %replica.hall, ends = crashes);
+    emit!(
+        info,
+        REPLICA_ENDED,
+        request = run.request,
+        content = %run.content,
+        parts = run.part_names(),
+        replica = %replica.id,
+        hall = %replica.hall,
+        ends = crashes
+    );
 }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -12,6 +12,7 @@
         plan::{Isolation, Plan, PlanError, RouteRequest, Step},
         replica::ReplicaKey,
     },
+    prompt::{PartId, Prompt},
     quota::Credit,
     route::{Repeat, Route},
     stream_origin::Origin,
@@ -62,6 +63,8 @@
     pub(super) caller: CallerRequest,
     /// Hash of the request's content; the same when its caller sends it again.
     pub(super) content: ContentHash,
+    /// Parts of its prompt that other requests may share.
+    pub(super) parts: Arc<[PartId]>,
     pub(super) route: Arc<Route>,
     /// On whose behalf the request runs, as authenticated on arrival.
     pub(super) identity: Identity,
@@ -172,6 +175,7 @@
 impl ActiveRequest {
     fn new(gw: Arc<Gateway>, admitted: Admitted, random: u64) -> Self {
         let Admitted { head, body, caller, content, route, service, identity, version, arrived, deadline } = admitted;
+        let parts = caller.prompt.as_ref().map_or(&[][..], Prompt::shared_ids).into();
         Self {
             gw,
             usage_team: identity.team().cloned(),
@@ -180,6 +184,7 @@
             body,
             caller,
             content,
+            parts,
             route,
             identity,
             service,
