--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -15,6 +15,10 @@
 //!   crashes.
 //! - The crashes of a request that was refused unambiguously count little against others.
 //!
+//! Parts of prompts are suspected beside requests ([`PartTracker`]): whatever crashes replicas may be in requests that
+//! differ in everything else. Crashes of a refused part count little against requests, and a request whose crashes a
+//! suspected part explains is an ambiguous case.
+//!
 //! A crash is any end of a replica that was running requests, whatever the cause. Records and refusals expire
 //! (`RETENTION`, `SHORT_REFUSAL`), since the replica's next version may survive the request.
 
@@ -22,6 +26,8 @@
 
 pub use crate::fleet::endings::{
     notes::{Recipients, RefusedNote, RequestNote},
+    part_notes::PartNote,
+    parts::{ClearedBy, PartChange, PartTracker, PartTreatment},
     record::{ClearReason, KnownBy, Refused},
 };
 use crate::{
@@ -38,6 +44,8 @@
 
 mod answered;
 pub mod notes;
+mod part_notes;
+mod parts;
 mod record;
 
 /// Crashes after which a request is refused unless the case is ambiguous. One crash is chance, and two occur if
@@ -136,6 +144,8 @@
     /// Crashes of the requests that were refused unambiguously.
     explained_crashes: Vec<Crash>,
     answers: RecentAnswers,
+    /// What is known about the parts of prompts.
+    pub parts: PartTracker,
     /// When unchanged notes are next sent, by kind of recipients.
     resend_at: [Time; 2],
 }
@@ -370,8 +380,10 @@
         let is_explained = |crash: &Crash| suspects.iter().any(|other| other.has_crash(crash));
         let unexplained = others.iter().filter(|crash| !is_explained(crash)).count();
         let is_covered = crashes.iter().all(is_explained);
-        let ambiguous =
-            is_covered || self.is_covered_by_one(content, crashes) || unexplained * CRASHES_PER_UNEXPLAINED >= evidence;
+        let ambiguous = self.parts.covers(crashes)
+            || is_covered
+            || self.is_covered_by_one(content, crashes)
+            || unexplained * CRASHES_PER_UNEXPLAINED >= evidence;
         match (ambiguous, others.is_empty()) {
             (false, true) => Some(Grounds::NoOtherCrashes),
             (false, false) => Some(Grounds::OthersExplained),
@@ -408,9 +420,10 @@
         others.map(|(_, record)| record)
     }
 
-    /// Crashes of a request that no unambiguously refused request explains.
+    /// Crashes of a request that no unambiguously refused request and no refused part explains.
     fn unexplained_crashes(&self, record: &Record) -> impl Iterator<Item = Crash> {
-        record.unexplained_crashes(&self.explained_crashes)
+        let is_by_part = |crash: &Crash| self.parts.explained_crashes().iter().any(|other| other.is_same(crash));
+        record.unexplained_crashes(&self.explained_crashes).filter(move |crash| !is_by_part(crash))
     }
 
     /// Number of crashes that count against a request.
--- a/crates/core/src/fleet/endings/notes.rs
+++ b/crates/core/src/fleet/endings/notes.rs
@@ -16,10 +16,10 @@
 /// Maximum number of unchanged notes in one message, for daemons that have started since or were cut off.
 const MAX_RESENT: usize = 8;
 /// Minimum time between two messages with unchanged notes.
-const RESEND_INTERVAL: Span = Span::millis(500);
+pub(super) const RESEND_INTERVAL: Span = Span::millis(500);
 /// Minimum time between two such messages for each daemon of the deployment, so that what one daemon receives does
 /// not grow with their number: fifty messages a second.
-const RESEND_INTERVAL_PER_DAEMON: Span = Span::millis(20);
+pub(super) const RESEND_INTERVAL_PER_DAEMON: Span = Span::millis(20);
 
 /// A reported clearance that is later than the known one by no more than this is the same one, reported again.
 const SAME_CLEARANCE_WINDOW: Span = Span::millis(1_000);
@@ -110,6 +110,7 @@
     /// Includes unchanged notes in the next message to hall peers. Called when one of them has just started.
     pub fn resend_now(&mut self, now: Time) {
         self.resend_at[Recipients::HallPeers as usize] = now;
+        self.parts.resend_now(now);
     }
 
     /// Crash counts and content hashes of the unchanged records to send again: those sent longest ago, refused requests
@@ -201,10 +202,10 @@
     }
 }
 
-fn ago(ms: u32, now: Time) -> Time {
+pub(super) fn ago(ms: u32, now: Time) -> Time {
     now - Span::millis(u64::from(ms))
 }
 
-fn millis(span: Span) -> u32 {
+pub(super) fn millis(span: Span) -> u32 {
     span.as_millis().try_into().unwrap_or(u32::MAX)
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -23,7 +23,7 @@
         budget::{BudgetShare, RetryBudget, RetryBudgetTerms},
         candidates::Candidates,
         distance::HallLatencies,
-        endings::{CrashTracker, Treatment},
+        endings::{CrashTracker, PartTreatment, Treatment},
         engine::{EngineModel, hand_over::KvTransfer, read_time::PrefillWork},
         loss::LossMeter,
         path::Path,
@@ -36,7 +36,7 @@
         software::LeftSoftware,
         split::{DemandMeter, RequestDemand},
     },
-    prompt::Prompt,
+    prompt::{PartId, Prompt},
     time::{Span, Time},
 };
 
@@ -517,6 +517,12 @@
         self.crashes.treatment(content, daemons, is_cut_off, now)
     }
 
+    /// Decides how to treat a request, given the replicas that crashed during requests with these parts.
+    pub fn part_treatment(&mut self, parts: &[PartId], now: Time) -> PartTreatment {
+        let daemons = self.daemons();
+        self.crashes.parts.treatment(parts, daemons, now)
+    }
+
     /// Adds a new request to the retry budget of a service.
     pub fn record_request(&mut self, service: &Arc<str>, terms: &RetryBudgetTerms, now: Time) {
         self.service_mut(service).retry_budget.record_request(terms, now);
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -13,7 +13,7 @@
     endpoint::Role,
     fleet::{
         Fleet, ServiceState,
-        endings::{Recipients, RequestNote},
+        endings::{PartNote, Recipients, RequestNote},
         engine::LearnedModel,
         rate_limit::RateLimitNote,
         replica::{Load, Replica, ReplicaKey},
@@ -132,6 +132,8 @@
     pub learned: Vec<ServiceLearned>,
     /// Requests during which replicas crashed.
     pub requests: Vec<RequestNote>,
+    /// Parts of prompts during whose requests replicas crashed.
+    pub parts: Vec<PartNote>,
     /// Rate limits that replicas stated.
     pub rate_limits: Vec<RateLimitNote>,
 }
@@ -180,6 +182,7 @@
         let learned = self.learned_report(now);
         let daemons = self.daemons();
         let requests = self.crashes.due_notes(Recipients::HallPeers, daemons, now);
+        let parts = self.crashes.parts.due_notes(Recipients::HallPeers, daemons, now);
         let mut prompts = std::mem::take(&mut self.prompt_notes);
         prompts.truncate(MAX_PROMPT_NOTES);
         limit_parts(&mut prompts);
@@ -197,6 +200,7 @@
             role_changes: self.role_changes(now, |replica| replica.ordered_here),
             learned,
             requests,
+            parts,
             rate_limits: self.rate_limits(false, now),
         }
     }
@@ -238,6 +242,7 @@
             role_changes: self.role_changes(now, |replica| replica.ordered_here || replica.ordered_in_hall),
             learned: Vec::new(),
             requests: self.crashes.due_notes(Recipients::OtherHalls, daemons as usize, now),
+            parts: self.crashes.parts.due_notes(Recipients::OtherHalls, daemons as usize, now),
             rate_limits: self.rate_limits(true, now),
         };
         (report, daemons)
@@ -247,6 +252,7 @@
     pub fn apply_report(&mut self, id: ReportId, report: &LoadReport, now: Time) -> Vec<ReplicaKey> {
         let in_hall = id.hall == self.hall_hash;
         self.crashes.apply_notes(&report.requests, in_hall, now);
+        self.crashes.parts.apply_notes(&report.parts, in_hall, now);
         if self.is_covered(&id) {
             return Vec::new();
         }
--- a/crates/core/tests/endings/main.rs
+++ b/crates/core/tests/endings/main.rs
@@ -12,6 +12,7 @@
     world::Simulation,
 };
 
+mod parts;
 mod rules;
 mod setting;
 mod world;
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -55,10 +55,15 @@
     READ_OVERDUE = 232, "The prefill of a prompt takes longer than predicted, but its engine answers, so the request keeps waiting. At debug level.";
     REPLICA_ENDED = 233, "A replica crashed while it had this request; `ends` is the number of crashes known for its content, `parts` are the parts of its prompt that other requests may share. With `why` instead, the check for a crash failed.";
     REQUEST_BLAMED = 234, "Replicas crash under requests with this content; such requests are refused from now on, for `left_ms`.";
-    REFUSED_BLAMED = 235, "A request was refused because replicas crashed under its content; `known_by` names the source of that knowledge.";
+    REFUSED_BLAMED = 235, "A request was refused because replicas crashed under its content, or under a part of its prompt (`part`); `known_by` names the source of that knowledge.";
     BLAME_LIFTED = 236, "Requests with this content are no longer refused: the refusal expired, an operator lifted it, or a replica answered such a request.";
     BLAME_NOT_STORED = 237, "A refusal or suspicion of requests could not be written to the store or removed there; it is tried again.";
     REFUSED_LIMITED = 238, "A request was refused without being sent because no replica's rate limit or retry time allows another one now; see `REPLICA_LIMIT` and `REPLICA_RETRY_AFTER`.";
+    PART_SUSPECTED = 239, "Replicas crashed under different requests whose prompts share this part; `replicas` are those that crashed, as hashes of their identifiers. Requests with the part run one at a time.";
+    PART_CLEARED = 240, "A part is no longer suspected or refused: a replica answered a request with it (`by` says where), or an operator lifted its refusal.";
+    PART_TRIED = 241, "A request runs as a trial of the suspected parts of its prompt.";
+    REFUSED_SUSPECTED = 242, "A request was refused because a part of its prompt is suspected and another request tries it out, or because reports of the last crash are still due.";
+    PART_BLAMED = 243, "Replicas crash under requests whose prompts contain this part; such requests are refused from now on, for `left_ms`.";
     CONFIG_IN_FORCE = 300, "A newer configuration is in force on this VM.";
     CONFIG_REJECTED = 301, "A stored configuration cannot be read; the current one stays in force.";
     CONFIG_ACCEPTED = 302, "An operator's change was accepted.";
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -55,6 +55,8 @@
     Stopping,
     /// Replicas crash while running the request. The caller is not told when to retry.
     ReplicasEnded,
+    /// Replicas crashed under a part of the prompt, and another request tries out whether it is the cause.
+    PartSuspected,
     /// No replica ran the request in any attempt, and there is no alternative.
     Rejected,
     /// The request may have run, and its response was lost.
@@ -88,6 +90,7 @@
             Self::QuotaUnavailable => "quota_unavailable",
             Self::Stopping => "stopping",
             Self::ReplicasEnded => "replicas_ended",
+            Self::PartSuspected => "part_suspected",
             Self::Rejected => "rejected",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
@@ -112,6 +115,7 @@
             | Self::ReplicasLimited { .. }
             | Self::Stopping
             | Self::ReplicasEnded
+            | Self::PartSuspected
             | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -150,6 +154,7 @@
             | Self::NoReplica
             | Self::UnknownOrigin
             | Self::Stopping
+            | Self::PartSuspected
             | Self::Rejected => Some(Span(BASE_RETRY_AFTER.0 + random % RETRY_AFTER_JITTER.0)),
             _ => None,
         }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -19,6 +19,7 @@
     emit,
     gateway::{
         body::ReplicaBody,
+        endings::Phase,
         request::ActiveRequest,
         state::Gateway,
         upstream::{Conn, Received, SendError},
@@ -157,7 +158,7 @@
         let mut retries = 0;
         let mut credit = self.credit();
         loop {
-            if self.gw.fleet().crashes.is_refused(self.content) {
+            if self.is_accused() {
                 let why = CallFailure::NotTried("replicas crash while running the request");
                 return Err(AttemptFailure { why, in_prefill: false, replica: decode.key });
             }
@@ -212,7 +213,7 @@
                 Ok(UpstreamResponse { head, body, conn, replica, in_flight })
             }
             Err(why) => {
-                self.record_call_failure(&replica, &mut in_flight, &why, "serve").await;
+                self.record_call_failure(&replica, &mut in_flight, &why, Phase::Begin).await;
                 Err(why)
             }
         }
@@ -347,14 +348,15 @@
         replica: &ReplicaFacts,
         in_flight: &mut InFlightCall,
         why: &CallFailure,
-        step: &'static str,
+        phase: Phase,
     ) {
         in_flight.set_end(why.step_end(in_flight.age()));
         if *why == CallFailure::OtherReplica {
             in_flight.replica_replaced();
         }
+        let step = if phase == Phase::Prefill { "read" } else { "serve" };
         self.log_failure(replica, in_flight, why, step);
-        self.check_replica_if_broken(replica, why).await;
+        self.check_replica_if_broken(replica, why, phase).await;
     }
 
     /// Counts and logs a failed call.
--- a/crates/daemon/src/gateway/blamed.rs
+++ b/crates/daemon/src/gateway/blamed.rs
@@ -1,13 +1,14 @@
-//! Stores which requests are refused because replicas crash while running them, and which are suspected of crashing
-//! replicas.
+//! Stores which requests and which parts of prompts are refused because replicas crash while running them, and which
+//! are suspected of crashing replicas.
 //!
-//! Daemons tell each other about such requests. The store entries serve daemons that start when no other one is left,
-//! and operators, who allow a request again by removing its entry. The daemon that lost the request at a replica writes
-//! the entry; if it cannot, another one does. Suspicions are stored too: otherwise daemons that all restart at once
-//! would count from zero and lose as many replicas again.
+//! Daemons tell each other about such requests and parts. The store entries serve daemons that start when no other one
+//! is left, and operators, who allow a request or part again by removing its entry. The daemon that lost the request at
+//! a replica writes the entry; if it cannot, another one does. Suspicions are stored too: otherwise daemons that all
+//! restart at once would count from zero and lose as many replicas again.
 
 use std::{
     collections::{HashMap, HashSet},
+    fmt,
     sync::Arc,
     time::Duration,
 };
@@ -15,8 +16,9 @@
 use dahliaseam_border::kv::{Entry, Swap, Swapped};
 use dahliaseam_core::{
     content::ContentHash,
-    fleet::endings::{KnownBy, Refused, Suspicion},
+    fleet::endings::{CrashTracker, KnownBy, Refused, Suspicion},
     hash::rendezvous,
+    prompt::PartId,
     time::{Span, Time},
 };
 use serde::{Deserialize, Serialize};
@@ -24,7 +26,7 @@
 use crate::{
     clock::wall_millis,
     emit,
-    gateway::{metrics::StoreCall, state::Gateway},
+    gateway::{endings::log_part_changes, metrics::StoreCall, state::Gateway},
 };
 
 /// Interval between two synchronizations; short enough that an entry is stored within the time by which all daemons
@@ -38,11 +40,48 @@
 const TAKEOVER_JITTER_PER_DAEMON: Span = Span::millis(20);
 /// Delay before a store call that failed, or whose effect is not visible yet, is repeated.
 const RETRY_INTERVAL: Span = Span::millis(1_000);
-/// Maximum number of stored suspicions; those with the most crashes are stored. When a rack fails, hundreds of requests
-/// lose a replica, some of them twice, and succeed a moment later.
+/// Maximum number of stored suspicions of requests, and of parts; those with the most crashes are stored. When a rack
+/// fails, hundreds of requests lose a replica, some of them twice, and succeed a moment later.
 const MAX_STORED_SUSPICIONS: usize = 8;
 
-/// State that an entry records for a request.
+/// Prefix of the names of parts in keys.
+const PART_PREFIX: &str = "part-";
+
+/// What crashes replicas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Cause {
+    /// Requests with this content.
+    Request(ContentHash),
+    /// Requests with this part in their prompts.
+    Part(PartId),
+}
+
+impl Cause {
+    fn parse(name: &str) -> Option<Self> {
+        match name.strip_prefix(PART_PREFIX) {
+            Some(part) => u64::from_str_radix(part, 16).ok().map(|part| Self::Part(PartId(part))),
+            None => u64::from_str_radix(name, 16).ok().map(|content| Self::Request(ContentHash(content))),
+        }
+    }
+
+    const fn id(self) -> u64 {
+        match self {
+            Self::Request(content) => content.0,
+            Self::Part(part) => part.0,
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(content) => content.fmt(f),
+            Self::Part(part) => write!(f, "{PART_PREFIX}{part}"),
+        }
+    }
+}
+
+/// State that an entry records for a request or a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EntryKind {
     Refused,
@@ -60,17 +99,14 @@
         }
     }
 
-    fn key(self, keyspace: &str, content: ContentHash) -> String {
-        format!("{keyspace}{}{content}", self.prefix())
+    fn key(self, keyspace: &str, cause: Cause) -> String {
+        format!("{keyspace}{}{cause}", self.prefix())
     }
 
-    /// Parses the key of a refused or suspected request; `None` for any other key.
-    fn parse_key(keyspace: &str, key: &str) -> Option<(Self, ContentHash)> {
+    /// Parses the key of a refused or suspected request or part; `None` for any other key.
+    fn parse_key(keyspace: &str, key: &str) -> Option<(Self, Cause)> {
         let rest = key.strip_prefix(keyspace)?;
-        Self::ALL.into_iter().find_map(|kind| {
-            let digits = rest.strip_prefix(kind.prefix())?;
-            u64::from_str_radix(digits, 16).ok().map(|content| (kind, ContentHash(content)))
-        })
+        Self::ALL.into_iter().find_map(|kind| Some((kind, Cause::parse(rest.strip_prefix(kind.prefix())?)?)))
     }
 }
 
@@ -115,7 +151,7 @@
 
 /// Applies an entry; returns whether it belongs to a refused or suspected request.
 pub(super) fn apply_put(gw: &Gateway, entry: &Entry) -> bool {
-    let Some((kind, content)) = EntryKind::parse_key(&gw.settings.keyspace, &entry.key) else {
+    let Some((kind, cause)) = EntryKind::parse_key(&gw.settings.keyspace, &entry.key) else {
         return false;
     };
     let now = gw.now();
@@ -125,13 +161,26 @@
                 let age = Span::millis(wall_millis().saturating_sub(stored.since_ms));
                 let left = Span::millis(stored.until_ms.saturating_sub(wall_millis()));
                 if left > Span(0) {
-                    gw.fleet().crashes.apply_stored_refusal(content, stored.ends, age, left, now);
+                    let crashes = &mut gw.fleet().crashes;
+                    match cause {
+                        Cause::Request(content) => {
+                            crashes.apply_stored_refusal(content, stored.ends, age, left, now);
+                        }
+                        Cause::Part(part) => {
+                            crashes.parts.apply_stored_refusal(part, stored.ends, age, left, now);
+                        }
+                    }
                 }
             }
         }
         EntryKind::Suspected => {
             if let Ok(stored) = serde_json::from_str::<StoredSuspicion>(&entry.value) {
-                gw.fleet().crashes.apply_stored_suspicion(content, &stored.to_suspicion(), now);
+                let suspicion = stored.to_suspicion();
+                let crashes = &mut gw.fleet().crashes;
+                match cause {
+                    Cause::Request(content) => crashes.apply_stored_suspicion(content, &suspicion, now),
+                    Cause::Part(part) => crashes.parts.apply_stored_suspicion(part, &suspicion, now),
+                }
             }
         }
     }
@@ -140,9 +189,13 @@
 
 /// Applies the removal of an entry: an operator allows the request again.
 pub(super) fn apply_removal(gw: &Gateway, key: &str) {
-    if let Some((EntryKind::Refused, content)) = EntryKind::parse_key(&gw.settings.keyspace, key) {
+    if let Some((EntryKind::Refused, cause)) = EntryKind::parse_key(&gw.settings.keyspace, key) {
         let now = gw.now();
-        gw.fleet().crashes.lift(content, now);
+        let crashes = &mut gw.fleet().crashes;
+        match cause {
+            Cause::Request(content) => crashes.lift(content, now),
+            Cause::Part(part) => crashes.parts.lift(part, now),
+        };
     }
 }
 
@@ -164,19 +217,19 @@
     key: String,
     revision: i64,
     kind: EntryKind,
-    content: ContentHash,
+    cause: Cause,
     /// Number of crashes that a suspicion lists; 0 for a refusal.
     crashes: usize,
 }
 
 impl StoredEntry {
     fn parse(keyspace: &str, entry: &Entry) -> Option<Self> {
-        let (kind, content) = EntryKind::parse_key(keyspace, &entry.key)?;
+        let (kind, cause) = EntryKind::parse_key(keyspace, &entry.key)?;
         let crashes = match kind {
             EntryKind::Refused => 0,
             EntryKind::Suspected => serde_json::from_str::<StoredSuspicion>(&entry.value).map_or(0, |s| s.ends.len()),
         };
-        Some(Self { key: entry.key.clone(), revision: entry.revision, kind, content, crashes })
+        Some(Self { key: entry.key.clone(), revision: entry.revision, kind, cause, crashes })
     }
 }
 
@@ -192,40 +245,61 @@
     not_before: Time,
 }
 
-/// The refused and suspected requests that this daemon knows of.
+/// The refused and suspected requests and parts that this daemon knows of.
 #[derive(Debug)]
-struct KnownRequests {
-    refused: HashMap<ContentHash, Refused>,
-    suspected: HashMap<ContentHash, Suspicion>,
+struct KnownCauses {
+    refused: HashMap<Cause, Refused>,
+    suspected: HashMap<Cause, Suspicion>,
 }
 
-impl KnownRequests {
-    fn contains(&self, kind: EntryKind, content: ContentHash) -> bool {
+impl KnownCauses {
+    fn of(crashes: &CrashTracker, now: Time) -> Self {
+        let requests = crashes.refused().map(|(content, refused)| (Cause::Request(content), refused));
+        let parts = crashes.parts.refused().map(|(part, refused)| (Cause::Part(part), refused));
+        let suspected_requests = crashes.suspected(now).map(|(content, s)| (Cause::Request(content), s));
+        let suspected_parts = crashes.parts.suspected(now).map(|(part, s)| (Cause::Part(part), s));
+        Self {
+            refused: requests.chain(parts).collect(),
+            suspected: suspected_requests.chain(suspected_parts).collect(),
+        }
+    }
+
+    /// Numbers of suspected and of refused parts.
+    fn part_counts(&self) -> (usize, usize) {
+        let is_part = |cause: &&Cause| matches!(cause, Cause::Part(_));
+        (self.suspected.keys().filter(is_part).count(), self.refused.keys().filter(is_part).count())
+    }
+
+    fn contains(&self, kind: EntryKind, cause: Cause) -> bool {
         match kind {
-            EntryKind::Refused => self.refused.contains_key(&content),
-            EntryKind::Suspected => self.suspected.contains_key(&content),
+            EntryKind::Refused => self.refused.contains_key(&cause),
+            EntryKind::Suspected => self.suspected.contains_key(&cause),
         }
     }
 
     /// The suspicions that should be in the store: those that already are, then those with the most crashes while there
     /// is room.
-    fn suspicions_to_store(&self, stored_entries: &[StoredEntry]) -> Vec<(ContentHash, &Suspicion)> {
-        let is_stored = |content: ContentHash| {
-            stored_entries.iter().any(|entry| entry.kind == EntryKind::Suspected && entry.content == content)
+    fn suspicions_to_store(&self, stored_entries: &[StoredEntry]) -> Vec<(Cause, &Suspicion)> {
+        let is_stored = |cause: Cause| {
+            stored_entries.iter().any(|entry| entry.kind == EntryKind::Suspected && entry.cause == cause)
         };
-        let mut ranked: Vec<_> = self.suspected.iter().map(|(content, suspicion)| (*content, suspicion)).collect();
-        ranked.sort_unstable_by_key(|(content, suspicion)| {
-            (!is_stored(*content), usize::MAX - suspicion.crashes.len(), *content)
+        let mut ranked: Vec<_> = self.suspected.iter().map(|(cause, suspicion)| (*cause, suspicion)).collect();
+        ranked.sort_unstable_by_key(|(cause, suspicion)| {
+            (!is_stored(*cause), usize::MAX - suspicion.crashes.len(), *cause)
         });
-        ranked.truncate(MAX_STORED_SUSPICIONS);
-        ranked
+        let (mut parts, mut requests): (Vec<_>, Vec<_>) =
+            ranked.into_iter().partition(|(cause, _)| matches!(cause, Cause::Part(_)));
+        parts.truncate(MAX_STORED_SUSPICIONS);
+        requests.truncate(MAX_STORED_SUSPICIONS);
+        parts.extend(requests);
+        parts
     }
 }
 
 /// Synchronization state between two passes.
 #[derive(Debug, Default)]
 struct StoreSync {
-    logged_refusals: HashMap<ContentHash, Refused>,
+    logged_refusals: HashMap<Cause, Refused>,
     /// Earliest time of the next store call, by key.
     due: HashMap<String, Time>,
 }
@@ -235,12 +309,13 @@
         let now = gw.now();
         let (known, expired) = {
             let crashes = &mut gw.fleet().crashes;
-            let expired: HashSet<ContentHash> = crashes.expire(now).into_iter().collect();
-            (
-                KnownRequests { refused: crashes.refused().collect(), suspected: crashes.suspected(now).collect() },
-                expired,
-            )
+            let mut expired: HashSet<Cause> = crashes.expire(now).into_iter().map(Cause::Request).collect();
+            expired.extend(crashes.parts.expire(now).into_iter().map(Cause::Part));
+            (KnownCauses::of(crashes, now), expired)
         };
+        let (suspected_parts, refused_parts) = known.part_counts();
+        gw.metrics.accused_parts(suspected_parts, refused_parts);
+        log_part_changes(gw);
         self.log_changes(&known.refused, &expired, now);
         let stored_entries: Vec<StoredEntry> = {
             let cache = gw.store_cache();
@@ -254,24 +329,26 @@
         }
     }
 
-    fn log_changes(&self, refused: &HashMap<ContentHash, Refused>, expired: &HashSet<ContentHash>, now: Time) {
-        for (content, refused) in refused.iter().filter(|(content, _)| !self.logged_refusals.contains_key(content)) {
-            emit!(
-                warn,
-                REQUEST_BLAMED,
-                content = %content,
-                ends = refused.crashes,
-                known_by = refused.known_by.name(),
-                age_ms = now.since(refused.since).as_millis(),
-                left_ms = refused.until.since(now).as_millis()
-            );
+    fn log_changes(&self, refused: &HashMap<Cause, Refused>, expired: &HashSet<Cause>, now: Time) {
+        for (cause, refused) in refused.iter().filter(|(cause, _)| !self.logged_refusals.contains_key(cause)) {
+            let (ends, known_by) = (refused.crashes, refused.known_by.name());
+            let (age_ms, left_ms) = (now.since(refused.since).as_millis(), refused.until.since(now).as_millis());
+            match cause {
+                Cause::Request(content) => {
+                    emit!(warn, REQUEST_BLAMED, content = %content, ends, known_by, age_ms, left_ms);
+                }
+                Cause::Part(part) => {
+                    let unambiguous = refused.unambiguous;
+                    emit!(warn, PART_BLAMED, part = %part, ends, known_by, unambiguous, age_ms, left_ms);
+                }
+            }
         }
-        for (content, before) in self.logged_refusals.iter().filter(|(content, _)| !refused.contains_key(content)) {
-            let why = if expired.contains(content) { "lapsed" } else { "lifted or answered" };
+        for (cause, before) in self.logged_refusals.iter().filter(|(cause, _)| !refused.contains_key(cause)) {
+            let why = if expired.contains(cause) { "lapsed" } else { "lifted or answered" };
             emit!(
                 warn,
                 BLAME_LIFTED,
-                content = %content,
+                content = %cause,
                 why,
                 ends = before.crashes,
                 age_ms = now.since(before.since).as_millis()
@@ -296,12 +373,12 @@
 }
 
 /// The differences between the store and what this daemon knows.
-fn pending_changes(gw: &Gateway, known: &KnownRequests, stored_entries: &[StoredEntry], now: Time) -> Vec<EntryChange> {
+fn pending_changes(gw: &Gateway, known: &KnownCauses, stored_entries: &[StoredEntry], now: Time) -> Vec<EntryChange> {
     let keyspace = &gw.settings.keyspace;
-    let not_before = |own: bool, content: ContentHash| if own { now } else { takeover_at(gw, content, now) };
+    let not_before = |own: bool, cause: Cause| if own { now } else { takeover_at(gw, cause, now) };
     let mut changes = Vec::new();
-    for (content, refused) in &known.refused {
-        let key = EntryKind::Refused.key(keyspace, *content);
+    for (cause, refused) in &known.refused {
+        let key = EntryKind::Refused.key(keyspace, *cause);
         if stored_entries.iter().any(|entry| entry.key == key) {
             continue;
         }
@@ -312,33 +389,33 @@
             key,
             expect: 0,
             value,
-            not_before: not_before(refused.known_by == KnownBy::Own, *content),
+            not_before: not_before(refused.known_by == KnownBy::Own, *cause),
         });
     }
-    for (content, suspicion) in known.suspicions_to_store(stored_entries) {
-        let key = EntryKind::Suspected.key(keyspace, content);
+    for (cause, suspicion) in known.suspicions_to_store(stored_entries) {
+        let key = EntryKind::Suspected.key(keyspace, cause);
         let (expect, crashes) = stored_entries
             .iter()
             .find(|entry| entry.key == key)
             .map_or((0, 0), |entry| (entry.revision, entry.crashes));
         if crashes < suspicion.crashes.len() {
             let value = serde_json::to_string(&StoredSuspicion::new(suspicion)).ok();
-            changes.push(EntryChange { key, expect, value, not_before: not_before(suspicion.observed_here, content) });
+            changes.push(EntryChange { key, expect, value, not_before: not_before(suspicion.observed_here, cause) });
         }
     }
-    let stale = stored_entries.iter().filter(|entry| !known.contains(entry.kind, entry.content));
+    let stale = stored_entries.iter().filter(|entry| !known.contains(entry.kind, entry.cause));
     changes.extend(stale.map(|entry| EntryChange {
         key: entry.key.clone(),
         expect: entry.revision,
         value: None,
-        not_before: takeover_at(gw, entry.content, now),
+        not_before: takeover_at(gw, entry.cause, now),
     }));
     changes.retain(|change| change.value.is_some() || change.expect > 0);
     changes
 }
 
 /// Time at which this daemon makes a change that another one should have made by then.
-fn takeover_at(gw: &Gateway, content: ContentHash, now: Time) -> Time {
+fn takeover_at(gw: &Gateway, cause: Cause, now: Time) -> Time {
     let max_jitter = TAKEOVER_JITTER_PER_DAEMON.0 * gw.fleet().daemons() as u64;
-    now + TAKEOVER_DELAY + Span(rendezvous(content.0, gw.run_id) % max_jitter.max(1))
+    now + TAKEOVER_DELAY + Span(rendezvous(cause.id(), gw.run_id) % max_jitter.max(1))
 }
--- a/crates/daemon/src/gateway/endings.rs
+++ b/crates/daemon/src/gateway/endings.rs
@@ -5,10 +5,12 @@
 use dahliaseam_core::{
     content::ContentHash,
     fleet::{
-        endings::{Refused, Treatment},
+        endings::{PartChange, PartTreatment, Refused, Treatment},
+        plan::Isolation,
         replica::ReplicaFacts,
     },
     prompt::PartId,
+    time::Span,
 };
 
 use crate::{
@@ -22,19 +24,39 @@
 /// result.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(30);
 
-/// What identifies a request when its replica crashes.
+/// Time after its first event from which a stream shows that the parts of its prompt crash no replicas. Those that do
+/// crash them within a fifth of a second.
+pub(super) const PROOF_TIME: Span = Span::millis(1_000);
+
+/// What a replica was doing for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// It was prefilling the prompt.
+    Prefill,
+    /// It was about to write the answer, or had just begun.
+    Begin,
+    /// It had written for longer than [`PROOF_TIME`].
+    Proven,
+}
+
+/// A run of a request at a replica.
 #[derive(Clone, Debug)]
 struct Run {
     request: String,
     content: ContentHash,
     parts: Arc<[PartId]>,
+    phase: Phase,
 }
 
 impl Run {
-    /// Identifiers of the prompt's shared parts, for logs.
-    fn part_names(&self) -> String {
-        let names: Vec<String> = self.parts.iter().map(PartId::to_string).collect();
-        names.join(",")
+    /// Records that the replica completed its response.
+    fn record_answer(&self, gw: &Gateway) {
+        let now = gw.now();
+        let crashes = &mut gw.fleet().crashes;
+        crashes.record_answer(self.content, now);
+        if self.phase == Phase::Proven {
+            crashes.parts.record_answer(&self.parts, now);
+        }
     }
 }
 
@@ -51,6 +73,22 @@
     }
 }
 
+/// A run that serves to find out whether parts of its prompt crash replicas. Dropping it ends the trial.
+#[derive(Debug)]
+pub(super) struct PartTrial {
+    gw: Arc<Gateway>,
+    content: ContentHash,
+    parts: Arc<[PartId]>,
+}
+
+impl Drop for PartTrial {
+    fn drop(&mut self) {
+        let now = self.gw.now();
+        self.gw.fleet().crashes.parts.end_trial(&self.parts, self.content, now);
+        self.gw.load_changed.notify_one();
+    }
+}
+
 impl ActiveRequest {
     /// Starts a trial if it is uncertain whether the request is the cause of the crashes.
     pub(super) fn begin_trial(&self) -> Option<Trial> {
@@ -62,20 +100,20 @@
         Some(Trial { gw: Arc::clone(&self.gw), content: self.content })
     }
 
-    fn run(&self) -> Run {
-        Run { request: self.caller.id.clone(), content: self.content, parts: Arc::clone(&self.parts) }
+    fn run(&self, phase: Phase) -> Run {
+        Run { request: self.caller.id.clone(), content: self.content, parts: Arc::clone(&self.parts), phase }
     }
 
     /// Checks whether the replica crashed, if the connection to it broke.
-    pub(super) async fn check_replica_if_broken(&self, replica: &ReplicaFacts, why: &CallFailure) {
+    pub(super) async fn check_replica_if_broken(&self, replica: &ReplicaFacts, why: &CallFailure, phase: Phase) {
         if matches!(why, CallFailure::Broke(_)) {
-            self.check_replica(replica.clone()).await;
+            self.check_replica(replica.clone(), phase).await;
         }
     }
 
     /// Checks whether a replica crashed after the connection to it broke, and records that.
-    pub(super) async fn check_replica(&self, replica: ReplicaFacts) {
-        let check = record_if_crashed(Arc::clone(&self.gw), self.run(), replica);
+    pub(super) async fn check_replica(&self, replica: ReplicaFacts, phase: Phase) {
+        let check = record_if_crashed(Arc::clone(&self.gw), self.run(phase), replica);
         // Runs as a separate task so that the result is recorded even if the caller disconnects or the check takes
         // longer than the timeout.
         let check = tokio::spawn(check);
@@ -85,15 +123,18 @@
     }
 
     /// Records that a replica completed its response. If the response ended with its connection, that is not certain before
-    /// the replica is found present.
-    pub(super) async fn record_completed(&self, replica: &ReplicaFacts, framing: Framing) {
+    /// the replica is found present. `has_answer` tells whether it is a successful answer and not empty.
+    pub(super) async fn record_completed(&self, replica: &ReplicaFacts, framing: Framing, has_answer: bool) {
+        let phase = if has_answer { Phase::Proven } else { Phase::Begin };
         if framing != Framing::Close {
-            let now = self.gw.now();
-            self.gw.fleet().crashes.record_answer(self.content, now);
+            self.run(phase).record_answer(&self.gw);
             return;
         }
-        let is_suspected = self.gw.fleet().crashes.is_suspected(self.content);
-        let check = record_closed(Arc::clone(&self.gw), self.run(), replica.clone());
+        let is_suspected = {
+            let crashes = &self.gw.fleet().crashes;
+            crashes.is_suspected(self.content) || crashes.parts.is_accused(&self.parts)
+        };
+        let check = record_closed(Arc::clone(&self.gw), self.run(phase), replica.clone());
         let check = tokio::spawn(check);
         if is_suspected {
             // The caller may repeat the request as soon as it has the response.
@@ -101,6 +142,20 @@
         }
     }
 
+    /// Records that a replica has written for longer than [`PROOF_TIME`].
+    pub(super) fn record_proof(&mut self) {
+        let now = self.gw.now();
+        self.gw.fleet().crashes.parts.record_answer(&self.parts, now);
+        self.part_trial = None;
+    }
+
+    /// Whether replicas are known to crash under the request or a part of its prompt, or a part became suspected and
+    /// this run is not its trial.
+    pub(super) fn is_accused(&self) -> bool {
+        let crashes = &self.gw.fleet().crashes;
+        crashes.is_refused(self.content) || (self.part_trial.is_none() && crashes.parts.is_accused(&self.parts))
+    }
+
     /// Determines whether the request may be sent to a replica, and how. Waits while other daemons' reports of its last
     /// crash may still arrive.
     ///
@@ -108,12 +163,16 @@
     /// The refusal, if replicas crash while running it or the deadline passes during the wait.
     pub(super) async fn check_treatment(&mut self) -> Result<(), Refusal> {
         self.trial = None;
+        self.part_trial = None;
+        self.check_parts()?;
         loop {
             let now = self.gw.now();
             let treatment = self.gw.fleet().treatment(self.content, now);
             match treatment {
-                Treatment::Clear => self.isolation = None,
-                Treatment::Isolated(isolation) => self.isolation = Some(isolation),
+                Treatment::Clear => self.isolation = self.part_trial_isolation(),
+                Treatment::Isolated(isolation) => {
+                    self.isolation = self.part_trial_isolation().or(Some(isolation));
+                }
                 Treatment::Pending(until) if !self.deadline.is_past(now) => {
                     self.gw.sleep(duration(until.min(self.deadline).since(now))).await;
                     continue;
@@ -125,6 +184,59 @@
         }
     }
 
+    /// Refuses the request for the parts of its prompt, or begins a trial if one is suspected.
+    fn check_parts(&mut self) -> Result<(), Refusal> {
+        if self.parts.is_empty() {
+            return Ok(());
+        }
+        let now = self.gw.now();
+        let treatment = {
+            let mut fleet = self.gw.fleet();
+            let treatment = fleet.part_treatment(&self.parts, now);
+            if treatment == PartTreatment::Trial {
+                fleet.crashes.parts.begin_trial(&self.parts, self.content, now);
+            }
+            treatment
+        };
+        match treatment {
+            PartTreatment::Clear => Ok(()),
+            PartTreatment::Trial => {
+                emit!(info, PART_TRIED, request = self.caller.id, parts = part_names(&self.parts));
+                let (gw, content) = (Arc::clone(&self.gw), self.content);
+                self.part_trial = Some(PartTrial { gw, content, parts: Arc::clone(&self.parts) });
+                self.gw.load_changed.notify_one();
+                Ok(())
+            }
+            PartTreatment::Suspected(part) => {
+                emit!(info, REFUSED_SUSPECTED, request = self.caller.id, part = %part, ran = self.may_have_run());
+                Err(if self.may_have_run() { self.final_refusal() } else { Refusal::PartSuspected })
+            }
+            PartTreatment::Refused(part, refused) => Err(self.refuse_for_part(part, &refused)),
+        }
+    }
+
+    fn part_trial_isolation(&self) -> Option<Isolation> {
+        self.part_trial.as_ref().map(|trial| Isolation { content: trial.content, single_replica: true })
+    }
+
+    fn refuse_for_part(&self, part: PartId, refused: &Refused) -> Refusal {
+        let now = self.gw.now();
+        emit!(
+            info,
+            REFUSED_BLAMED,
+            request = self.caller.id,
+            content = %self.content,
+            part = %part,
+            route = %self.route.name,
+            ends = refused.crashes,
+            known_by = refused.known_by.name(),
+            age_ms = now.since(refused.since).as_millis(),
+            left_ms = refused.until.since(now).as_millis(),
+            ran = self.may_have_run()
+        );
+        if self.may_have_run() { self.final_refusal() } else { Refusal::ReplicasEnded }
+    }
+
     fn refuse_for_crashes(&self, refused: &Refused) -> Refusal {
         let now = self.gw.now();
         emit!(
@@ -146,14 +258,13 @@
 /// Records whether a replica completed a response that ended with its connection, or crashed.
 async fn record_closed(gw: Arc<Gateway>, run: Run, replica: ReplicaFacts) {
     if gw.is_present(&replica).await && !gw.fleet().is_replaced(&replica) {
-        let now = gw.now();
-        gw.fleet().crashes.record_answer(run.content, now);
+        run.record_answer(&gw);
         return;
     }
     // A replica that leaves as planned closes its connections too.
     let has_left = gw.fleet().has_left(&replica);
     if !has_left {
-        record_if_crashed(gw, run, replica).await;
+        record_if_crashed(gw, Run { phase: Phase::Begin, ..run }, replica).await;
     }
 }
 
@@ -165,7 +276,13 @@
     }
     let (crashes, left_out) = {
         let mut fleet = gw.fleet();
-        (fleet.crashes.record_crash(run.content, replica.start_id(), broken_at), fleet.mark_unreachable(&replica, gw.now()))
+        if run.phase == Phase::Begin {
+            fleet.crashes.parts.record_crash(&run.parts, run.content, replica.start_id(), broken_at);
+        }
+        (
+            fleet.crashes.record_crash(run.content, replica.start_id(), broken_at),
+            fleet.mark_unreachable(&replica, gw.now()),
+        )
     };
     gw.load_changed.notify_one();
     if left_out {
@@ -177,9 +294,29 @@
         REPLICA_ENDED,
         request = run.request,
         content = %run.content,
-        parts = run.part_names(),
+        parts = part_names(&run.parts),
+        phase = ?run.phase,
         replica = %replica.id,
         hall = %replica.hall,
         ends = crashes
     );
 }
+
+/// Identifiers of parts, for logs.
+fn part_names(parts: &[PartId]) -> String {
+    let names: Vec<String> = parts.iter().map(PartId::to_string).collect();
+    names.join(",")
+}
+
+/// Logs which parts became suspected or were cleared.
+pub(super) fn log_part_changes(gw: &Gateway) {
+    let changes = gw.fleet().crashes.parts.take_changes();
+    for change in changes {
+        match change {
+            PartChange::Suspected { part, replicas, requests } => {
+                emit!(warn, PART_SUSPECTED, part = %part, replicas = ?replicas, requests);
+            }
+            PartChange::Cleared { part, by } => emit!(info, PART_CLEARED, part = %part, by = by.name()),
+        }
+    }
+}
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -67,6 +67,7 @@
     tunnels_failed: Counter<u64>,
     streams_taken_up: Counter<u64>,
     through_peers: Gauge<u64>,
+    accused_parts: Gauge<u64>,
     lost_requests: Counter<u64>,
     usage_reports: Counter<u64>,
     size_orders: Counter<u64>,
@@ -119,6 +120,12 @@
                 .u64_gauge("dahliaseam_replicas_through_peers")
                 .with_description("Replicas that are reached only through peers")
                 .build(),
+            accused_parts: meter
+                .u64_gauge("dahliaseam_accused_parts")
+                .with_description(
+                    "Parts of prompts under which replicas crash, by whether they are suspected or refused",
+                )
+                .build(),
             lost_requests: counter("dahliaseam_replica_ends", "Requests that were lost since their replica ended"),
             usage_reports: counter("dahliaseam_usage_reports", "Reports of usage that were sent, by answer"),
             size_orders: counter("dahliaseam_size_orders", "Orders of how many engines a hall has, by answer"),
@@ -188,6 +195,12 @@
         self.through_peers.record(count, &[]);
     }
 
+    /// Records the numbers of suspected and of refused parts.
+    pub(super) fn accused_parts(&self, suspected: usize, refused: usize) {
+        self.accused_parts.record(suspected as u64, &[KeyValue::new("state", "suspected")]);
+        self.accused_parts.record(refused as u64, &[KeyValue::new("state", "refused")]);
+    }
+
     /// Counts a request that was lost because its replica crashed.
     pub(super) fn lost_request(&self) {
         self.lost_requests.add(1, &[]);
--- a/crates/daemon/src/gateway/packet.rs
+++ b/crates/daemon/src/gateway/packet.rs
@@ -12,7 +12,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum Packet {
     /// Load report: the work that a daemon has in flight.
-    Report(ReportPacket),
+    Report(Box<ReportPacket>),
     /// Freshness probe: asks how recent a daemon's configuration is.
     Probe {
         /// Number of the probe.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -220,7 +220,7 @@
 }
 
 async fn send_report(gw: &Gateway, report: ReportPacket, recipients: &[SocketAddr]) {
-    send_packet(gw, &Packet::Report(report), recipients).await;
+    send_packet(gw, &Packet::Report(Box::new(report)), recipients).await;
 }
 
 /// Sends one datagram to each recipient.
@@ -261,7 +261,7 @@
 
 async fn handle_packet(gw: &Gateway, from: SocketAddr, packet: Packet) {
     match packet {
-        Packet::Report(report) => handle_report(gw, from, report).await,
+        Packet::Report(report) => handle_report(gw, from, *report).await,
         Packet::Probe { probe } => freshness_probe::handle_probe(gw, from, probe).await,
         Packet::Proof { probe, revision, age_us } => freshness_probe::handle_proof(gw, probe, revision, Span(age_us)),
         Packet::Usage { vm, run, window } => usage::handle_usage(gw, from, vm, run, window).await,
--- a/crates/daemon/src/gateway/reading.rs
+++ b/crates/daemon/src/gateway/reading.rs
@@ -18,6 +18,7 @@
         attempt::{
             Call, CallFailure, MAX_SHORT_RESPONSE_BYTES, SHORT_RESPONSE_TIMEOUT, SILENCE_TIMEOUT, drain_short_response,
         },
+        endings::Phase,
         orders,
         request::ActiveRequest,
         state::Gateway,
@@ -101,7 +102,7 @@
                 Ok(PrefilledPrompt { gw: Arc::clone(&self.gw), replica, handle, taken_over: false })
             }
             Err(why) => {
-                self.record_call_failure(&replica, &mut in_flight, &why, "read").await;
+                self.record_call_failure(&replica, &mut in_flight, &why, Phase::Prefill).await;
                 Err(why)
             }
         }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -6,7 +6,7 @@
 //! it for complete.
 
 use bytes::{Bytes, BytesMut};
-use dahliaseam_core::{fleet::StepEnd, route::Repeat};
+use dahliaseam_core::{fleet::StepEnd, route::Repeat, time::Time};
 use futures_util::stream;
 use http::{Response, header, response};
 use http_body_util::{BodyExt, StreamBody};
@@ -20,6 +20,7 @@
         attempt::{CallFailure, UpstreamResponse},
         body::BodyError,
         ending::AccessLogEntry,
+        endings::{PROOF_TIME, Phase},
         request::ActiveRequest,
         sse::ResumePoint,
     },
@@ -58,7 +59,8 @@
     let failure = match start {
         Some(Ok(BodyStart::Complete(bytes))) => {
             keep_connection(req, &mut resp);
-            req.record_completed(&resp.replica, resp.body.framing()).await;
+            let has_answer = resp.head.status.is_success() && !bytes.is_empty();
+            req.record_completed(&resp.replica, resp.body.framing(), has_answer).await;
             let UpstreamResponse { head, mut in_flight, .. } = resp;
             if req.caller.prompt.is_none() && head.status.is_success() {
                 in_flight.record_plain_call();
@@ -75,7 +77,7 @@
     };
     resp.in_flight.set_end(StepEnd::Failed);
     req.log_failure(&resp.replica, &resp.in_flight, &failure, "begin");
-    req.check_replica_if_broken(&resp.replica, &failure).await;
+    req.check_replica_if_broken(&resp.replica, &failure, Phase::Begin).await;
     Err(failure)
 }
 
@@ -123,6 +125,7 @@
             log_entry.set_outcome("caller_left", head.status.as_u16());
             log_entry.start_stream(&resp);
             let relay = Relay {
+                proven_at: Some(req.gw.now() + PROOF_TIME),
                 resumable: req.is_stream(&resp.head) && req.route.repeat == Repeat::Allowed,
                 req,
                 resp,
@@ -149,6 +152,8 @@
     req: ActiveRequest,
     resp: Box<UpstreamResponse>,
     pending: Option<Bytes>,
+    /// When the replica has written for long enough to clear the parts of the prompt; `None` once it has.
+    proven_at: Option<Time>,
     resumable: bool,
     is_done: bool,
     log_entry: AccessLogEntry,
@@ -173,6 +178,7 @@
                 }
                 Some(Some(Ok(bytes))) => {
                     self.update_estimates();
+                    self.record_proof();
                     return Some(Ok(Frame::data(bytes)));
                 }
                 Some(Some(Err(e))) => e.to_string(),
@@ -200,7 +206,8 @@
         }
         self.log_entry.record_stream_end(self.resp.body.framing());
         self.log_entry.set_outcome("answered", self.resp.head.status.as_u16());
-        self.req.record_completed(&self.resp.replica, self.resp.body.framing()).await;
+        let is_success = self.resp.head.status.is_success();
+        self.req.record_completed(&self.resp.replica, self.resp.body.framing(), is_success).await;
     }
 
     /// Resumes the stream at another replica after the last whole event.
@@ -219,7 +226,8 @@
             why,
             resumable = self.resumable
         );
-        self.req.check_replica(self.resp.replica.clone()).await;
+        let phase = if self.proven_at.is_none() { Phase::Proven } else { Phase::Begin };
+        self.req.check_replica(self.resp.replica.clone(), phase).await;
         if !self.resumable || !self.req.may_retry() {
             return Err(RelayError::BrokeOff(why));
         }
@@ -248,6 +256,7 @@
             software = %resp.replica.software
         );
         *self.resp = resp;
+        self.proven_at = Some(self.req.gw.now() + PROOF_TIME);
         self.log_entry.start_stream(&self.resp);
         Ok(())
     }
@@ -270,6 +279,14 @@
         }
     }
 
+    /// Clears the parts of the prompt once the replica has written for long enough.
+    fn record_proof(&mut self) {
+        let now = self.req.gw.now();
+        if self.proven_at.take_if(|at| at.is_past(now)).is_some() && self.resp.head.status.is_success() {
+            self.req.record_proof();
+        }
+    }
+
     fn fail(&mut self, e: RelayError) -> RelayError {
         self.is_done = true;
         self.log_entry.set_outcome(if e == RelayError::TimedOut { "timed_out" } else { "broke_off" }, 0);
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -30,7 +30,7 @@
         answer::{Refusal, ResponseBody},
         attempt::{AttemptFailure, CallFailure, MAX_GONE_REPLICAS, UpstreamResponse},
         ending::AccessLogEntry,
-        endings::Trial,
+        endings::{PartTrial, Trial},
         quota,
         relay::{self, ResponseStart},
         state::Gateway,
@@ -81,6 +81,8 @@
     pub(super) isolation: Option<Isolation>,
     /// The current run, if it serves to find out whether the request causes these crashes.
     pub(super) trial: Option<Trial>,
+    /// The current run, if it serves to find out whether parts of the prompt cause crashes.
+    pub(super) part_trial: Option<PartTrial>,
     /// Replicas that are not tried again.
     tried: Vec<ReplicaKey>,
     /// Replicas to which nothing could be sent, each with whether nothing listened.
@@ -194,6 +196,7 @@
             origin: None,
             isolation: None,
             trial: None,
+            part_trial: None,
             tried: Vec::new(),
             unsent: Vec::new(),
             readmitted: Vec::new(),
