Log: the store's era beside each revision (DRAIN)

The client of the store keeps the highest era that any answer stated; lines about what was read from the store name it. Until now a revision in the log did not tell which copy of the store it belongs to.

--- a/crates/border/src/feed.rs
+++ b/crates/border/src/feed.rs
@@ -47,6 +47,10 @@
 /// Interface to a key-value service whose changes can be read in order.
 #[async_trait]
 pub trait ChangeFeed: Debug + Send + Sync {
+    /// The highest era that the service has stated: it rises each time that the service comes back from an older copy
+    /// of itself. Zero if it has stated none.
+    fn era(&self) -> i64;
+
     /// Reads all keys that begin with `prefix`.
     ///
     /// With `allow_stale`, the read costs less, but its result may be some seconds old, so the changes after its
--- a/crates/border/src/http.rs
+++ b/crates/border/src/http.rs
@@ -9,6 +9,7 @@
 use http::{
     HeaderValue, Request, Response, StatusCode, Uri,
     header::{CONTENT_TYPE, HOST},
+    response,
     uri::{Authority, PathAndQuery},
 };
 use http_body_util::{BodyExt, Full, Limited};
@@ -123,14 +124,24 @@
     /// # Errors
     /// As [`HttpClient::send`]; a response that arrives late or is too large counts as [`CallError::Lost`].
     pub async fn fetch(&self, req: Request<Full<Bytes>>, timeout: Duration) -> Result<(StatusCode, Bytes), CallError> {
+        let (head, body) = self.fetch_with_head(req, timeout).await?;
+        Ok((head.status, body))
+    }
+
+    /// Sends a request and reads the complete response with its head, within `timeout`.
+    ///
+    /// # Errors
+    /// As [`HttpClient::fetch`].
+    pub async fn fetch_with_head(
+        &self,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<(response::Parts, Bytes), CallError> {
         let answer = async {
-            let resp = self.send(req).await?;
-            let status = resp.status();
-            let body = Limited::new(resp.into_body(), MAX_ANSWER_BYTES)
-                .collect()
-                .await
-                .map_err(|e| CallError::Lost(e.to_string()))?;
-            Ok((status, body.to_bytes()))
+            let (head, body) = self.send(req).await?.into_parts();
+            let body =
+                Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(|e| CallError::Lost(e.to_string()))?;
+            Ok((head, body.to_bytes()))
         };
         tokio::time::timeout(timeout, answer)
             .await
--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -112,7 +112,7 @@
         cache.watching = watching;
         // Whether the store is reachable is unknown to this daemon while peers watch it.
         cache.unreachable &= watching;
-        emit!(info, FOLLOWING, following = watching, revision = cache.revision);
+        emit!(info, FOLLOWING, following = watching, era = gw.deps.feed.era(), revision = cache.revision);
     }
 }
 
@@ -146,7 +146,7 @@
     };
     match changes {
         Changes::HistoryGone => {
-            emit!(info, HISTORY_GONE, revision);
+            emit!(info, HISTORY_GONE, era = gw.deps.feed.era(), revision);
             read_all(gw, false).await
         }
         Changes::Next { changes, revision } => {
@@ -171,7 +171,7 @@
     if std::mem::take(&mut cache.unreachable) {
         cache.grace_until = now + REREGISTRATION_GRACE;
         cache.lapses_until = now + LAPSE_SETTLE_TIME;
-        emit!(info, STORE_BACK, revision = cache.revision);
+        emit!(info, STORE_BACK, era = gw.deps.feed.era(), revision = cache.revision);
     }
     if !cache.lapses_until.is_past(now) {
         cache.lapsed_up_to = cache.lapsed_up_to.max(revision);
@@ -184,7 +184,7 @@
     let mut cache = gw.store_cache();
     if !std::mem::replace(&mut cache.unreachable, true) {
         let silent_ms = now.since(cache.last_answer_at).as_millis();
-        emit!(warn, STORE_LOST, revision = cache.revision, silent_ms, why = %e);
+        emit!(warn, STORE_LOST, era = gw.deps.feed.era(), revision = cache.revision, silent_ms, why = %e);
     }
 }
 
@@ -207,7 +207,7 @@
     let mut cache = gw.store_cache();
     cache.advance(revision);
     cache.record_full_read(revision);
-    emit!(info, STORE_READ, revision, replicas);
+    emit!(info, STORE_READ, era = gw.deps.feed.era(), revision, replicas);
 }
 
 /// Applies one change.
@@ -255,12 +255,19 @@
                 }
             }
             if gw.set_table(table) {
-                emit!(info, ROUTES_IN_FORCE, configuration = version, revision = entry.revision, routes);
+                emit!(
+                    info,
+                    ROUTES_IN_FORCE,
+                    configuration = version,
+                    era = gw.deps.feed.era(),
+                    revision = entry.revision,
+                    routes
+                );
             }
             gw.keys.set_in_force(entry.revision);
             gw.store_cache().configuration = Some(entry);
         }
-        Err(e) => emit!(error, CONFIG_REJECTED, revision = entry.revision, why = %e),
+        Err(e) => emit!(error, CONFIG_REJECTED, era = gw.deps.feed.era(), revision = entry.revision, why = %e),
     }
 }
 
@@ -287,6 +294,7 @@
                     role = ?role,
                     draining,
                     born,
+                    era = gw.deps.feed.era(),
                     revision = entry.revision
                 );
             }
@@ -294,7 +302,7 @@
         Err(e) => {
             // The entry names no usable replica, so the replica that the previous entry named gets no more requests.
             gw.fleet().mark_removed(&id, entry.revision, gw.now());
-            emit!(error, REPLICA_UNREADABLE, replica = id, revision = entry.revision, why = %e);
+            emit!(error, REPLICA_UNREADABLE, replica = id, era = gw.deps.feed.era(), revision = entry.revision, why = %e);
         }
     }
 }
@@ -310,7 +318,14 @@
         cache.gone_at(revision, now)
     };
     if gw.fleet().mark_removed(id, revision, gone_at) {
-        emit!(info, REPLICA_LEFT, replica = id, revision, grace_ms = gone_at.since(now).as_millis());
+        emit!(
+            info,
+            REPLICA_LEFT,
+            replica = id,
+            era = gw.deps.feed.era(),
+            revision,
+            grace_ms = gone_at.since(now).as_millis()
+        );
     }
 }
 
