--- a/crates/core/src/revision_table.rs
+++ b/crates/core/src/revision_table.rs
@@ -76,6 +76,22 @@
         true
     }
 
+    /// Sets the value of a key unless a newer one is known, also if one with the same revision is; returns whether it
+    /// did.
+    pub fn replace(&mut self, key: &str, revision: i64, value: V) -> bool {
+        if self.entries.get(key).is_some_and(|(present, _)| *present == revision) {
+            self.entries.insert(Arc::from(key), (revision, value));
+            return true;
+        }
+        self.put(key, revision, value)
+    }
+
+    /// The revision of a key.
+    #[must_use]
+    pub fn revision_of(&self, key: &str) -> Option<i64> {
+        self.entries.get(key).map(|(revision, _)| *revision)
+    }
+
     /// Removes a key unless it was written after `revision`, and returns its value if there was one.
     pub fn remove(&mut self, key: &str, revision: i64) -> Option<V> {
         if self.entries.get(key).is_some_and(|(present, _)| *present > revision) {
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -78,6 +78,7 @@
     NOT_BORROWED = 316, "No update of the store's entries could be fetched from a peer.";
     FOLLOWING = 317, "This daemon starts to watch the store itself, or leaves that to peers in its hall.";
     PROOF_OLD = 318, "The last proof that the configuration is the newest became too old, or is recent again; while it is too old, requests with keys are refused as not run.";
+    STORE_RETURNED = 319, "The store came back from an older copy of itself, in a new era. What the copy lacks stays in force until it is written again or gone.";
     REPLICA_KNOWN = 320, "A replica was discovered, or the description in its store entry changed.";
     REPLICA_UNREADABLE = 321, "A replica's entry cannot be parsed or lacks a field, so the replica is not used.";
     REPLICA_LEFT = 322, "A replica's entry was removed; the replica gets no new work after `grace_ms`.";
--- a/crates/daemon/src/gateway/autoscaler.rs
+++ b/crates/daemon/src/gateway/autoscaler.rs
@@ -120,6 +120,11 @@
     format!("{}sizes", gw.settings.keyspace)
 }
 
+/// Whether a key is that of the stored sizes.
+pub(super) fn is_sizes_key(gw: &Gateway, other: &str) -> bool {
+    other == key(gw)
+}
+
 /// The services whose size may be chosen. The capacity of plain services is unknown.
 fn scalable_services(gw: &Gateway) -> Vec<(Arc<str>, Scaling)> {
     let table = gw.table();
@@ -131,7 +136,10 @@
     async fn read(gw: &Gateway) -> Result<Self, CallError> {
         gw.metrics.store_call(StoreCall::Sizes);
         let entry = gw.deps.kv.read(&key(gw)).await?;
-        let Some(entry) = entry else {
+        let revision = entry.as_ref().map_or(0, |entry| entry.revision);
+        // After the store came back from an older copy, what was known stays in force.
+        let known = gw.store_cache().daemons.get(&key(gw)).filter(|known| known.revision >= revision).cloned();
+        let Some(entry) = known.or(entry) else {
             return Ok(Self::default());
         };
         let stored: StoredPools = serde_json::from_str(&entry.value)
@@ -139,7 +147,7 @@
         let now = gw.now();
         // It is unknown whether the previous leader sent these orders.
         let due = stored.iter().flat_map(|(service, pool)| order_keys(service, &pool.ordered)).map(|key| (key, now));
-        Ok(Self { revision: entry.revision, due: due.collect(), stored, peaks: BTreeMap::new() })
+        Ok(Self { revision, due: due.collect(), stored, peaks: BTreeMap::new() })
     }
 
     async fn step(&mut self, gw: &Gateway, address: SocketAddr, lease: &LeaderLease) -> Result<(), CallError> {
--- a/crates/daemon/src/gateway/freshness_probe.rs
+++ b/crates/daemon/src/gateway/freshness_probe.rs
@@ -13,6 +13,7 @@
 
 use dahliaseam_core::{
     proof::Proof,
+    revision,
     time::{Span, Time},
 };
 
@@ -75,7 +76,7 @@
                 PROOF_OLD,
                 old = is_stale,
                 age_ms = gw.keys.proof_age_ms(now),
-                revision = gw.store_cache().revision
+                revision = revision::number(gw.store_cache().revision)
             );
             was_stale = is_stale;
         }
--- a/crates/daemon/src/gateway/leadership.rs
+++ b/crates/daemon/src/gateway/leadership.rs
@@ -6,6 +6,9 @@
 //! are kept apart in time: a new leader waits until any call of the previous one has certainly ended. A leader reads
 //! its key before each call, makes no call that its lease does not cover, and each call ends, with its connection,
 //! within [`CALL_TIMEOUT`].
+//!
+//! If the store comes back from an older copy, the leader gives up: its key has another revision there, or is missing.
+//! Fencing numbers contain the store's era, so those of the next leader are higher than all from before.
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
@@ -19,6 +22,7 @@
 };
 use dahliaseam_core::{
     lease::Authority,
+    revision,
     time::{Span, Time},
 };
 
@@ -210,6 +214,10 @@
 async fn renew(gw: &Gateway, held: &mut HeldLease) -> bool {
     let ttl = Span::seconds(LEASE_S as f64);
     let now = gw.now();
+    if revision::era(held.leader.fence().cast_signed()) < gw.deps.feed.era() {
+        // The store came back from an older copy; its key, if it is there, is of another revision.
+        return false;
+    }
     if !held.renew_at.is_past(now) {
         return true;
     }
--- a/crates/daemon/src/gateway/peer_table.rs
+++ b/crates/daemon/src/gateway/peer_table.rs
@@ -38,6 +38,8 @@
     pub(super) state_address: SocketAddr,
     /// Revision up to which it has read the store.
     pub(super) revision: i64,
+    /// The era in which it compared the store with what was known before.
+    pub(super) merged_era: i64,
     /// Hash of its hall.
     pub(super) hall: u32,
     /// Link speed in megabits per second.
@@ -94,6 +96,13 @@
         pick(&hall_peers).or_else(|| pick(&others)).or_else(|| self.aggregator_ahead_of(revision, now))
     }
 
+    /// Address at which the state of a peer can be read that compared the store with what was known before this era.
+    pub(super) fn merged_in(&self, era: i64, now: Time) -> Option<SocketAddr> {
+        let heard = self.heard();
+        let is_merged = |peer: &&PeerState| peer.merged_era == era && now.since(peer.heard_at) < PEER_SILENCE_TIMEOUT;
+        heard.values().filter(is_merged).max_by_key(|peer| peer.revision).map(|peer| peer.state_address)
+    }
+
     fn aggregator_ahead_of(&self, revision: i64, now: Time) -> Option<SocketAddr> {
         let aggregators = self.aggregators();
         let ahead = aggregators.values().filter(|aggregator| {
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -15,6 +15,7 @@
 use dahliaseam_core::{
     fleet::peers::{LoadReport, ReportId, Source},
     peer::Peer,
+    revision,
     time::{Span, Time},
     watcher_election::Priority,
 };
@@ -66,6 +67,8 @@
     state: SocketAddr,
     /// Revision up to which the sender has read the store.
     revision: i64,
+    /// The era in which the sender compared the store with what was known before.
+    merged_era: i64,
     /// Hash of the sender's hall.
     hall: u32,
     /// Link speed of the sender, in megabits per second.
@@ -88,6 +91,7 @@
             sender: self.sender,
             state_address: self.state,
             revision: self.revision,
+            merged_era: self.merged_era,
             hall: self.hall,
             link_mbps: self.link_mbps,
             watched_at: age.map(|age| now - age),
@@ -210,6 +214,7 @@
         number,
         state: gw.settings.peer_address,
         revision: cache.revision,
+        merged_era: cache.merged_era,
         hall: gw.hall,
         link_mbps: gw.settings.link_mbps as u32,
         aggregates,
@@ -290,7 +295,8 @@
     if report.relayed {
         gw.peers.record_aggregator(report.peer_state(now));
     } else if gw.peers.record_peer(from, report.peer_state(now)) {
-        emit!(info, PEER_HEARD, peer = %from, sender = report.sender, revision = report.revision);
+        let (era, revision) = (revision::era(report.revision), revision::number(report.revision));
+        emit!(info, PEER_HEARD, peer = %from, sender = report.sender, era, revision);
         gw.fleet().crashes.resend_now(now);
         gw.load_changed.notify_one();
     }
--- a/crates/daemon/src/gateway/quota/ownership.rs
+++ b/crates/daemon/src/gateway/quota/ownership.rs
@@ -4,7 +4,11 @@
 //! rendezvous hashing and take a free shard in that order, so that only a few try at once. A restarted daemon
 //! immediately takes the shards of its previous run, which certainly grants nothing any more.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use dahliaseam_border::{
     error::CallError,
@@ -14,6 +18,7 @@
     hash,
     lease::Authority,
     quota::{SHARDS, shard::ShardBuckets},
+    revision,
     time::{Span, Time},
 };
 
@@ -48,6 +53,8 @@
     lease: LeaseId,
     authority: Authority,
     renew_at: Time,
+    /// The store's era at which it was granted.
+    era: i64,
 }
 
 /// Keeps the shards owned until the daemon stops.
@@ -68,15 +75,19 @@
 
 async fn maintain(gw: &Gateway, held_lease: &mut Option<HeldLease>) {
     let mut free_since: HashMap<u8, Time> = HashMap::new();
+    let mut returned = HashSet::new();
     let mut backoff_until = Time(0);
     loop {
         gw.sleep(CHECK_INTERVAL).await;
         if gw.table().is_none_or(|table| !table.has_quotas()) {
             continue;
         }
+        returned.extend(give_up_after_return(gw, held_lease));
         renew(gw, held_lease).await;
         let now = gw.now();
-        let due = shards_to_acquire(gw, &mut free_since, now);
+        let mut due = shards_to_acquire(gw, &mut free_since, now);
+        due.retain(|(shard, revision)| *revision != 0 || returned.contains(shard) || !may_be_owned(gw, now));
+        returned.retain(|shard| !lock(&gw.quotas.owned).contains_key(shard));
         if due.is_empty() || !backoff_until.is_past(now) {
             continue;
         }
@@ -117,6 +128,23 @@
     due
 }
 
+/// Gives up the shards if the store came back from an older copy, which may lack their entries or the lease; returns
+/// them. This daemon may take them again at once.
+fn give_up_after_return(gw: &Gateway, held_lease: &mut Option<HeldLease>) -> Vec<u8> {
+    if held_lease.take_if(|held| held.era < gw.deps.feed.era()).is_none() {
+        return Vec::new();
+    }
+    let lost: Vec<u8> = lock(&gw.quotas.owned).drain().map(|(shard, _)| shard).collect();
+    emit!(info, QUOTA_SHARD_LOST, shards = ?lost);
+    lost
+}
+
+/// Whether a daemon may still own a shard that has no entry: the store came back without it less than a lease ago.
+fn may_be_owned(gw: &Gateway, now: Time) -> bool {
+    let returned_at = gw.store_cache().returned_at;
+    returned_at.is_some_and(|at| !(at + Span::seconds(LEASE_S as f64)).is_past(now))
+}
+
 /// Whether an entry names this VM although this daemon does not own the shard: it is from a previous run, or from a
 /// call whose response was lost.
 fn is_own_stale_entry(gw: &Gateway, shard: u8, entry: &OwnerEntry) -> bool {
@@ -136,7 +164,7 @@
     gw.metrics.store_call(StoreCall::Quota);
     let lease = gw.deps.kv.grant(LEASE_S).await?;
     let authority = Authority::granted(0, sent, Span::seconds(LEASE_S as f64));
-    Ok(HeldLease { lease, authority, renew_at: sent + RENEW_INTERVAL })
+    Ok(HeldLease { lease, authority, renew_at: sent + RENEW_INTERVAL, era: gw.deps.feed.era() })
 }
 
 async fn acquire(gw: &Gateway, held_lease: &mut Option<HeldLease>, due: Vec<(u8, i64)>) -> Result<(), CallError> {
@@ -154,7 +182,7 @@
     let now = gw.now();
     for ((shard, _), swapped) in due.into_iter().zip(swapped) {
         if let Swapped::Done(revision) = swapped {
-            emit!(info, QUOTA_SHARD_TAKEN, shard, revision);
+            emit!(info, QUOTA_SHARD_TAKEN, shard, era = revision::era(revision), revision = revision::number(revision));
             let taken = OwnedShard { authority: held.authority, buckets: ShardBuckets::taken_over(now) };
             lock(&gw.quotas.owned).insert(shard, taken);
         }
--- a/crates/daemon/src/gateway/snapshot_transfer.rs
+++ b/crates/daemon/src/gateway/snapshot_transfer.rs
@@ -21,7 +21,7 @@
     http::{HttpClient, Reuse},
     kv::Entry,
 };
-use dahliaseam_core::time::Span;
+use dahliaseam_core::{revision, time::Span};
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -69,6 +69,9 @@
     /// Removals up to this revision may be such lapses.
     #[serde(default)]
     pub(super) lapsed_up_to: i64,
+    /// The era in which it was compared with what was known before.
+    #[serde(default)]
+    pub(super) merged_era: i64,
 }
 
 impl CacheUpdate {
@@ -135,6 +138,10 @@
                 let _ = update_from(gw, &client, from).await;
                 tokio::time::sleep(SEED_RETRY_INTERVAL).await;
             }
+            Some(UpdateSource::Merged(from)) => {
+                merge_from(gw, &client, from).await;
+                tokio::time::sleep(TRANSFER_INTERVAL).await;
+            }
             Some(UpdateSource::Ahead(_)) => tokio::time::sleep(TRANSFER_INTERVAL).await,
             None => {}
         }
@@ -146,6 +153,8 @@
 enum UpdateSource {
     /// A peer that has read the store further.
     Ahead(SocketAddr),
+    /// A peer that knows what the store's copy lacks, while this daemon has read only the copy.
+    Merged(SocketAddr),
     /// A seed from the settings, while no daemon is known to be ahead.
     Seed(SocketAddr),
 }
@@ -153,15 +162,22 @@
 fn is_needed(gw: &Gateway) -> bool {
     let now = gw.now();
     let cache = gw.store_cache();
-    !cache.watching || cache.unreachable_for(now).is_some_and(|time| time > STORE_SILENCE_TIMEOUT)
+    let lacks_merge = gw.peers.merged_in(revision::era(cache.revision), now).is_some() && !cache.is_merged();
+    !cache.watching || lacks_merge || cache.unreachable_for(now).is_some_and(|time| time > STORE_SILENCE_TIMEOUT)
 }
 
 /// A peer that is ahead; a random seed while nothing is known at all.
 fn choose_source(gw: &Gateway) -> Option<UpdateSource> {
-    let (revision, is_complete) = {
+    let (revision, is_complete, is_merged) = {
         let cache = gw.store_cache();
-        (cache.revision, cache.is_complete())
+        (cache.revision, cache.is_complete(), cache.is_merged())
     };
+    if is_complete
+        && !is_merged
+        && let Some(merged) = gw.peers.merged_in(revision::era(revision), gw.now())
+    {
+        return Some(UpdateSource::Merged(merged));
+    }
     if let Some(ahead) = gw.peers.ahead_of(revision, gw.hall, gw.random(), gw.now()) {
         return Some(UpdateSource::Ahead(ahead));
     }
@@ -179,6 +195,8 @@
     let entries = update.entries.into_iter().map(Entry::from);
     if update.whole {
         store_watch::apply_snapshot(gw, Snapshot { entries: entries.collect(), revision: update.revision });
+        let mut cache = gw.store_cache();
+        cache.merged_era = cache.merged_era.max(update.merged_era);
         return;
     }
     for entry in entries {
@@ -195,8 +213,7 @@
     let after = gw.store_cache().revision;
     match fetch_update(client, from, after).await {
         Ok(update) if update.revision > gw.store_cache().revision => {
-            let (revision, whole) = (update.revision, update.whole);
-            emit!(info, BORROWED, peer = %from, after, revision, whole, entries = update.entries.len());
+            log_update(from, after, &update);
             apply_update(gw, update);
             true
         }
@@ -208,6 +225,32 @@
     }
 }
 
+fn log_update(from: SocketAddr, after: i64, update: &CacheUpdate) {
+    emit!(
+        info,
+        BORROWED,
+        peer = %from,
+        after_era = revision::era(after),
+        after = revision::number(after),
+        era = revision::era(update.revision),
+        revision = revision::number(update.revision),
+        whole = update.whole,
+        entries = update.entries.len()
+    );
+}
+
+/// Fetches all that a peer knows, and prefers it to what was read from the store's copy.
+async fn merge_from(gw: &Arc<Gateway>, client: &HttpClient, from: SocketAddr) {
+    match fetch_update(client, from, 0).await {
+        Ok(update) if update.whole && update.merged_era == revision::era(gw.store_cache().revision) => {
+            log_update(from, 0, &update);
+            store_watch::apply_merged(gw, update);
+        }
+        Ok(_) => {}
+        Err(e) => emit!(info, NOT_BORROWED, peer = %from, why = %e),
+    }
+}
+
 async fn fetch_update(client: &HttpClient, from: SocketAddr, after: i64) -> Result<CacheUpdate, CallError> {
     let url = format!("http://{from}{STATE_PATH}?after={after}");
     let req = Request::get(url).body(Full::default()).map_err(|e| CallError::NotSent(e.to_string()))?;
--- a/crates/daemon/src/gateway/store_cache.rs
+++ b/crates/daemon/src/gateway/store_cache.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use dahliaseam_border::{error::CallError, kv::Entry};
 use dahliaseam_core::{
+    revision,
     revision_table::RevisionTable,
+    superseded::SupersededVersions,
     time::{Span, Time},
 };
 
@@ -20,6 +22,13 @@
     pub(super) replicas: RevisionTable<Entry>,
     /// Entries of daemons, by key.
     pub(super) daemons: RevisionTable<Entry>,
+    /// Versions that were replaced or removed, which an older copy of the store may show again.
+    pub(super) superseded: SupersededVersions,
+    /// The era in which this cache was compared with what was known before; 0 if it was read from a copy of the store
+    /// alone.
+    pub(super) merged_era: i64,
+    /// When the store was found to have come back from an older copy.
+    pub(super) returned_at: Option<Time>,
     /// Revision of the store up to which nothing is missing.
     pub(super) revision: i64,
     /// When the store last answered.
@@ -67,6 +76,7 @@
             removed: removed.map(|(key, revision)| (key.to_owned(), revision)).collect(),
             grace_ms: self.grace_until.since(now).as_millis(),
             lapsed_up_to: self.lapsed_up_to,
+            merged_era: self.merged_era,
         }
     }
 
@@ -102,13 +112,91 @@
         if revision <= self.lapsed_up_to { now.max(self.grace_until) } else { now }
     }
 
+    /// Stores the entry of a replica unless a newer one is known; returns whether it did.
+    pub(super) fn put_replica_entry(&mut self, entry: &Entry, now: Time) -> bool {
+        let Self { replicas, superseded, .. } = self;
+        put(replicas, superseded, entry, now)
+    }
+
+    /// Stores an entry of the daemons unless a newer one is known; returns whether it did.
+    pub(super) fn put_daemon_entry(&mut self, entry: &Entry, now: Time) -> bool {
+        let Self { daemons, superseded, .. } = self;
+        put(daemons, superseded, entry, now)
+    }
+
+    /// Removes the entry of a replica unless a newer one is known; returns whether it did.
+    pub(super) fn remove_replica_entry(&mut self, key: &str, revision: i64, now: Time) -> bool {
+        let removed = self.replicas.remove(key, revision);
+        self.record_superseded(removed.as_ref(), now);
+        removed.is_some()
+    }
+
+    /// Removes an entry of the daemons unless a newer one is known; returns whether it did.
+    pub(super) fn remove_daemon_entry(&mut self, key: &str, revision: i64, now: Time) -> bool {
+        let removed = self.daemons.remove(key, revision);
+        self.record_superseded(removed.as_ref(), now);
+        removed.is_some()
+    }
+
+    /// Sets the configuration.
+    pub(super) fn set_configuration(&mut self, entry: Entry, now: Time) {
+        let before = self.configuration.replace(entry);
+        self.record_superseded(before.as_ref(), now);
+    }
+
+    fn record_superseded(&mut self, entry: Option<&Entry>, now: Time) {
+        if let Some(entry) = entry {
+            self.superseded.record(&entry.key, entry.revision, &entry.value, now);
+        }
+    }
+
+    /// Prepares for a snapshot at this revision. If the store has come back from an older copy since, entries that the
+    /// copy lacks get time to come back; returns whether it has.
+    pub(super) fn note_return(&mut self, snapshot: i64, grace_until: Time, lapses_until: Time, now: Time) -> bool {
+        let is_return = self.revision > 0 && revision::era(snapshot) > revision::era(self.revision);
+        if is_return {
+            self.grace_until = self.grace_until.max(grace_until);
+            self.lapses_until = self.lapses_until.max(lapses_until);
+            self.lapsed_up_to = self.lapsed_up_to.max(snapshot);
+            self.merged_era = revision::era(snapshot);
+            self.returned_at = Some(now);
+        }
+        is_return
+    }
+
+    /// The entry as it is to be applied; `None` if the store shows an entry again that is known to be gone. An older
+    /// version gives way to the known one.
+    pub(super) fn merge(&self, entry: Entry) -> Option<Entry> {
+        if !self.superseded.contains(&entry.key, entry.revision, &entry.value) {
+            return Some(entry);
+        }
+        let known = self.configuration.as_ref().filter(|known| known.key == entry.key);
+        let known = known.or_else(|| self.replicas.get(&entry.key)).or_else(|| self.daemons.get(&entry.key));
+        known.map(|known| Entry { value: known.value.clone(), ..entry })
+    }
+
     /// Advances to a revision up to which all changes have been applied.
     pub(super) fn advance(&mut self, revision: i64) {
         self.revision = self.revision.max(revision);
     }
 
+    /// Whether this cache holds what was known before the store came back, if that is known to anybody here.
+    pub(super) const fn is_merged(&self) -> bool {
+        self.merged_era == revision::era(self.revision)
+    }
+
     /// Whether everything was read once.
     pub(super) const fn is_complete(&self) -> bool {
         self.configuration.is_some() && self.revision > 0
     }
 }
+
+/// Stores an entry unless a newer one is known, and remembers the version that it replaces; returns whether it did.
+fn put(table: &mut RevisionTable<Entry>, superseded: &mut SupersededVersions, entry: &Entry, now: Time) -> bool {
+    let before = table.get(&entry.key).cloned();
+    let is_put = table.put(&entry.key, entry.revision, entry.clone());
+    if let Some(before) = before.filter(|_| is_put) {
+        superseded.record(&before.key, before.revision, &before.value, now);
+    }
+    is_put
+}
--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -14,6 +14,7 @@
 };
 use dahliaseam_core::{
     proof::{Proof, proved_at},
+    revision,
     time::{Span, Time},
     watcher_election::{Election, ElectionTiming},
 };
@@ -21,7 +22,10 @@
 use crate::{
     clock::duration,
     emit,
-    gateway::{blamed, metrics::StoreCall, peers::priority, quota, state::Gateway},
+    gateway::{
+        autoscaler, blamed, metrics::StoreCall, peers::priority, quota, snapshot_transfer::CacheUpdate, state::Gateway,
+        usage,
+    },
 };
 
 /// Time for lapsed entries to come back after the store is reachable again. Live replicas write their entry again
@@ -112,7 +116,13 @@
         cache.watching = watching;
         // Whether the store is reachable is unknown to this daemon while peers watch it.
         cache.unreachable &= watching;
-        emit!(info, FOLLOWING, following = watching, era = gw.deps.feed.era(), revision = cache.revision);
+        emit!(
+            info,
+            FOLLOWING,
+            following = watching,
+            era = revision::era(cache.revision),
+            revision = revision::number(cache.revision)
+        );
     }
 }
 
@@ -146,7 +156,7 @@
     };
     match changes {
         Changes::HistoryGone => {
-            emit!(info, HISTORY_GONE, era = gw.deps.feed.era(), revision);
+            emit!(info, HISTORY_GONE, era = revision::era(revision), revision = revision::number(revision));
             read_all(gw, false).await
         }
         Changes::Next { changes, revision } => {
@@ -171,7 +181,7 @@
     if std::mem::take(&mut cache.unreachable) {
         cache.grace_until = now + REREGISTRATION_GRACE;
         cache.lapses_until = now + LAPSE_SETTLE_TIME;
-        emit!(info, STORE_BACK, era = gw.deps.feed.era(), revision = cache.revision);
+        emit!(info, STORE_BACK, era = revision::era(cache.revision), revision = revision::number(cache.revision));
     }
     if !cache.lapses_until.is_past(now) {
         cache.lapsed_up_to = cache.lapsed_up_to.max(revision);
@@ -184,7 +194,8 @@
     let mut cache = gw.store_cache();
     if !std::mem::replace(&mut cache.unreachable, true) {
         let silent_ms = now.since(cache.last_answer_at).as_millis();
-        emit!(warn, STORE_LOST, era = gw.deps.feed.era(), revision = cache.revision, silent_ms, why = %e);
+        let (era, revision) = (revision::era(cache.revision), revision::number(cache.revision));
+        emit!(warn, STORE_LOST, era, revision, silent_ms, why = %e);
     }
 }
 
@@ -192,22 +203,93 @@
 pub(super) fn apply_snapshot(gw: &Arc<Gateway>, snapshot: Snapshot) {
     let prefix = gw.deps.dialect.replica_prefix();
     let revision = snapshot.revision;
-    let missing: Vec<Arc<str>> = {
+    let now = gw.now();
+    let (is_return, missing, entries) = {
         let keys: HashSet<&str> = snapshot.entries.iter().map(|entry| &*entry.key).collect();
-        let cache = gw.store_cache();
-        [cache.replicas.missing_from(&keys), cache.daemons.missing_from(&keys)].concat()
+        let mut cache = gw.store_cache();
+        let before = cache.revision;
+        let is_return = cache.note_return(revision, now + REREGISTRATION_GRACE, now + LAPSE_SETTLE_TIME, now);
+        if is_return {
+            let (era, after) = (revision::era(revision), revision::number(revision));
+            emit!(
+                warn,
+                STORE_RETURNED,
+                era,
+                revision = after,
+                before_era = revision::era(before),
+                before = revision::number(before)
+            );
+        }
+        let missing = [cache.replicas.missing_from(&keys), cache.daemons.missing_from(&keys)].concat();
+        let entries: Vec<Entry> = snapshot.entries.into_iter().filter_map(|entry| cache.merge(entry)).collect();
+        (is_return, missing, entries)
     };
-    let replicas = snapshot.entries.iter().filter(|entry| entry.key.starts_with(prefix)).count();
-    for entry in snapshot.entries {
+    let replicas = entries.iter().filter(|entry| entry.key.starts_with(prefix)).count();
+    for entry in entries {
         apply(gw, Change::Put(entry));
     }
     for key in missing {
-        apply(gw, Change::Removed { key: key.to_string(), revision });
+        if is_return && key.starts_with(&gw.settings.keyspace) {
+            forget_lost(gw, &key, revision);
+        } else {
+            apply(gw, Change::Removed { key: key.to_string(), revision });
+        }
     }
     let mut cache = gw.store_cache();
     cache.advance(revision);
     cache.record_full_read(revision);
-    emit!(info, STORE_READ, era = gw.deps.feed.era(), revision, replicas);
+    emit!(info, STORE_READ, era = revision::era(revision), revision = revision::number(revision), replicas);
+}
+
+/// Handles the loss of an entry of the daemons that an older copy of the store lacks: nobody has removed it.
+fn forget_lost(gw: &Gateway, key: &str, revision: i64) {
+    if usage::is_report_key(gw, key) || autoscaler::is_sizes_key(gw, key) {
+        // The next leader continues from what was stored there.
+        return;
+    }
+    if gw.store_cache().daemons.remove(key, revision).is_some() {
+        gw.peers.deregister(key);
+        quota::apply_removal(gw, key);
+    }
+}
+
+/// Applies all that a peer knows which compared the store with what was known before it came back. Of entries with the
+/// same revision, the peer's is preferred.
+pub(super) fn apply_merged(gw: &Arc<Gateway>, update: CacheUpdate) {
+    let entries: Vec<Entry> = update.entries.into_iter().map(Entry::from).collect();
+    let gone: Vec<Arc<str>> = {
+        let keys: HashSet<&str> = entries.iter().map(|entry| &*entry.key).collect();
+        let cache = gw.store_cache();
+        let missing = cache.replicas.missing_from(&keys);
+        missing.into_iter().filter(|key| cache.replicas.revision_of(key) <= Some(update.revision)).collect()
+    };
+    for entry in entries {
+        if entry.key == gw.deps.dialect.configuration_key() {
+            let is_newer = gw.store_cache().configuration.as_ref().is_none_or(|known| known.revision <= entry.revision);
+            if is_newer {
+                apply_configuration(gw, entry);
+            }
+        } else if entry.key.starts_with(gw.deps.dialect.replica_prefix()) {
+            if gw.store_cache().replicas.replace(&entry.key, entry.revision, entry.clone()) {
+                apply_replica(gw, &entry);
+            }
+        } else if !apply_known(gw, &entry) {
+            apply(gw, Change::Put(entry));
+        }
+    }
+    for key in gone {
+        remove_replica(gw, &key, update.revision);
+    }
+    gw.store_cache().merged_era = update.merged_era;
+}
+
+/// Applies an entry from which the next leader continues; returns whether it is one.
+fn apply_known(gw: &Gateway, entry: &Entry) -> bool {
+    let is_duty = usage::is_report_key(gw, &entry.key) || autoscaler::is_sizes_key(gw, &entry.key);
+    if is_duty {
+        gw.store_cache().daemons.replace(&entry.key, entry.revision, entry.clone());
+    }
+    is_duty
 }
 
 /// Applies one change.
@@ -217,7 +299,7 @@
         Change::Put(entry) if entry.key == dialect.configuration_key() => put_configuration(gw, entry),
         Change::Put(entry) if entry.key.starts_with(dialect.replica_prefix()) => put_replica(gw, &entry),
         Change::Put(entry) if entry.key.starts_with(&gw.settings.keyspace) => {
-            if !gw.store_cache().daemons.put(&entry.key, entry.revision, entry.clone()) {
+            if !gw.store_cache().put_daemon_entry(&entry, gw.now()) {
                 return;
             }
             if !blamed::apply_put(gw, &entry) && !quota::apply_put(gw, &entry) {
@@ -228,7 +310,8 @@
             remove_replica(gw, &key, revision);
         }
         Change::Removed { key, revision } => {
-            if gw.store_cache().daemons.remove(&key, revision).is_some() {
+            let now = gw.now();
+            if gw.store_cache().remove_daemon_entry(&key, revision, now) {
                 gw.peers.deregister(&key);
                 quota::apply_removal(gw, &key);
                 blamed::apply_removal(gw, &key);
@@ -243,6 +326,10 @@
     if is_stale {
         return;
     }
+    apply_configuration(gw, entry);
+}
+
+fn apply_configuration(gw: &Gateway, entry: Entry) {
     gw.store_cache().newest_configuration = entry.revision;
     match gw.deps.dialect.decode_configuration(&entry.value) {
         Ok(table) => {
@@ -259,24 +346,34 @@
                     info,
                     ROUTES_IN_FORCE,
                     configuration = version,
-                    era = gw.deps.feed.era(),
-                    revision = entry.revision,
+                    era = revision::era(entry.revision),
+                    revision = revision::number(entry.revision),
                     routes
                 );
             }
             gw.keys.set_in_force(entry.revision);
-            gw.store_cache().configuration = Some(entry);
+            let is_older = gw.table().is_some_and(|table| table.version > version);
+            let known = gw.store_cache().configuration.as_ref().map(|known| known.value.clone());
+            // Peers must not get an older version from here than the one in force.
+            let value = known.filter(|_| is_older).unwrap_or_else(|| entry.value.clone());
+            gw.store_cache().set_configuration(Entry { value, ..entry }, gw.now());
+        }
+        Err(e) => {
+            let (era, revision) = (revision::era(entry.revision), revision::number(entry.revision));
+            emit!(error, CONFIG_REJECTED, era, revision, why = %e);
         }
-        Err(e) => emit!(error, CONFIG_REJECTED, era = gw.deps.feed.era(), revision = entry.revision, why = %e),
     }
 }
 
 fn put_replica(gw: &Gateway, entry: &Entry) {
-    let id = entry.key.trim_start_matches(gw.deps.dialect.replica_prefix()).to_owned();
     // Stored even if it turns out to be unreadable, so that reading it again at the same revision is not a change.
-    if !gw.store_cache().replicas.put(&entry.key, entry.revision, entry.clone()) {
-        return;
+    if gw.store_cache().put_replica_entry(entry, gw.now()) {
+        apply_replica(gw, entry);
     }
+}
+
+fn apply_replica(gw: &Gateway, entry: &Entry) {
+    let id = entry.key.trim_start_matches(gw.deps.dialect.replica_prefix()).to_owned();
     match gw.deps.dialect.decode_replica(&id, &entry.value) {
         Ok((facts, _)) => {
             let (draining, role) = (facts.draining, facts.role);
@@ -294,15 +391,16 @@
                     role = ?role,
                     draining,
                     born,
-                    era = gw.deps.feed.era(),
-                    revision = entry.revision
+                    era = revision::era(entry.revision),
+                    revision = revision::number(entry.revision)
                 );
             }
         }
         Err(e) => {
             // The entry names no usable replica, so the replica that the previous entry named gets no more requests.
             gw.fleet().mark_removed(&id, entry.revision, gw.now());
-            emit!(error, REPLICA_UNREADABLE, replica = id, era = gw.deps.feed.era(), revision = entry.revision, why = %e);
+            let (era, revision) = (revision::era(entry.revision), revision::number(entry.revision));
+            emit!(error, REPLICA_UNREADABLE, replica = id, era, revision, why = %e);
         }
     }
 }
@@ -312,7 +410,7 @@
     let now = gw.now();
     let gone_at = {
         let mut cache = gw.store_cache();
-        if cache.replicas.remove(key, revision).is_none() {
+        if !cache.remove_replica_entry(key, revision, now) {
             return;
         }
         cache.gone_at(revision, now)
@@ -334,6 +432,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = gw.now();
         gw.upstream.close_expired();
+        gw.store_cache().superseded.expire(now);
         let mut fleet = gw.fleet();
         gw.metrics.replicas_through_peers(fleet.count_through_peers() as u64);
         for sender in fleet.remove_expired_peers(now) {
--- a/crates/daemon/src/gateway/usage.rs
+++ b/crates/daemon/src/gateway/usage.rs
@@ -13,6 +13,7 @@
     once,
 };
 use dahliaseam_core::{
+    revision,
     team::Team,
     usage::{Counter, Ledger, Report, ReportStep, Reporter, WindowCounts, WindowSchedule},
 };
@@ -218,7 +219,9 @@
         ReportStep::Read => {
             gw.metrics.store_call(StoreCall::Usage);
             let entry = gw.deps.kv.read(&key(gw)).await?;
-            reporter.set_stored(entry.as_ref().map(parse).transpose()?);
+            let stored = entry.as_ref().map(parse).transpose()?;
+            let known = gw.store_cache().daemons.get(&key(gw)).and_then(|entry| parse(entry).ok());
+            reporter.set_stored(newest(stored, known));
             Ok(())
         }
         ReportStep::Store { window, expect } => store(gw, reporter, window, expect).await,
@@ -237,16 +240,32 @@
     Ok((entry.revision, report))
 }
 
+/// The report to continue from, with the revision of the stored one. A store that came back from an older copy lacks the
+/// last reports; they must not be made anew.
+fn newest(stored: Option<(i64, Report)>, known: Option<(i64, Report)>) -> Option<(i64, Report)> {
+    let revision = stored.as_ref().map_or(0, |(revision, _)| *revision);
+    let newest = stored.into_iter().chain(known).map(|(_, report)| report).max_by_key(|report| report.window);
+    newest.map(|report| (revision, report))
+}
+
+/// Whether a key is that of the report.
+pub(super) fn is_report_key(gw: &Gateway, other: &str) -> bool {
+    other == key(gw)
+}
+
 async fn store(gw: &Gateway, reporter: &mut Reporter, window: u64, expect: i64) -> Result<(), CallError> {
     let report = Report { window, counts: gw.usage.ledger().sum(window) };
     let value = serde_json::to_string(&report).map_err(|e| CallError::NotSent(e.to_string()))?;
     // Until the response arrives, the stored report is unknown.
     reporter.forget_stored();
     gw.metrics.store_call(StoreCall::Usage);
-    let swap = Swap { key: key(gw), required_revision: expect, value: Some(value), lease: None };
+    let swap = Swap { key: key(gw), required_revision: expect, value: Some(value.clone()), lease: None };
     if let Some(Swapped::Done(revision)) = gw.deps.kv.swap_each(vec![swap]).await?.pop() {
+        // Known at once, in case the store comes back from an older copy.
+        let now = gw.now();
+        gw.store_cache().put_daemon_entry(&Entry { key: key(gw), value, revision }, now);
         let requests: u64 = report.counts.values().sum();
-        emit!(info, USAGE_STORED, window, teams = report.counts.len(), requests, revision);
+        emit!(info, USAGE_STORED, window, teams = report.counts.len(), requests, revision = revision::number(revision));
         reporter.set_stored(Some((revision, report)));
     }
     Ok(())
