Quotas: shards are taken only on what was read since the store came back (DRAIN)

Until the store is read again, a daemon's own entries have revisions of the earlier era, and taking them failed and was tried again after two seconds.

--- a/crates/daemon/src/gateway/quota/ownership.rs
+++ b/crates/daemon/src/gateway/quota/ownership.rs
@@ -100,7 +100,12 @@
 
 /// The shards that this daemon should take now, each with the revision of its present entry, or 0 if there is none.
 fn shards_to_acquire(gw: &Gateway, free_since: &mut HashMap<u8, Time>, now: Time) -> Vec<(u8, i64)> {
-    if !gw.store_cache().is_complete() {
+    let is_current = {
+        let cache = gw.store_cache();
+        // The entries are read again first after the store came back from an older copy.
+        cache.is_complete() && revision::era(cache.revision) >= gw.deps.feed.era()
+    };
+    if !is_current {
         return Vec::new();
     }
     let is_warming_up = gw.fleet().is_warming_up(now);
