--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -43,8 +43,10 @@
 };
 
 mod answered;
+mod answered_parts;
 pub mod notes;
 mod part_notes;
+mod part_record;
 mod parts;
 mod record;
 
--- a/crates/core/src/fleet/endings/part_notes.rs
+++ b/crates/core/src/fleet/endings/part_notes.rs
@@ -6,7 +6,8 @@
     fleet::endings::{
         RETENTION,
         notes::{RESEND_INTERVAL, RESEND_INTERVAL_PER_DAEMON, Recipients, RefusedNote, ago, millis},
-        parts::{ClearedBy, PartRecord, PartTracker, Trial},
+        part_record::{PartRecord, Trial},
+        parts::{ClearedBy, PartTracker},
         record::{Crash, KnownBy, Refused, Schedule},
     },
     prompt::PartId,
--- a/crates/core/src/fleet/endings/parts.rs
+++ b/crates/core/src/fleet/endings/parts.rs
@@ -20,16 +20,14 @@
     fleet::endings::{
         CRASHES_TO_REFUSE, CRASHES_TO_REFUSE_AMBIGUOUS, Grounds, REPORT_DELAY, REPORT_DELAY_PER_DAEMON, RETENTION,
         Suspicion, TRIAL_TIMEOUT,
-        record::{Crash, KnownBy, Refused, Schedule},
+        answered_parts::AnsweredParts,
+        part_record::{ANSWER_VALIDITY, CRASHES_TO_SUSPECT, PartRecord, REQUESTS_TO_SUSPECT, Trial},
+        record::{Crash, KnownBy, Refused},
     },
     prompt::PartId,
     time::{Span, Time},
 };
 
-/// Crashes after which a part is suspected, if different requests were running.
-const CRASHES_TO_SUSPECT: usize = 2;
-/// Requests that must have crashed replicas for their common part to be suspected.
-const REQUESTS_TO_SUSPECT: usize = 2;
 /// Requests that must have crashed replicas for their common part to be refused. A sound part is often in two of them
 /// by chance.
 const REQUESTS_TO_REFUSE: usize = 3;
@@ -38,22 +36,13 @@
 /// Crashes of a part which no other suspected part has in common with it and which still leave the case ambiguous, since
 /// a report of one may be lost.
 const MISSING_CRASHES: usize = 1;
-/// Time after an answer in which crashes do not count against its parts: replicas that crash together, as when a rack
-/// fails, leave no time for another answer in between.
-const ANSWER_VALIDITY: Span = Span::millis(500);
 /// Time for which a cleared record is kept, so that older reports do not count.
 const CLEARED_RETENTION: Span = Span::millis(10_000);
-/// Maximum number of crashes kept for one part, the newest ones.
-const MAX_CRASHES: usize = 16;
-/// Maximum number of requests kept for one part, enough to see that they differ.
-const MAX_REQUESTS: usize = 4;
 /// Maximum number of records, of some 500 bytes each.
 const MAX_RECORDS: usize = 4_096;
 /// Maximum number of suspected parts that are compared with each other, those with the most crashes. When a rack fails,
 /// hundreds of parts may be suspected for a moment.
 const MAX_COMPARED: usize = 64;
-/// Maximum number of parts in each of two generations of recent answers.
-const MAX_ANSWERED_PARTS: usize = 4_096;
 /// Maximum number of changes kept for the log.
 const MAX_CHANGES: usize = 64;
 
@@ -114,162 +103,6 @@
     }
 }
 
-/// A run that shows whether a part crashes replicas.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Trial {
-    /// Short hash of its request.
-    pub(super) request: u32,
-    pub(super) until: Time,
-    /// Whether it runs at this daemon.
-    pub(super) own: bool,
-}
-
-/// What is known about one part.
-#[derive(Clone, Debug)]
-pub(super) struct PartRecord {
-    pub(super) crashes: Vec<Crash>,
-    /// Short hashes of the requests that were running then.
-    pub(super) requests: Vec<u32>,
-    /// Whether this daemon itself lost a request with the part.
-    observed_here: bool,
-    /// When an answer last went on.
-    pub(super) answered_at: Time,
-    /// When an operator last lifted a refusal.
-    pub(super) lifted_at: Time,
-    pub(super) refused: Option<Refused>,
-    expired_refusals: u32,
-    refusal_expired_at: Time,
-    ambiguous_since: Option<Time>,
-    pub(super) trial: Option<Trial>,
-    /// Whether the log tells that it is suspected.
-    is_logged: bool,
-    pub(super) expires_at: Time,
-    pub(super) to_hall_peers: Schedule,
-    pub(super) to_other_halls: Schedule,
-}
-
-impl PartRecord {
-    const fn new(expires_at: Time) -> Self {
-        Self {
-            crashes: Vec::new(),
-            requests: Vec::new(),
-            observed_here: false,
-            answered_at: Time(0),
-            lifted_at: Time(0),
-            refused: None,
-            expired_refusals: 0,
-            refusal_expired_at: Time(0),
-            ambiguous_since: None,
-            trial: None,
-            is_logged: false,
-            expires_at,
-            to_hall_peers: Schedule::IDLE,
-            to_other_halls: Schedule::IDLE,
-        }
-    }
-
-    /// Time up to which crashes do not count.
-    fn cleared_until(&self) -> Time {
-        let answered = if self.answered_at == Time(0) { Time(0) } else { self.answered_at + ANSWER_VALIDITY };
-        answered.max(self.lifted_at).max(self.refusal_expired_at)
-    }
-
-    pub(super) fn has_crash(&self, crash: &Crash) -> bool {
-        self.crashes.iter().any(|known| known.is_same(crash))
-    }
-
-    /// Whether a crash at this time counts.
-    pub(super) fn counts(&self, at: Time) -> bool {
-        self.cleared_until() < at
-    }
-
-    /// Adds a request that was running at a crash.
-    pub(super) fn add_request(&mut self, request: u32) {
-        if !self.requests.contains(&request) && self.requests.len() < MAX_REQUESTS {
-            self.requests.push(request);
-        }
-    }
-
-    /// Adds a crash; returns whether it is new and counts.
-    pub(super) fn add_crash(&mut self, crash: Crash) -> bool {
-        if !self.counts(crash.at) || self.has_crash(&crash) {
-            return false;
-        }
-        self.crashes.push(crash);
-        self.crashes.sort_unstable_by_key(|crash| Reverse(crash.at));
-        self.crashes.truncate(MAX_CRASHES);
-        self.has_crash(&crash)
-    }
-
-    /// Whether anything counts against the part that an answer would clear.
-    const fn is_accused(&self) -> bool {
-        !self.crashes.is_empty() || self.refused.is_some() || self.expired_refusals > 0
-    }
-
-    /// Whether an answer at this time clears the part from crashes.
-    pub(super) fn would_clear(&self, answered_at: Time) -> bool {
-        self.crashes.iter().any(|crash| crash.at <= answered_at + ANSWER_VALIDITY)
-    }
-
-    /// Drops the crashes and the refusal from before the last answer or permission.
-    fn apply_clearance(&mut self) {
-        let until = self.cleared_until();
-        self.crashes.retain(|crash| crash.at > until);
-        if self.crashes.is_empty() {
-            self.requests.clear();
-            self.trial = None;
-            self.ambiguous_since = None;
-            self.expired_refusals = 0;
-        }
-        self.refused = self.refused.filter(|refused| refused.since > until);
-    }
-
-    /// Whether a refusal decided at `since` has been lifted or has expired.
-    pub(super) fn refusal_is_over(&self, since: Time) -> bool {
-        self.cleared_until() >= since
-    }
-
-    /// Whether other daemons must know the record for as long as it is kept.
-    pub(super) const fn needs_resending(&self) -> bool {
-        self.refused.is_some()
-            || (self.crashes.len() >= CRASHES_TO_SUSPECT && self.requests.len() >= REQUESTS_TO_SUSPECT)
-    }
-
-    pub(super) const fn schedule_notes(&mut self, now: Time) {
-        self.to_hall_peers.start(now);
-        self.to_other_halls.start(now);
-    }
-
-    fn last_crash(&self) -> Time {
-        self.crashes.first().map(|crash| crash.at).unwrap_or_default()
-    }
-}
-
-/// Parts with recent answers of this daemon, in two generations. When a generation is full, only parts of the previous
-/// one are added, so that parts which occur once do not displace those that occur often.
-#[derive(Clone, Debug, Default)]
-struct AnsweredParts {
-    current: HashMap<PartId, Time>,
-    previous: HashMap<PartId, Time>,
-    began_at: Time,
-}
-
-impl AnsweredParts {
-    fn record(&mut self, part: PartId, now: Time) {
-        if (self.began_at + ANSWER_VALIDITY).is_past(now) {
-            self.previous = std::mem::take(&mut self.current);
-            self.began_at = now;
-        }
-        if self.current.len() < MAX_ANSWERED_PARTS || self.previous.contains_key(&part) {
-            self.current.insert(part, now);
-        }
-    }
-
-    fn last_answer(&self, part: PartId) -> Option<Time> {
-        self.current.get(&part).or_else(|| self.previous.get(&part)).copied()
-    }
-}
-
 /// What this daemon knows about parts during whose requests replicas crashed.
 #[derive(Clone, Debug, Default)]
 pub struct PartTracker {
