--- a/proofs/tests/once.rs
+++ b/proofs/tests/once.rs
@@ -238,3 +238,95 @@
         assert!(received.load(Ordering::SeqCst) <= 3, "{close_time:?}: each request runs at most once");
     }
 }
+
+/// An answer of a raw endpoint.
+fn raw_answer(status: &str, headers: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+/// A second answer that a raw endpoint sends late, in place of the answer to the next request on the connection.
+#[derive(Clone, Copy, Debug)]
+enum SecondAnswer {
+    Rejection,
+    Answer,
+}
+
+/// Starts an endpoint that rejects the first request on each connection, or answers it, and sends the same again in place of
+/// its next answer. Also returns its count of the requests that it ran.
+async fn endpoint_that_answers_twice(second: SecondAnswer) -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port is available");
+    let address = listener.local_addr().expect("the listener is bound").to_string();
+    let ran = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&ran);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = Arc::clone(&count);
+            tokio::spawn(async move {
+                let mut buf = vec![0; 4096];
+                for n in 0.. {
+                    let read = stream.read(&mut buf).await.unwrap_or(0);
+                    if read == 0 {
+                        return;
+                    }
+                    let text = String::from_utf8_lossy(&buf[..read]).into_owned();
+                    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body).to_owned();
+                    let own = raw_answer("200 OK", "", &format!("done: {body}"));
+                    let first = match second {
+                        SecondAnswer::Rejection => {
+                            raw_answer("503 Service Unavailable", "x-dahliaseam-not-run: 1\r\n", "")
+                        }
+                        SecondAnswer::Answer => own.clone(),
+                    };
+                    let runs = n > 0 || matches!(second, SecondAnswer::Answer);
+                    count.fetch_add(usize::from(runs), Ordering::SeqCst);
+                    let late = if n == 0 { first } else { [stale(second), own].concat() };
+                    let _ = stream.write_all(&late).await;
+                }
+            });
+        }
+    });
+    (address, ran)
+}
+
+/// The second answer to the first request of a connection.
+fn stale(second: SecondAnswer) -> Vec<u8> {
+    match second {
+        SecondAnswer::Rejection => raw_answer("503 Service Unavailable", "x-dahliaseam-not-run: 1\r\n", ""),
+        SecondAnswer::Answer => raw_answer("200 OK", "", "done: another"),
+    }
+}
+
+/// Sends repeatable calls to an endpoint that answers twice; returns each answer with the number of runs since the one
+/// before.
+async fn answers_of_endpoint_that_answers_twice(second: SecondAnswer) -> Vec<(Answer, usize)> {
+    let setup = ClusterSetup { engines: Vec::new(), plain_services: 0, daemons: 1, ..ClusterSetup::default() };
+    let cluster = Cluster::start(setup).await;
+    let (address, ran) = endpoint_that_answers_twice(second).await;
+    let spec = json!({ "pool": "till", "address": address, "vm": "entry-1", "hall": "hall-0", "role": "plain" });
+    cluster.apply_until_accepted(&[json!({ "kind": "endpoint", "name": "raw", "spec": spec })]).await;
+    let caller = cluster.new_caller("caller");
+    let mut answers = Vec::new();
+    for n in 0..4 {
+        let before = ran.load(Ordering::SeqCst);
+        let got = caller.send(&cluster.caller_addresses()[0], &call("stock-ping", n, &Mix::default())).await;
+        answers.push((got, ran.load(Ordering::SeqCst) - before));
+    }
+    answers
+}
+
+/// Guards against a second rejection that is taken for the answer to the next request on a kept connection: the request ran
+/// and its outcome was not_run.
+#[tokio::test]
+async fn a_second_rejection_on_a_kept_connection_is_no_proof_for_the_next_request() {
+    for (got, runs) in answers_of_endpoint_that_answers_twice(SecondAnswer::Rejection).await {
+        assert!(runs == 0 || got.outcome != "not_run", "{got:?} ran {runs} times");
+    }
+}
+
+/// Guards against a second answer that is taken for the answer to the next request on a kept connection.
+#[tokio::test]
+async fn a_second_answer_on_a_kept_connection_is_not_the_next_request_s() {
+    for (got, _) in answers_of_endpoint_that_answers_twice(SecondAnswer::Answer).await {
+        assert!(got.outcome != "whole" || got.exact, "{got:?}");
+    }
+}
