--- a/crates/border/src/http.rs
+++ b/crates/border/src/http.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{
-    HeaderValue, Request, Response, StatusCode, Uri,
+    HeaderMap, HeaderValue, Request, Response, StatusCode, Uri,
     header::{CONTENT_TYPE, HOST},
     response,
     uri::{Authority, PathAndQuery},
@@ -19,7 +19,12 @@
 use tokio::time::Instant;
 use tower::ServiceExt;
 
-use crate::{connection::Connection, error::CallError, framing, idle::IdleConnections};
+use crate::{
+    connection::{Answered, Connection},
+    error::CallError,
+    framing,
+    idle::IdleConnections,
+};
 
 pub use hyper::body::Incoming;
 
@@ -67,7 +72,8 @@
         Self { connector, idle }
     }
 
-    /// Sends a request and returns the response once its head has arrived; the body is still to be read.
+    /// Sends a request and returns the response once its head has arrived; the body is still to be read. The extensions of
+    /// the response contain its [`CallNumber`](crate::connection::CallNumber).
     ///
     /// A kept connection that ends before anything was sent is replaced by another.
     ///
@@ -75,12 +81,38 @@
     /// [`CallError::NotSent`] if no connection was established, or a new one ended before anything was sent; otherwise
     /// [`CallError::Lost`], also if the head does not state where the body ends.
     pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
+        let (authority, answered) = self.exchange(req).await?;
+        self.keep(&authority, answered.conn);
+        Ok(answered.resp)
+    }
+
+    /// Like [`Self::send`], to a server that may answer a call twice. A connection is kept only after an answer that names
+    /// its call, since any other may be followed by a second one that cannot be told from the answer to the next call.
+    ///
+    /// # Errors
+    /// As [`Self::send`]; [`CallError::Lost`] also if the answer does not name its call and the connection has carried
+    /// others.
+    pub async fn send_named(
+        &self,
+        req: Request<Full<Bytes>>,
+        names_call: impl Fn(&HeaderMap) -> bool,
+    ) -> Result<Response<Incoming>, CallError> {
+        let (authority, answered) = self.exchange(req).await?;
+        if names_call(answered.resp.headers()) {
+            self.keep(&authority, answered.conn);
+        } else if !answered.number.is_first() {
+            return Err(CallError::Lost("the answer does not name its call".to_owned()));
+        }
+        Ok(answered.resp)
+    }
+
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<(Authority, Answered<Full<Bytes>>), CallError> {
         let target = req.uri().clone();
         let authority = target.authority().ok_or_else(|| CallError::NotSent(format!("{target} has no host")))?;
         let mut req = with_host(req, authority)?;
-        while let Some(conn) = self.idle.as_ref().and_then(|idle| idle.take(authority, Instant::now())) {
-            match conn.send(req).await {
-                Ok((resp, conn)) => return self.received(authority, resp, conn),
+        while let Some(conn) = self.idle.as_ref().and_then(|idle| idle.take(authority, None, Instant::now())) {
+            match conn.send(req, None).await {
+                Ok(answered) => return checked(authority, answered),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => req = unsent,
                     None => return Err(CallError::Lost(error_chain(&e.into_error()))),
@@ -88,12 +120,12 @@
             }
         }
         let conn = self.connect(target.clone()).await?;
-        let (resp, conn) = conn.send(req).await.map_err(|mut e| {
+        let answered = conn.send(req, None).await.map_err(|mut e| {
             let is_unsent = e.take_message().is_some();
             let why = error_chain(&e.into_error());
             if is_unsent { CallError::NotSent(why) } else { CallError::Lost(why) }
         })?;
-        self.received(authority, resp, conn)
+        checked(authority, answered)
     }
 
     async fn connect(&self, target: Uri) -> Result<Connection<Full<Bytes>>, CallError> {
@@ -103,20 +135,13 @@
     }
 
     /// Keeps the connection of a response, which accepts the next request once the body was read.
-    fn received(
-        &self,
-        authority: &Authority,
-        resp: Response<Incoming>,
-        conn: Option<Connection<Full<Bytes>>>,
-    ) -> Result<Response<Incoming>, CallError> {
-        framing::check(resp.headers()).map_err(|e| CallError::Lost(e.to_string()))?;
+    fn keep(&self, authority: &Authority, conn: Option<Connection<Full<Bytes>>>) {
         if let (Some(idle), Some(conn)) = (&self.idle, conn) {
             let is_first = idle.keep(authority.clone(), conn, Instant::now() + IDLE_TIMEOUT, usize::MAX);
             if is_first {
                 tokio::spawn(close_expired(Arc::downgrade(idle)));
             }
         }
-        Ok(resp)
     }
 
     /// Sends a request and reads the complete response, within `timeout`.
@@ -189,6 +214,16 @@
     serde_json::from_slice(&body).map_err(|e| CallError::Lost(format!("unreadable answer: {e}")))
 }
 
+/// Checks that the head of a response states where its body ends.
+fn checked(
+    authority: &Authority,
+    mut answered: Answered<Full<Bytes>>,
+) -> Result<(Authority, Answered<Full<Bytes>>), CallError> {
+    framing::check(answered.resp.headers()).map_err(|e| CallError::Lost(e.to_string()))?;
+    answered.resp.extensions_mut().insert(answered.number);
+    Ok((authority.clone(), answered))
+}
+
 /// Adds the `Host` header, and reduces the target to its path, as HTTP/1.1 servers expect it.
 fn with_host(mut req: Request<Full<Bytes>>, authority: &Authority) -> Result<Request<Full<Bytes>>, CallError> {
     if !req.headers().contains_key(HOST) {
--- a/crates/border/src/idle.rs
+++ b/crates/border/src/idle.rs
@@ -8,7 +8,7 @@
 
 use hyper::body::Body;
 
-use crate::connection::Connection;
+use crate::connection::{CallId, Connection};
 
 /// Connections by the address to which they lead, each until a time `T`.
 #[derive(Debug)]
@@ -29,19 +29,19 @@
 }
 
 impl<K: Eq + Hash, B: Body + 'static, T: Copy + Ord> IdleConnections<K, B, T> {
-    /// Takes the connection to an address that was kept last and can send a request at `now`.
-    pub fn take(&self, address: &K, now: T) -> Option<Connection<B>> {
+    /// Takes the connection to an address that was kept last and can carry a call with this identifier at `now`.
+    pub fn take(&self, address: &K, id: Option<CallId>, now: T) -> Option<Connection<B>> {
         let mut by_address = self.lock();
         let kept = by_address.get_mut(address)?;
         kept.retain(|entry| entry.is_usable(now));
-        let ready = kept.iter().rposition(|entry| entry.conn.is_ready())?;
+        let ready = kept.iter().rposition(|entry| entry.conn.is_ready() && entry.conn.can_carry(id))?;
         Some(kept.remove(ready).conn)
     }
 
     /// Keeps a connection until a time, unless `max` connections to the address are kept; returns whether it is the first
     /// to any address.
     pub fn keep(&self, address: K, conn: Connection<B>, expires_at: T, max: usize) -> bool {
-        if conn.is_closed() {
+        if conn.is_closed() || conn.is_worn() {
             return false;
         }
         let mut by_address = self.lock();
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -42,12 +42,12 @@
     CLAIM_REFUSED = 211, "The key-value service is unreachable; requests with idempotency keys are refused as not run.";
     ROUTED = 220, "A request is sent to these replicas; the fields show what the decision was based on.";
     REFUSED_EARLY = 221, "A request would have been answered too late by every replica and was refused without being sent.";
-    TRY_FAILED = 222, "An attempt at a replica failed; `end` says whether the request arrived and may have run.";
+    TRY_FAILED = 222, "An attempt at a replica failed; `end` says whether the request arrived and may have run. `send` is the number of the send within the request; its answer, if any, followed call `call` on connection `connection` (1: a new connection) and repeats `answer_id`.";
     BUDGET_SPENT = 223, "A request could have been retried, but the retry budget is exhausted.";
     STREAM_BROKE = 224, "A replica's stream broke off after it had started.";
     STREAM_RESUMED = 225, "A stream continues at another replica after its last complete event.";
     HANDLE_KEPT = 226, "An engine could not be told to free the KV cache of a prompt; it frees it by itself later.";
-    ROUTED_OVER = 227, "A request on a route finished with this outcome.";
+    ROUTED_OVER = 227, "A request on a route finished with this outcome. `sends` lists each send to a replica: its step, replica, connection and call, the identifier that the answer repeats, and its end.";
     NOT_ADMITTED = 228, "A request was refused before a replica was chosen; `why` is the reason.";
     PROMPT_READ = 229, "An engine has prefilled a prompt; the fields compare this with the prediction. At debug level.";
     REFUSED_STOPPING = 230, "This daemon is stopping and would not finish the long answer; the request was refused without being sent.";
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
         body::ReplicaBody,
         endings::Phase,
         request::ActiveRequest,
+        sends::{self, SendRecord},
         state::Gateway,
         upstream::{Conn, Received, SendError},
         work::InFlightCall,
@@ -266,8 +267,10 @@
             CallFailure::NotTried("the request head cannot be forwarded")
         })?;
         self.gw.link.record_send(self.body.len(), now);
-        let sending = self.gw.send(replica, req);
-        let Received { resp, conn, connect_time } = match self.gw.timeout_at(call_deadline, sending).await {
+        let step = if matches!(task, Task::Prefill { .. }) { sends::Step::Prefill } else { sends::Step::Serve };
+        let send = self.sends.begin(step, &replica.id);
+        let sending = self.gw.send(replica, req, None);
+        let Received { resp, number, conn, connect_time } = match self.gw.timeout_at(call_deadline, sending).await {
             None => {
                 // The connection may hang because of a cut path.
                 self.gw.request_check_of(replica);
@@ -286,6 +289,7 @@
         self.record_connect_time(replica, connect_time);
         let (head, body) = resp.into_parts();
         let facts = dialect.decode_response_head(&head);
+        self.sends.record_answer(send, number, &self.caller.id, facts.request_id.as_deref());
         // The headers of another replica's response do not apply to this replica.
         if facts.run != RunStatus::OtherReplica {
             self.record_rate_limit(replica, facts.rate_limit, now);
@@ -368,6 +372,11 @@
         step: &'static str,
     ) {
         self.gw.metrics.failed_call(why.name());
+        let last = if matches!(why, CallFailure::NotTried(_)) { None } else { self.sends.last() };
+        if last.is_some() {
+            self.sends.record_end(why.name());
+        }
+        let (send, record) = last.unzip();
         emit!(
             info,
             TRY_FAILED,
@@ -378,6 +387,10 @@
             step,
             end = why.name(),
             why = ?why,
+            send,
+            connection = record.as_ref().and_then(SendRecord::connection),
+            call = record.as_ref().and_then(SendRecord::call),
+            answer_id = record.as_ref().map(SendRecord::answer_id),
             after_ms = in_flight.age().as_millis()
         );
     }
--- a/crates/daemon/src/gateway/ending.rs
+++ b/crates/daemon/src/gateway/ending.rs
@@ -7,7 +7,7 @@
 use crate::{
     emit,
     gateway::{
-        attempt::UpstreamResponse, body::Framing, passed::RelayedEvents, request::ActiveRequest, state::Gateway,
+        attempt::UpstreamResponse, body::Framing, passed::RelayedEvents, request::ActiveRequest, sends::Sends, state::Gateway,
     },
 };
 
@@ -26,6 +26,7 @@
     /// When the first byte of the response was available.
     first_byte_at: Option<Time>,
     stream: Option<StreamStats>,
+    sends: Arc<Sends>,
 }
 
 /// What is logged about a streamed response.
@@ -54,6 +55,7 @@
             attempts: 0,
             first_byte_at: None,
             stream: None,
+            sends: Arc::clone(&req.sends),
         }
     }
 
@@ -97,7 +99,10 @@
         self.stream.as_ref().map(|stream| stream.relayed.total()).unwrap_or_default()
     }
 
-    pub(super) const fn set_outcome(&mut self, outcome: &'static str, status: u16) {
+    pub(super) fn set_outcome(&mut self, outcome: &'static str, status: u16) {
+        if outcome == "answered" {
+            self.sends.record_end(outcome);
+        }
         self.outcome = outcome;
         self.status = status;
     }
@@ -121,6 +126,7 @@
             outcome = self.outcome,
             status = self.status,
             tries = self.attempts,
+            sends = %self.sends,
             first_ms = self.first_byte_at.map(|at| at.since(self.arrived).as_millis()),
             took_ms = self.gw.now().since(self.arrived).as_millis(),
             replica = stream.map(|stream| &*stream.replica),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -54,6 +54,7 @@
 mod reading;
 mod relay;
 mod request;
+mod sends;
 mod snapshot_transfer;
 mod sse;
 mod state;
--- a/crates/daemon/src/gateway/path.rs
+++ b/crates/daemon/src/gateway/path.rs
@@ -11,6 +11,7 @@
 };
 
 use bytes::Bytes;
+use dahliaseam_border::connection::CallId;
 use dahliaseam_core::fleet::{
     path::{Path, PathCheck},
     replica::{ReplicaFacts, ReplicaKey},
@@ -74,22 +75,32 @@
 }
 
 impl Gateway {
-    /// Sends a request to a replica on its current path.
-    pub(super) async fn send(&self, replica: &ReplicaFacts, req: Request<Full<Bytes>>) -> Result<Received, SendError> {
+    /// Sends a request, whose answer repeats `id` if it has one, to a replica on its current path.
+    pub(super) async fn send(
+        &self,
+        replica: &ReplicaFacts,
+        req: Request<Full<Bytes>>,
+        id: Option<CallId>,
+    ) -> Result<Received, SendError> {
         if self.path_in_use(replica) == Path::Direct {
-            return self.send_directly(replica, req).await;
+            return self.send_directly(replica, req, id).await;
         }
         match self.open_tunnel(replica.address).await {
             Ok(stream) => self.upstream.send_on(stream, req).await,
             Err(TunnelError::NobodyListens) => Err(SendError::NobodyListens),
             // A path that loses packets still delivers most calls in the end.
-            Err(TunnelError::Unreachable) if self.fleet().has_lossy_paths() => self.send_directly(replica, req).await,
+            Err(TunnelError::Unreachable) if self.fleet().has_lossy_paths() => self.send_directly(replica, req, id).await,
             Err(TunnelError::Unreachable) => Err(SendError::NoTunnel),
         }
     }
 
-    async fn send_directly(&self, replica: &ReplicaFacts, req: Request<Full<Bytes>>) -> Result<Received, SendError> {
-        let sent = self.upstream.send(replica.address, req).await;
+    async fn send_directly(
+        &self,
+        replica: &ReplicaFacts,
+        req: Request<Full<Bytes>>,
+        id: Option<CallId>,
+    ) -> Result<Received, SendError> {
+        let sent = self.upstream.send(replica.address, req, id).await;
         match &sent {
             Ok(received) if received.connect_time.is_some() => self.fleet().record_connection(),
             Err(SendError::NoConnection) => {
--- a/crates/daemon/src/gateway/reading.rs
+++ b/crates/daemon/src/gateway/reading.rs
@@ -64,7 +64,7 @@
             return;
         }
     };
-    match tokio::time::timeout(FREE_TIMEOUT, gw.send(&replica, req)).await {
+    match tokio::time::timeout(FREE_TIMEOUT, gw.send(&replica, req, None)).await {
         Ok(Ok(Received { resp, conn, .. })) => drain_short_response(&gw, &replica, resp.into_body(), conn).await,
         Ok(Err(e)) => emit!(info, HANDLE_KEPT, replica = %replica.id, handle, why = ?e),
         Err(_) => emit!(info, HANDLE_KEPT, replica = %replica.id, handle, why = "no response in time"),
@@ -83,6 +83,7 @@
         let result = self.prefill_while_responsive(&call, overdue_at).await;
         match result {
             Ok(handle) => {
+                self.sends.record_end("prefilled");
                 self.gw.metrics.prefill(in_flight.age().as_seconds());
                 emit!(
                     debug,
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -213,6 +213,7 @@
     /// Resumes the stream at another replica after the last whole event.
     async fn resume(&mut self, why: String) -> Result<(), RelayError> {
         self.resp.in_flight.set_end(StepEnd::Failed);
+        self.req.sends.record_end("broke_off");
         emit!(
             info,
             STREAM_BROKE,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -33,6 +33,7 @@
         endings::{PartTrial, Trial},
         quota,
         relay::{self, ResponseStart},
+        sends::Sends,
         state::Gateway,
     },
 };
@@ -83,6 +84,8 @@
     pub(super) trial: Option<Trial>,
     /// The current run, if it serves to find out whether parts of the prompt cause crashes.
     pub(super) part_trial: Option<PartTrial>,
+    /// Its sends to replicas.
+    pub(super) sends: Arc<Sends>,
     /// Replicas that are not tried again.
     tried: Vec<ReplicaKey>,
     /// Replicas to which nothing could be sent, each with whether nothing listened.
@@ -197,6 +200,7 @@
             isolation: None,
             trial: None,
             part_trial: None,
+            sends: Arc::default(),
             tried: Vec::new(),
             unsent: Vec::new(),
             readmitted: Vec::new(),
--- a/crates/daemon/src/gateway/tunnel/client.rs
+++ b/crates/daemon/src/gateway/tunnel/client.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use dahliaseam_border::connection::Connection;
+use dahliaseam_border::connection::{Answered, Connection};
 use dahliaseam_core::{
     time::{Span, Time},
     tunnel_peers::{TunnelAnswer, TunnelPeers},
@@ -220,7 +220,7 @@
         .header(header::HOST, replica.to_string())
         .body(Empty::<Bytes>::new())
         .map_err(|_| Outcome::Forbidden)?;
-    let (resp, _conn) = conn.send(req).await.map_err(|_| Outcome::NoResponse)?;
+    let Answered { resp, conn: _conn, .. } = conn.send(req, None).await.map_err(|_| Outcome::NoResponse)?;
     match resp.status() {
         StatusCode::OK => {}
         StatusCode::BAD_GATEWAY if states_nobody_listens(resp.headers()) => return Err(Outcome::NobodyListens),
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -1,7 +1,8 @@
 //! Connections to replicas.
 //!
 //! This module never sends a request twice. A connection is kept only after a response has been read to its end, and is
-//! reused only for a short time, since a replica may close an idle connection at any moment.
+//! reused only for a short time, since a replica may close an idle connection at any moment. It carries no identifier
+//! twice, so that an answer which repeats the identifier of a call is the answer to that send.
 
 use std::{
     fmt,
@@ -12,7 +13,12 @@
 };
 
 use bytes::Bytes;
-use dahliaseam_border::{connection::Connection, dialer::Dialer, framing, idle::IdleConnections};
+use dahliaseam_border::{
+    connection::{Answered, CallId, CallNumber, Connection},
+    dialer::Dialer,
+    framing,
+    idle::IdleConnections,
+};
 use dahliaseam_core::time::{Span, Time};
 use http::{Request, Response};
 use http_body_util::Full;
@@ -87,6 +93,8 @@
 #[derive(Debug)]
 pub(super) struct Received {
     pub(super) resp: Response<Incoming>,
+    /// The call that it follows.
+    pub(super) number: CallNumber,
     /// The connection, if it may be kept after the response.
     pub(super) conn: Option<Conn>,
     /// How long connecting took; `None` for a reused connection and through a peer.
@@ -95,9 +103,10 @@
 
 impl Received {
     /// Checks that the head states where the body ends.
-    fn new(resp: Response<Incoming>, conn: Option<Conn>, connect_time: Option<Span>) -> Result<Self, SendError> {
+    fn new(answered: Answered<Full<Bytes>>, connect_time: Option<Span>) -> Result<Self, SendError> {
+        let Answered { resp, number, conn } = answered;
         framing::check(resp.headers()).map_err(|e| SendError::Lost(e.to_string()))?;
-        Ok(Self { resp, conn, connect_time })
+        Ok(Self { resp, number, conn, connect_time })
     }
 }
 
@@ -119,17 +128,22 @@
         Self { clock, dialer, idle: IdleConnections::default() }
     }
 
-    /// Sends a request; returns the head of the response and the connection.
+    /// Sends a request, whose answer repeats `id` if it has one; returns the head of the response and the connection.
     ///
     /// Dropping either the future or the response body closes the connection, which tells the replica that the request
     /// is no longer wanted.
-    pub(super) async fn send(&self, address: SocketAddr, req: Request<Full<Bytes>>) -> Result<Received, SendError> {
+    pub(super) async fn send(
+        &self,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+        id: Option<CallId>,
+    ) -> Result<Received, SendError> {
         let mut req = req;
         // A reused connection may turn out to be closed before anything was written; the next one is then used. This
         // does not send the request twice.
-        while let Some(conn) = self.idle.take(&address, self.clock.now()) {
-            match conn.send(req).await {
-                Ok((resp, conn)) => return Received::new(resp, conn, None),
+        while let Some(conn) = self.idle.take(&address, id, self.clock.now()) {
+            match conn.send(req, id).await {
+                Ok(answered) => return Received::new(answered, None),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => req = unsent,
                     None => return Err(SendError::after_send(&e.into_error())),
@@ -139,13 +153,13 @@
         let started_at = self.clock.now();
         let conn = connect(&*self.dialer, address).await?;
         let connect_time = Some(self.clock.now().since(started_at));
-        send_first(conn, req, connect_time).await
+        send_first(conn, req, id, connect_time).await
     }
 
     /// Sends a request on a connection that is used for nothing else.
     pub(super) async fn send_on(&self, stream: TcpStream, req: Request<Full<Bytes>>) -> Result<Received, SendError> {
         let conn = start_http(stream).await?;
-        let received = send_first(conn, req, None).await?;
+        let received = send_first(conn, req, None, None).await?;
         Ok(Received { conn: None, ..received })
     }
 
@@ -241,9 +255,14 @@
 }
 
 /// Sends the first request on a connection.
-async fn send_first(conn: Conn, req: Request<Full<Bytes>>, connect_time: Option<Span>) -> Result<Received, SendError> {
-    match conn.send(req).await {
-        Ok((resp, conn)) => Received::new(resp, conn, connect_time),
+async fn send_first(
+    conn: Conn,
+    req: Request<Full<Bytes>>,
+    id: Option<CallId>,
+    connect_time: Option<Span>,
+) -> Result<Received, SendError> {
+    match conn.send(req, id).await {
+        Ok(answered) => Received::new(answered, connect_time),
         Err(mut e) => match e.take_message() {
             Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
             None => Err(SendError::after_send(&e.into_error())),
