A replica's status that promises "not run" is passed on only with the replica's statement (REFUSED)

Callers saw 408, 429 or 503 for requests that had run.

Cause: the answer of a replica without the statement that nothing ran was passed on with its status, whatever that status promises to callers. And the statement counted beside any status, also those of requests that ran.

Change: such answers count as lost: repeatable requests are retried, others end with 502 without the replica's seal. 2xx, 3xx, 500 and 504 with the statement contradict themselves and prove nothing.

Measured: the four tests of replicas that run a request and state the opposite failed always, and pass.

--- a/crates/border/src/dialect.rs
+++ b/crates/border/src/dialect.rs
@@ -87,6 +87,8 @@
     MayHaveRun,
     /// It states that it did not run the request.
     NotRun,
+    /// It states that it did not run the request, beside a status of requests that ran.
+    Contradictory,
     /// It did not run the request, since it is not the replica that was addressed.
     OtherReplica,
 }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
 use crate::{
     emit,
     gateway::{
+        answer::promises_not_run,
         body::ReplicaBody,
         endings::Phase,
         request::ActiveRequest,
@@ -330,9 +331,15 @@
                 Err(CallFailure::NotRun(answer.rejected(head.status.as_u16())))
             }
             RunStatus::OtherReplica => Err(CallFailure::NotRun(answer.other_replica())),
+            RunStatus::Contradictory => {
+                Err(CallFailure::Lost(format!("status {} beside the statement that nothing ran", head.status)))
+            }
             RunStatus::MayHaveRun if !answer.is_named() => {
                 Err(CallFailure::Lost("the response carries no request identifier".to_owned()))
             }
+            RunStatus::MayHaveRun if promises_not_run(head.status) => {
+                Err(CallFailure::Lost(format!("status {} without the statement that nothing ran", head.status)))
+            }
             RunStatus::MayHaveRun
                 if !matches!(task, Task::Prefill { .. }) && head.status.is_success() && !facts.sealed =>
             {
