Endpoints name the call in their answers, so that a second answer proves nothing for the next (REFUSED)

Callers of the project's own interface could get outcome not_run for a repeatable request that ran, and another request's answer as whole.

Cause: connections for repeatable calls are kept, and answers of endpoints were attributed by the connection alone, which may carry a second answer to an earlier call.

Change: endpoints repeat request and attempt in headers. A rejection that does not is a proof only on a connection without other calls, and a connection to a plain service is kept only after an answer that names its call. The stand-ins do so.

--- a/crates/daemon/src/caller/plain.rs
+++ b/crates/daemon/src/caller/plain.rs
@@ -27,7 +27,7 @@
         exchange::{ActiveRequest, AfterAttempt, ContentInfo, NoAttempt},
         failure::Failure,
     },
-    endpoint::attempt::{AttemptResult, Clients, attempt_end, is_not_run},
+    endpoint::attempt::{AttemptResult, CallName, Clients, attempt_end},
     telemetry,
 };
 
@@ -174,11 +174,12 @@
     let Some(req) = build(call, dispatch, request) else {
         return (AttemptEnd::NotSent, None);
     };
-    let resp = match clients.for_kind(repeatable).send(req).await {
+    let name = CallName { request, attempt: dispatch.attempt };
+    let resp = match clients.for_kind(repeatable).send_named(req, |headers| name.is_in(headers)).await {
         Ok(resp) => resp,
         Err(e) => return (attempt_end(&e), None),
     };
-    if is_not_run(&resp) {
+    if name.is_rejected_by(&resp) {
         return (AttemptEnd::Refused, None);
     }
     let (parts, body) = resp.into_parts();
--- a/crates/daemon/src/endpoint/attempt.rs
+++ b/crates/daemon/src/endpoint/attempt.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use dahliaseam_border::{
+    connection::CallNumber,
     error::CallError,
     http::{HttpClient, Incoming, Reuse},
 };
@@ -12,10 +13,10 @@
     frame::{Assembly, FrameAction},
     outcome::AttemptEnd,
 };
-use dahliaseam_wire::engine::{EXTENSION, FrameExtension, Import, NOT_RUN, RequestExtension};
+use dahliaseam_wire::engine::{ATTEMPT, EXTENSION, FrameExtension, Import, NOT_RUN, REQUEST, RequestExtension};
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
-use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
+use http::{HeaderMap, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyDataStream, BodyExt, Full, Limited};
 use serde_json::Value;
 use tokio::sync::mpsc;
@@ -209,7 +210,7 @@
     };
     telemetry::inject(&tracing::Span::current(), req.headers_mut());
     let resp = client.send(req).await.map_err(|e| AttemptResult::serving(attempt_end(&e)))?;
-    check_response(resp).await
+    check_response(resp, &CallName { request: call.request, attempt: extension.attempt }).await
 }
 
 /// How an attempt ends if its call failed without a response.
@@ -221,12 +222,12 @@
     }
 }
 
-async fn check_response(resp: Response<Incoming>) -> Result<Response<Incoming>, AttemptResult> {
+async fn check_response(resp: Response<Incoming>, name: &CallName<'_>) -> Result<Response<Incoming>, AttemptResult> {
     let status = resp.status();
     if status.is_success() {
         return Ok(resp);
     }
-    let end = if is_not_run(&resp) {
+    let end = if name.is_rejected_by(&resp) {
         AttemptEnd::Refused
     } else if status.is_client_error() {
         AttemptEnd::Rejected
@@ -238,11 +239,32 @@
     Err(AttemptResult { end, site: Site::Serving, detail })
 }
 
-/// Whether the endpoint states that it did not run the request.
-#[must_use]
-pub fn is_not_run(resp: &Response<Incoming>) -> bool {
-    let status_fits = matches!(resp.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::FAILED_DEPENDENCY);
-    status_fits && resp.headers().contains_key(NOT_RUN)
+/// The name of a call, which endpoints repeat in the headers of their answers.
+#[derive(Clone, Copy, Debug)]
+pub struct CallName<'a> {
+    /// Identifier of the request.
+    pub request: &'a str,
+    /// Number of the attempt.
+    pub attempt: u32,
+}
+
+impl CallName<'_> {
+    /// Whether these headers of an answer name this call.
+    #[must_use]
+    pub fn is_in(&self, headers: &HeaderMap) -> bool {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        text(REQUEST) == Some(self.request)
+            && text(ATTEMPT).and_then(|attempt| attempt.parse().ok()) == Some(self.attempt)
+    }
+
+    /// Whether the endpoint states that it did not run this call. An answer that does not name it states that only on a
+    /// connection which has carried no other call.
+    #[must_use]
+    pub fn is_rejected_by(&self, resp: &Response<Incoming>) -> bool {
+        let status_fits = matches!(resp.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::FAILED_DEPENDENCY);
+        let is_first = resp.extensions().get::<CallNumber>().is_some_and(|number| number.is_first());
+        status_fits && resp.headers().contains_key(NOT_RUN) && (is_first || self.is_in(resp.headers()))
+    }
 }
 
 async fn receive(
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -2,7 +2,8 @@
 //!
 //! A model engine implements the `OpenAI` completions API with server-sent events. The member [`EXTENSION`] holds a
 //! [`RequestExtension`] in requests to it and a [`FrameExtension`] in its frames. Orders, status and cache events have
-//! separate paths. A plain service gets the [`REQUEST`] and [`ATTEMPT`] headers.
+//! separate paths. A plain service gets the [`REQUEST`] and [`ATTEMPT`] headers, and repeats them in its answers. An engine
+//! repeats its request's identifier and attempt in them when it rejects a call.
 
 use dahliaseam_core::{
     custody::{EngineStatus, Order},
--- a/proofs/tests/once.rs
+++ b/proofs/tests/once.rs
@@ -315,7 +315,7 @@
 }
 
 /// Guards against a second rejection that is taken for the answer to the next request on a kept connection: the request ran
-/// and its outcome was not_run.
+/// and its outcome was `not_run`.
 #[tokio::test]
 async fn a_second_rejection_on_a_kept_connection_is_no_proof_for_the_next_request() {
     for (got, runs) in answers_of_endpoint_that_answers_twice(SecondAnswer::Rejection).await {
--- a/stand-ins/src/engine.rs
+++ b/stand-ins/src/engine.rs
@@ -21,8 +21,8 @@
     lease::Fence,
 };
 use dahliaseam_wire::engine::{
-    CACHE_PATH, CacheEvent, EXTENSION, FrameExtension, Import, NOT_RUN, ORDER_PATH, OrderAnswer, OrderRequest,
-    RELEASE_PATH, RequestExtension, STATUS_PATH, StatusReport,
+    ATTEMPT, CACHE_PATH, CacheEvent, EXTENSION, FrameExtension, Import, NOT_RUN, ORDER_PATH, OrderAnswer, OrderRequest,
+    RELEASE_PATH, REQUEST, RequestExtension, STATUS_PATH, StatusReport,
 };
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -345,12 +345,12 @@
     if let Some(import) = &req.import
         && !import_kv_cache(import).await
     {
-        return (StatusCode::FAILED_DEPENDENCY, [(NOT_RUN, "1")], "no such export").into_response();
+        return rejection(&req, StatusCode::FAILED_DEPENDENCY, "no such export");
     }
     let output = body.get("max_tokens").and_then(Value::as_u64).unwrap_or(16) as u32;
     let mut state = engine.lock();
     if state.cordoned || state.changing {
-        return (StatusCode::SERVICE_UNAVAILABLE, [(NOT_RUN, "1")], "cordoned").into_response();
+        return rejection(&req, StatusCode::SERVICE_UNAVAILABLE, "cordoned");
     }
     engine.setup.history.record(Event::Ran { request: req.request.clone(), attempt: req.attempt, key: None });
     let rx = state.accept_request(req, prompt, output, chat);
@@ -360,6 +360,12 @@
     ([(CONTENT_TYPE, "text/event-stream")], body).into_response()
 }
 
+/// The answer to a call that does not run, which names the call.
+fn rejection(req: &RequestExtension, status: StatusCode, why: &'static str) -> Response {
+    let headers = [(NOT_RUN, "1".to_owned()), (REQUEST, req.request.clone()), (ATTEMPT, req.attempt.to_string())];
+    (status, headers, why).into_response()
+}
+
 impl EngineState {
     fn accept_request(
         &mut self,
--- a/stand-ins/src/plain.rs
+++ b/stand-ins/src/plain.rs
@@ -94,8 +94,23 @@
     format!("done: {body}")
 }
 
+/// Names the call of a request in its answer.
+fn named(headers: &HeaderMap, mut resp: Response) -> Response {
+    for name in [REQUEST, ATTEMPT] {
+        if let Some(value) = headers.get(name) {
+            resp.headers_mut().insert(name, value.clone());
+        }
+    }
+    resp
+}
+
 async fn run(State(shared): State<Shared>, headers: HeaderMap, body: Bytes) -> Response {
-    let fault = take_fault(&shared);
+    let resp = answer_call(&shared, &headers, &body).await;
+    named(&headers, resp)
+}
+
+async fn answer_call(shared: &Shared, headers: &HeaderMap, body: &Bytes) -> Response {
+    let fault = take_fault(shared);
     if fault.refuse > 0 {
         return (StatusCode::SERVICE_UNAVAILABLE, [(NOT_RUN, "1")], "busy").into_response();
     }
@@ -113,7 +128,7 @@
             .body(Body::from_stream(broken.boxed()))
             .unwrap_or_default();
     }
-    answer(&String::from_utf8_lossy(&body)).into_response()
+    answer(&String::from_utf8_lossy(body)).into_response()
 }
 
 /// Returns the faults for one request, and decrements the counters of those that apply.
