Quotas: a daemon that the store's copy names takes no shards of their later owner (DRAIN)

After a return of the store a team could get more than its quota: a daemon that the copy names as the owner of a shard took it at once, while the daemon that had taken it later still granted its units, until its next call to the store.

Cause: an entry that names the daemon's own VM counted as left by its previous run. The copy may be older than a later owner.

Change: until a lease has passed since the return, a shard is taken only by the daemon that held it when the store came back, and by that one also against the copy's entry. All others wait.

--- a/crates/daemon/src/gateway/quota/ownership.rs
+++ b/crates/daemon/src/gateway/quota/ownership.rs
@@ -85,8 +85,8 @@
         returned.extend(give_up_after_return(gw, held_lease));
         renew(gw, held_lease).await;
         let now = gw.now();
-        let mut due = shards_to_acquire(gw, &mut free_since, now);
-        due.retain(|(shard, revision)| *revision != 0 || returned.contains(shard) || !may_be_owned(gw, now));
+        let mut due = shards_to_acquire(gw, &returned, &mut free_since, now);
+        due.retain(|(shard, _)| returned.contains(shard) || !may_be_owned(gw, now));
         returned.retain(|shard| !lock(&gw.quotas.owned).contains_key(shard));
         if due.is_empty() || !backoff_until.is_past(now) {
             continue;
@@ -98,8 +98,14 @@
     }
 }
 
-/// The shards that this daemon should take now, each with the revision of its present entry, or 0 if there is none.
-fn shards_to_acquire(gw: &Gateway, free_since: &mut HashMap<u8, Time>, now: Time) -> Vec<(u8, i64)> {
+/// The shards that this daemon should take now, each with the revision of its present entry, or 0 if there is none. It
+/// owned those in `returned` when the store came back from an older copy.
+fn shards_to_acquire(
+    gw: &Gateway,
+    returned: &HashSet<u8>,
+    free_since: &mut HashMap<u8, Time>,
+    now: Time,
+) -> Vec<(u8, i64)> {
     let is_current = {
         let cache = gw.store_cache();
         // The entries are read again first after the store came back from an older copy.
@@ -115,7 +121,9 @@
     for shard in 0..SHARDS {
         if let Some(entry) = owner_entries.get(&shard) {
             free_since.remove(&shard);
-            if is_own_stale_entry(gw, shard, entry) {
+            // Until the lease of the last owner has passed, the copy names no later owner than that one.
+            let was_last_owner = returned.contains(&shard) && may_be_owned(gw, now);
+            if was_last_owner || is_own_stale_entry(gw, shard, entry) {
                 due.push((shard, entry.revision));
             }
             continue;
@@ -133,18 +141,21 @@
     due
 }
 
-/// Gives up the shards if the store came back from an older copy, which may lack their entries or the lease; returns
-/// them. This daemon may take them again at once.
+/// Gives up the shards if the store came back from an older copy, which may lack their entries or the lease, or name
+/// earlier owners; returns those that no other daemon can have owned since. This daemon may take them again at once.
 fn give_up_after_return(gw: &Gateway, held_lease: &mut Option<HeldLease>) -> Vec<u8> {
     if held_lease.take_if(|held| held.era < gw.deps.feed.era()).is_none() {
         return Vec::new();
     }
-    let lost: Vec<u8> = lock(&gw.quotas.owned).drain().map(|(shard, _)| shard).collect();
+    let now = gw.now();
+    let given_up = std::mem::take(&mut *lock(&gw.quotas.owned));
+    let lost: Vec<u8> = given_up.keys().copied().collect();
     emit!(info, QUOTA_SHARD_LOST, shards = ?lost);
-    lost
+    given_up.into_iter().filter(|(_, owned)| owned.authority.holds(now)).map(|(shard, _)| shard).collect()
 }
 
-/// Whether a daemon may still own a shard that has no entry: the store came back without it less than a lease ago.
+/// Whether a daemon may still own a shard that it took after the copy from which the store came back less than a lease
+/// ago.
 fn may_be_owned(gw: &Gateway, now: Time) -> bool {
     let returned_at = gw.store_cache().returned_at;
     returned_at.is_some_and(|at| !(at + Span::seconds(LEASE_S as f64)).is_past(now))
