--- a/crates/core/src/fleet/endings/mod.rs
+++ b/crates/core/src/fleet/endings/mod.rs
@@ -101,6 +101,8 @@
     Isolated(Isolation),
     /// Other daemons' reports of the last crash may still arrive; ask again at this time.
     Pending(Time),
+    /// It may be at fault, and a run that shows whether it is has not ended; ask again later.
+    OnTrial,
     /// It must not be sent to any replica.
     Refused(Refused),
 }
@@ -261,7 +263,7 @@
             return Treatment::Refused(temporary);
         }
         if evidence >= CRASHES_TO_REFUSE && !record.trial_until.is_past(now) {
-            return Treatment::Refused(temporary);
+            return Treatment::OnTrial;
         }
         if evidence < CRASHES_TO_ISOLATE {
             return Treatment::Clear;
--- a/crates/core/tests/endings/world.rs
+++ b/crates/core/tests/endings/world.rs
@@ -221,6 +221,7 @@
         match self.daemons[daemon].treatment(request.content, daemons, cut_off, self.now) {
             Treatment::Pending(until) => self.arrivals.push((until, request)),
             Treatment::Refused(refused) => self.handle_refusal(request, refused.until),
+            Treatment::OnTrial => self.handle_refusal(request, self.now),
             treatment => {
                 let is_isolated = matches!(treatment, Treatment::Isolated(_));
                 let is_single_replica = matches!(treatment, Treatment::Isolated(isolation) if isolation.single_replica);
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -62,7 +62,7 @@
     PART_SUSPECTED = 239, "Replicas crashed under different requests whose prompts share this part; `replicas` are those that crashed, as hashes of their identifiers. Requests with the part run one at a time.";
     PART_CLEARED = 240, "A part is no longer suspected or refused: a replica answered a request with it (`by` says where), or an operator lifted its refusal.";
     PART_TRIED = 241, "A request runs as a trial of the suspected parts of its prompt.";
-    REFUSED_SUSPECTED = 242, "A request was refused because a part of its prompt is suspected and another request tries it out, or because reports of the last crash are still due.";
+    REFUSED_SUSPECTED = 242, "A request was refused because a part of its prompt (`part`) or its content (`content`) is suspected and another run tries it out, or because reports of the last crash are still due. Its caller is told when to retry.";
     PART_BLAMED = 243, "Replicas crash under requests whose prompts contain this part; such requests are refused from now on, for `left_ms`.";
     CONFIG_IN_FORCE = 300, "A newer configuration is in force on this VM.";
     CONFIG_REJECTED = 301, "A stored configuration cannot be read; the current one stays in force.";
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -57,6 +57,8 @@
     ReplicasEnded,
     /// Replicas crashed under a part of the prompt, and another request tries out whether it is the cause.
     PartSuspected,
+    /// Replicas crashed while running such a request, and another run of it shows whether it is the cause.
+    RequestSuspected,
     /// No replica ran the request in any attempt, and there is no alternative.
     Rejected,
     /// The request may have run, and its response was lost.
@@ -91,6 +93,7 @@
             Self::Stopping => "stopping",
             Self::ReplicasEnded => "replicas_ended",
             Self::PartSuspected => "part_suspected",
+            Self::RequestSuspected => "request_suspected",
             Self::Rejected => "rejected",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
@@ -116,6 +119,7 @@
             | Self::Stopping
             | Self::ReplicasEnded
             | Self::PartSuspected
+            | Self::RequestSuspected
             | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -155,6 +159,7 @@
             | Self::UnknownOrigin
             | Self::Stopping
             | Self::PartSuspected
+            | Self::RequestSuspected
             | Self::Rejected => Some(Span(BASE_RETRY_AFTER.0 + random % RETRY_AFTER_JITTER.0)),
             _ => None,
         }
--- a/crates/daemon/src/gateway/endings.rs
+++ b/crates/daemon/src/gateway/endings.rs
@@ -178,6 +178,7 @@
                     continue;
                 }
                 Treatment::Pending(_) => return Err(self.final_refusal()),
+                Treatment::OnTrial => return Err(self.refuse_on_trial()),
                 Treatment::Refused(refused) => return Err(self.refuse_for_crashes(&refused)),
             }
             return Ok(());
@@ -237,6 +238,18 @@
         if self.may_have_run() { self.final_refusal() } else { Refusal::ReplicasEnded }
     }
 
+    /// Refuses the request while another run of its content shows whether it crashes replicas.
+    fn refuse_on_trial(&self) -> Refusal {
+        emit!(
+            info,
+            REFUSED_SUSPECTED,
+            request = self.caller.id,
+            content = %self.content,
+            ran = self.may_have_run()
+        );
+        if self.may_have_run() { self.final_refusal() } else { Refusal::RequestSuspected }
+    }
+
     fn refuse_for_crashes(&self, refused: &Refused) -> Refusal {
         let now = self.gw.now();
         emit!(
