--- a/crates/border/src/connection.rs
+++ b/crates/border/src/connection.rs
@@ -29,7 +29,7 @@
 const MAX_IDS: usize = 1_024;
 
 /// Number of the next connection.
-static STARTED: AtomicU64 = AtomicU64::new(1);
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
 
 /// Identifier of a call that its answer repeats, as a hash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,7 +96,7 @@
             // The call that waits for a response gets the error.
             let _ = driver.with_upgrades().await;
         });
-        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
         Ok(Self { requests, task, number, calls: 0, ids: Vec::new() })
     }
 
