--- a/review/standins/src/bin/header_limit.rs
+++ b/review/standins/src/bin/header_limit.rs
@@ -87,7 +87,7 @@
         });
         store.put(&replica.key(), &replica.entry("ready"));
     }
-    let daemons = daemon::start(DAEMONS, store.address, &temp, &record, |settings| settings);
+    let daemons = daemon::start(DAEMONS, store.address, &temp, &record);
     daemon::wait_registered(&store, DAEMONS, &record);
     std::thread::sleep(Duration::from_secs(4));
     let (first, added) = (Arc::new(Count::default()), Arc::new(Count::default()));
--- a/review/standins/src/bin/memory.rs
+++ b/review/standins/src/bin/memory.rs
@@ -60,7 +60,7 @@
         entry["slots"] = 96.into();
         store.put(&replica.key(), &entry);
     }
-    let daemons = daemon::start(DAEMONS, store.address, &temp, &record, |settings| settings);
+    let daemons = daemon::start(DAEMONS, store.address, &temp, &record);
     daemon::wait_registered(&store, DAEMONS, &record);
     std::thread::sleep(Duration::from_secs(2));
     let callers: Vec<_> = daemons.iter().map(|daemon| daemon.callers).collect();
--- a/review/standins/src/bin/old_page.rs
+++ b/review/standins/src/bin/old_page.rs
@@ -57,7 +57,7 @@
     });
     // Longer than an old read may be behind.
     std::thread::sleep(Duration::from_secs(4));
-    let mut daemons = daemon::start(DAEMONS, store.address, &temp, &record, |settings| settings);
+    let mut daemons = daemon::start(DAEMONS, store.address, &temp, &record);
     daemon::wait_registered(&store, DAEMONS, &record);
     std::thread::sleep(Duration::from_secs(4));
     store.put(name("CONFIG_KEY"), &configuration(2, "till-new"));
--- a/review/standins/src/bin/stale_configuration.rs
+++ b/review/standins/src/bin/stale_configuration.rs
@@ -48,7 +48,7 @@
     record.line(&format!("a configuration has {} bytes", configuration(version).to_string().len()));
     let replica = Replica::start("i-till-1", "till", &record, |request, conn| conn.write(&sealed(request, "ok")));
     store.put(&replica.key(), &replica.entry("ready"));
-    let daemons = daemon::start(DAEMONS, store.address, &temp, &record, |settings| settings);
+    let daemons = daemon::start(DAEMONS, store.address, &temp, &record);
     daemon::wait_registered(&store, DAEMONS, &record);
     std::thread::sleep(Duration::from_secs(3));
     if record.trouble {
--- a/review/standins/src/bin/stop_while_slow.rs
+++ b/review/standins/src/bin/stop_while_slow.rs
@@ -60,7 +60,7 @@
             replica
         })
         .collect();
-    let mut daemons = daemon::start(2, store.address, &temp, &record, |settings| settings);
+    let mut daemons = daemon::start(2, store.address, &temp, &record);
     daemon::wait_registered(&store, 2, &record);
     std::thread::sleep(Duration::from_secs(2));
     let callers = daemons[0].callers;
--- a/review/standins/src/daemon.rs
+++ b/review/standins/src/daemon.rs
@@ -28,7 +28,6 @@
 pub struct Daemon {
     pub callers: SocketAddr,
     pub ready: SocketAddr,
-    pub load: SocketAddr,
     pub log: PathBuf,
     /// What it wrote to its standard error.
     pub errors: PathBuf,
@@ -52,7 +51,8 @@
 
 /// Ports that are free, below those that the system gives to outgoing connections.
 fn free_ports(count: usize) -> Vec<u16> {
-    let mut port = 15_000 + (std::process::id() % 150) as u16 * 100;
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |now| now.subsec_nanos());
+    let mut port = 15_000 + ((std::process::id() ^ now) % 17_000) as u16;
     let mut kept = Vec::new();
     while kept.len() < count {
         port = if port >= 32_000 { 15_000 } else { port + 1 };
@@ -63,14 +63,23 @@
     kept.iter().map(|(port, ..)| *port).collect()
 }
 
-/// Starts this many daemons on the store, and waits until all of them are ready. `change` changes their settings.
-pub fn start(
-    count: usize,
-    store: SocketAddr,
-    temp: &Path,
-    record: &Record,
-    change: impl Fn(String) -> String,
-) -> Vec<Daemon> {
+/// Number of times that daemons are started: another process may take a port between its choice and its use.
+const STARTS: usize = 3;
+
+/// Starts this many daemons on the store, and waits until all of them are ready.
+pub fn start(count: usize, store: SocketAddr, temp: &Path, record: &Record) -> Vec<Daemon> {
+    for _ in 0..STARTS {
+        let mut daemons = start_once(count, store, temp, record);
+        if are_ready(&mut daemons) {
+            record.line(&format!("{count} daemons are ready"));
+            return daemons;
+        }
+        kill_all();
+    }
+    record.could_not_run("the daemons are not ready")
+}
+
+fn start_once(count: usize, store: SocketAddr, temp: &Path, record: &Record) -> Vec<Daemon> {
     let ports: Vec<Vec<u16>> = free_ports(5 * count).chunks(5).map(<[u16]>::to_vec).collect();
     let seeds: Vec<String> = ports.iter().map(|ports| format!("\"127.0.0.1:{}\"", ports[2])).collect();
     let mut daemons = Vec::new();
@@ -79,9 +88,8 @@
         let settings = settings.replace("$CALLER", &ports[0].to_string()).replace("$READY", &ports[1].to_string());
         let settings = settings.replace("$PEER", &ports[2].to_string()).replace("$LOAD", &ports[3].to_string());
         let settings = settings.replace("$METRICS", &ports[4].to_string()).replace("$SEEDS", &seeds.join(", "));
-        let settings = change(settings.replace("$STORE", &store.to_string()));
         let file = temp.join(format!("settings-{n}.json"));
-        std::fs::write(&file, settings).expect("settings can be written");
+        std::fs::write(&file, settings.replace("$STORE", &store.to_string())).expect("settings can be written");
         let log = temp.join(format!("daemon-{n}.log"));
         let address = |n: usize| SocketAddr::from(([127, 0, 0, 1], ports[n]));
         let root = root(&record.folder);
@@ -89,22 +97,28 @@
         daemons.push(Daemon {
             callers: address(0),
             ready: address(1),
-            load: address(3),
             errors: log.with_extension("err"),
             log,
             child,
             command: (root, file),
         });
     }
+    daemons
+}
+
+/// Waits until all daemons are ready; returns whether they are.
+fn are_ready(daemons: &mut [Daemon]) -> bool {
     let path = format!("{}ready", name("API"));
     for _ in 0..400 {
         if daemons.iter().all(|daemon| client::status(daemon.ready, &path) == 200) {
-            record.line(&format!("{count} daemons are ready"));
-            return daemons;
+            return true;
+        }
+        if daemons.iter_mut().any(|daemon| daemon.child.try_wait().is_ok_and(|ended| ended.is_some())) {
+            return false;
         }
         std::thread::sleep(Duration::from_millis(25));
     }
-    record.could_not_run("the daemons are not ready")
+    false
 }
 
 impl Daemon {
