--- a/review/standins/src/bin/header_limit.rs
+++ b/review/standins/src/bin/header_limit.rs
@@ -148,7 +148,6 @@
             errors.lines().find(|line| line.contains("max_buf_size")).unwrap_or("")
         ));
     }
-    let _ = std::fs::remove_dir_all(&temp);
     let what = format!(
         "{} of {} requests served on the first route, {} of {} on the added one",
         first.served(),
--- a/review/standins/src/bin/memory.rs
+++ b/review/standins/src/bin/memory.rs
@@ -134,7 +134,6 @@
     for client in clients {
         let _ = client.join();
     }
-    let _ = std::fs::remove_dir_all(&temp);
     let ends = *ends.lock().expect("not poisoned");
     let peaks: Vec<u64> = peaks.iter().map(|peak| peak.load(Ordering::Relaxed)).collect();
     let what = format!(
--- a/review/standins/src/bin/old_page.rs
+++ b/review/standins/src/bin/old_page.rs
@@ -95,7 +95,6 @@
     for line in log.lines().filter(|line| line.contains("ROUTES_IN_FORCE") || line.contains("STORE_READ")) {
         record.line(&format!("log of front-0: {line}"));
     }
-    let _ = std::fs::remove_dir_all(&temp);
     let what =
         format!("by machine, orders run by the old service {old:?}, by the new one {new:?}, by neither {failed:?}");
     record.end("CONFIG", old.iter().sum::<i32>() > 0, &what);
--- a/review/standins/src/bin/stale_configuration.rs
+++ b/review/standins/src/bin/stale_configuration.rs
@@ -84,7 +84,6 @@
         let last = log.lines().rfind(|line| line.contains("STORE_LOST") || line.contains("STORE_BACK")).unwrap_or("");
         record.line(&format!("daemon's log: {lost} times STORE_LOST; last: {last}"));
     }
-    let _ = std::fs::remove_dir_all(&temp);
     let what = format!(
         "{refused} requests refused with 404 and {served} served, from 5.5 s after the last of {CHANGES} changes"
     );
--- a/review/standins/src/bin/stop_while_slow.rs
+++ b/review/standins/src/bin/stop_while_slow.rs
@@ -117,7 +117,6 @@
     for client in clients {
         let _ = client.join();
     }
-    let _ = std::fs::remove_dir_all(&temp);
     let count = |counter: &AtomicU32| counter.load(Ordering::Relaxed);
     let what = format!(
         "of {CLIENTS} orders, {} answered, {} lost although sent more than 3 s after the signal, {} cut but sent before, {} refused or not read",
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -30,6 +30,7 @@
         let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
         let record = Self { started: Instant::now(), file: Arc::new(Mutex::new(file)), folder, trouble };
         record.line(&format!("trouble: {trouble}"));
+        record.end_with_main_thread();
         record
     }
 
@@ -53,11 +54,23 @@
         });
     }
 
+    /// Ends the daemons and the case, which could not run, if the main thread panics.
+    fn end_with_main_thread(&self) {
+        let (record, main) = (self.clone(), std::thread::current().id());
+        let usual = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |panic| {
+            usual(panic);
+            if std::thread::current().id() == main {
+                record.could_not_run("the main thread panicked");
+            }
+        }));
+    }
+
     /// Ends the case, which could not run.
     pub fn could_not_run(&self, why: &str) -> ! {
         self.line(&format!("the case could not run: {why}"));
         println!("the case could not run: {why}");
-        crate::daemon::kill_all();
+        clean_up();
         std::process::exit(2)
     }
 
@@ -66,14 +79,24 @@
         let verdict = if broken { "BROKEN" } else { "held" };
         self.line(&format!("{rule} {verdict}: {what}"));
         println!("{rule} {verdict}: {what}");
-        crate::daemon::kill_all();
+        clean_up();
         std::process::exit(i32::from(broken))
     }
 }
 
+/// Ends the daemons and removes the temporary folder.
+fn clean_up() {
+    crate::daemon::kill_all();
+    let _ = std::fs::remove_dir_all(temporary_path());
+}
+
+fn temporary_path() -> PathBuf {
+    std::env::temp_dir().join(format!("review-{}", std::process::id()))
+}
+
 /// Creates an empty folder for this process.
 pub fn temporary_folder() -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+    let folder = temporary_path();
     std::fs::create_dir_all(&folder).expect("the folder can be created");
     folder
 }
