--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -23,11 +23,11 @@
 }
 
 impl Record {
-    /// Starts the record in the folder that the first argument names.
+    /// Starts the record in the folder that the first argument names. The disruption is left out if the second one is 0.
     pub fn start() -> Self {
         let folder = PathBuf::from(std::env::args().nth(1).expect("the folder of the case"));
         let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
-        let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+        let trouble = std::env::args().nth(2).as_deref() != Some("0");
         let record = Self { started: Instant::now(), file: Arc::new(Mutex::new(file)), folder, trouble };
         record.line(&format!("trouble: {trouble}"));
         record.end_with_main_thread();
