Requests that may outlast a stop are not begun, and open ones are answered

Cause: only plans for long answers of engines were compared with the time left before the exit; calls to plain services and second attempts were not. What was open at the exit ended without an answer.

Evidence: the record of the case, where all orders are passed on with 10 s left and under 4.8 s to the exit.

Why this works: a request is begun only if its deadline comes before the end of the stop, or if answers on its route usually take less than the time left and the load balancer may still send new connections. What remains open is answered before the exit: as not run where no replica has it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 //! that work on them are [`dispatch`] (which endpoint serves a request), [`member`] (which daemons are alive),
 //! [`planner`] (which role an engine has) and [`custody`] (which process may order an engine).
 
+pub mod answer_times;
 pub mod bucket;
 pub mod choose;
 pub mod claim;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -177,6 +177,12 @@
         self.services.get(name)
     }
 
+    /// Whether there is a route of this name.
+    #[must_use]
+    pub fn has_route(&self, name: &str) -> bool {
+        self.hosts.values().flatten().any(|route| &*route.name == name)
+    }
+
     /// Smallest of the maximum event gaps of the routes to a service.
     #[must_use]
     pub fn max_event_gap(&self, service: &str) -> Option<Span> {
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -31,6 +31,7 @@
     SETTINGS_REJECTED = 106, "The settings were read again and cannot be used; nothing has changed.";
     MACHINE_RESUMED = 107, "The machine resumed after it had been suspended for `away_ms`; waiting tasks check the clock again.";
     RELOAD_IGNORED = 108, "SIGHUP was received by a daemon that reads its settings only at its start. Restart it to apply changed settings.";
+    STOP_INTERRUPTS = 109, "Requests are still in flight at the end of a stop. Those without a response are answered now: as not run if no replica has got them.";
     CONNECTION_REFUSED = 110, "The maximum number of connections is open; a new one was closed.";
     CONNECTIONS_LEFT = 111, "Connections that were pending when the listener closed could not be accepted.";
     REQUEST_CROSSED_CLOSE = 112, "A request arrived on a connection as it was closed. It was not run, and its caller was told so with 408.";
@@ -50,7 +51,7 @@
     ROUTED_OVER = 227, "A request on a route finished with this outcome. `sends` lists each send to a replica: its step, replica, connection and call, the identifier that the answer repeats, and its end.";
     NOT_ADMITTED = 228, "A request was refused before a replica was chosen; `why` is the reason.";
     PROMPT_READ = 229, "An engine has prefilled a prompt; the fields compare this with the prediction. At debug level.";
-    REFUSED_STOPPING = 230, "This daemon is stopping and would not finish the long answer; the request was refused without being sent.";
+    REFUSED_STOPPING = 230, "This daemon is stopping and may end before the answer is complete; the request was not sent, or not again. `usual_ms` is the time within which most answers on the route are complete, if known.";
     NOT_SENT_ON = 231, "The head of a caller's request cannot be forwarded to a replica.";
     READ_OVERDUE = 232, "The prefill of a prompt takes longer than predicted, but its engine answers, so the request keeps waiting. At debug level.";
     REPLICA_ENDED = 233, "A replica crashed while it had this request; `ends` is the number of crashes known for its content, `parts` are the parts of its prompt that other requests may share. With `why` instead, the check for a crash failed.";
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -1,6 +1,6 @@
 //! Starts and stops the gateway.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use axum::Router;
 use dahliaseam_core::time::{Span, Time};
@@ -14,7 +14,7 @@
 
 pub use crate::gateway::{log::Log, state::Dependencies};
 use crate::{
-    clock::{duration, wall_millis},
+    clock::wall_millis,
     emit,
     error::StartError,
     gateway::{
@@ -34,6 +34,8 @@
 const BALANCER_DELAY: Duration = Duration::from_millis(3_200);
 /// Part of the stop time that is reserved for the exit of the process itself.
 const EXIT_TIME: Span = Span::millis(400);
+/// Time before that in which requests that are still open are answered.
+const INTERRUPT_TIME: Span = Span::millis(100);
 /// Maximum number of connections to each listener for the load balancer, operators or other daemons.
 const MAX_PAGE_CONNECTIONS: usize = 64;
 /// Idle timeout of these connections.
@@ -102,22 +104,29 @@
         emit!(info, RELOADED, changed = changed.join(","));
     }
 
-    /// Stops gracefully: reports not ready, then accepts no new connections, then waits for requests in flight.
+    /// Stops gracefully: reports not ready, then accepts no new connections, then waits for requests in flight and answers
+    /// those that are still open in the end.
     pub async fn stop(self) {
-        let gw = &self.gw;
-        let deadline = gw.now() + Span::seconds(gw.settings.timing.stop_s);
+        let Self { gw, caller_task, background } = self;
+        let exit_at = gw.now() + Span(Span::seconds(gw.settings.timing.stop_s).0.saturating_sub(EXIT_TIME.0));
+        let interrupt_at = Time(exit_at.0.saturating_sub(INTERRUPT_TIME.0));
         emit!(info, STOPPING, under_way = gw.stop.requests.len());
-        gw.stop.begin(gw.now(), Time(deadline.0.saturating_sub(EXIT_TIME.0)));
+        gw.stop.begin(gw.now(), interrupt_at);
         tokio::time::sleep(BALANCER_DELAY).await;
         gw.stop.closing.cancel();
-        let left = deadline.since(gw.now()).0.saturating_sub(EXIT_TIME.0);
         gw.stop.tunnels.close();
-        let requests = async { tokio::join!(self.caller_task, gw.stop.tunnels.wait()) };
-        let drained = tokio::time::timeout(duration(Span(left)), requests).await.is_ok();
+        let mut requests = pin!(async { tokio::join!(caller_task, gw.stop.tunnels.wait()) });
+        let drained = gw.timeout_at(interrupt_at, &mut requests).await.is_some();
+        if !drained {
+            emit!(warn, STOP_INTERRUPTS, under_way = gw.stop.requests.len());
+            gw.stop.interrupting.cancel();
+            // Streams and tunnels cannot be answered; they end with the process.
+            let _ = gw.timeout_at(exit_at, &mut requests).await;
+        }
         emit!(info, DRAINED, drained, under_way = gw.stop.requests.len());
-        usage::publish_final(gw).await;
+        usage::publish_final(&gw).await;
         gw.stop.finished.cancel();
-        self.background.close();
+        background.close();
         emit!(info, STOPPED, vm = gw.settings.vm);
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -58,6 +58,7 @@
 mod snapshot_transfer;
 mod sse;
 mod state;
+mod stop;
 mod store_cache;
 mod store_watch;
 mod suspension;
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -65,6 +65,7 @@
             if req.caller.prompt.is_none() && head.status.is_success() {
                 in_flight.record_plain_call();
             }
+            req.record_answer_time(&in_flight);
             in_flight.set_end(StepEnd::Done);
             return Ok(ResponseStart::Complete(head, bytes));
         }
@@ -197,6 +198,9 @@
         self.is_done = true;
         keep_connection(&self.req, &mut self.resp);
         self.resp.in_flight.set_end(StepEnd::Done);
+        if !self.resp.in_flight.is_long() {
+            self.req.record_answer_time(&self.resp.in_flight);
+        }
         if !self.resp.in_flight.was_suspended() {
             let mut fleet = self.req.gw.fleet();
             if self.req.caller.prompt.is_some() {
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -35,6 +35,7 @@
         relay::{self, ResponseStart},
         sends::{Evidence, Sends},
         state::Gateway,
+        work::InFlightCall,
     },
 };
 
@@ -52,6 +53,8 @@
 /// Maximum time for which a request waits for a check of the paths to its replicas before it is refused because of them.
 /// A check takes up to the time limit of its connection, and one more connection through a peer.
 const PATH_CHECK_WAIT: Span = Span::millis(200);
+/// Multiple of the mean duration of long answers within which most are complete: one in ten takes twice as long.
+const LONG_ANSWER_FACTOR: f64 = 1.3;
 /// Minimum time left for which another attempt is worthwhile.
 const MIN_ATTEMPT_TIME: Span = Span::millis(15);
 
@@ -102,6 +105,7 @@
     /// Whether the request reached a replica for prefill.
     prefill_delivered: bool,
     timed_out: bool,
+    progress: Progress,
     /// Team for whose usage the request is to be counted when it starts to run.
     usage_team: Option<Arc<Team>>,
     /// Credit taken from the team's quota and not spent yet.
@@ -109,11 +113,24 @@
     random: u64,
 }
 
+/// How far the response to a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    Unanswered,
+    /// A part of it may have been relayed.
+    Begun,
+}
+
 /// Serves a caller's request.
 pub(super) async fn serve(gw: Arc<Gateway>, req: Request<Incoming>) -> Response<ResponseBody> {
     let random = gw.random();
     let (head, body) = req.into_parts();
-    match admit(&gw, head, body).await {
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit(&gw, head, body) => admitted,
+        () = gw.stop.interrupting.cancelled() => Err((Refusal::Stopping, String::new())),
+    };
+    match admitted {
         Ok(admitted) => run(ActiveRequest::new(gw, admitted, random)).await,
         Err((refusal, id)) => {
             gw.metrics.request("", refusal.name());
@@ -123,29 +140,39 @@
     }
 }
 
-/// Makes attempts until there is a response or a reason to give up.
+/// Serves an admitted request until its response begins, or until the stop of the daemon interrupts it.
 async fn run(mut req: ActiveRequest) -> Response<ResponseBody> {
     let mut log_entry = AccessLogEntry::new(&req);
+    let gw = Arc::clone(&req.gw);
+    let begun = tokio::select! {
+        biased;
+        begun = begin_response(&mut req, &mut log_entry) => begun,
+        () = gw.stop.interrupting.cancelled() => Err(Refusal::Stopping),
+    };
+    match begun {
+        Ok(started) => relay::respond(req, started, log_entry),
+        Err(refusal) => give_up(&req, log_entry, refusal),
+    }
+}
+
+/// Makes attempts until there is a response or a reason to give up.
+async fn begin_response(req: &mut ActiveRequest, log_entry: &mut AccessLogEntry) -> Result<ResponseStart, Refusal> {
     let now = req.gw.now();
     req.gw.fleet().record_request(&req.service, &req.gw.retry_budget(), now);
-    if let Err(refusal) = req.find_origin().await {
-        return give_up(&req, log_entry, refusal);
-    }
+    req.find_origin().await?;
     loop {
-        let plan = match req.next_plan().await {
-            Ok(plan) => plan,
-            Err(refusal) => return give_up(&req, log_entry, refusal),
-        };
+        let plan = req.next_plan().await?;
         log_entry.attempts += 1;
         let started_ms = wall_millis();
         let failure = match req.attempt(&plan).await {
             Ok(resp) => {
                 let replica = resp.in_flight.replica_key();
-                match start_response(&req, resp).await {
+                match start_response(req, resp).await {
                     Ok(started) => {
                         req.record_started(started_ms);
                         req.record_stream_begin(&started).await;
-                        return relay::respond(req, started, log_entry);
+                        req.progress = Progress::Begun;
+                        return Ok(started);
                     }
                     Err(why) => AttemptFailure::at(replica, why),
                 }
@@ -209,6 +236,7 @@
             serve_delivered: false,
             prefill_delivered: false,
             timed_out: false,
+            progress: Progress::Unanswered,
             credit: None,
             random,
         }
@@ -339,12 +367,8 @@
         if is_new && let Err(PlanError::TooLate { plan, .. }) = &chosen {
             fleet.record_demand(&self.service, &req, plan, false, now);
         }
-        let usual_duration = fleet.mean_answer_time(&self.service);
         match chosen {
-            Ok(plan) if is_new && plan.is_long() && !self.gw.stop.may_start_long(usual_duration, now) => {
-                emit!(info, REFUSED_STOPPING, request = self.caller.id, route = %self.route.name);
-                Err(Refusal::Stopping)
-            }
+            Ok(plan) if !self.may_start(&fleet, &plan, now) => Err(Refusal::Stopping),
             Ok(plan) => {
                 self.log_plan(&fleet, &plan, now);
                 Ok(plan)
@@ -362,6 +386,39 @@
         }
     }
 
+    /// Whether the request will be answered before a stop of the daemon ends. A response that has begun cannot be refused
+    /// any more, so it continues for as long as it can.
+    fn may_start(&self, fleet: &Fleet, plan: &Plan, now: Time) -> bool {
+        let is_long = plan.is_long();
+        let usual = if is_long {
+            let mean_s = fleet.mean_answer_time(&self.service).as_seconds();
+            Some(Span::seconds(mean_s * LONG_ANSWER_FACTOR))
+        } else {
+            self.gw.answer_times().usual_bound(&self.route.name)
+        };
+        if self.progress == Progress::Begun || self.gw.stop.may_start(self.deadline, usual, is_long, now) {
+            return true;
+        }
+        emit!(
+            info,
+            REFUSED_STOPPING,
+            request = self.caller.id,
+            route = %self.route.name,
+            long = is_long,
+            usual_ms = usual.map(Span::as_millis),
+            left_ms = self.deadline.since(now).as_millis(),
+            attempts = self.attempts
+        );
+        false
+    }
+
+    /// Records how long the replica took for a complete response.
+    pub(super) fn record_answer_time(&self, in_flight: &InFlightCall) {
+        if !in_flight.was_suspended() {
+            self.gw.answer_times().record(&self.route.name, in_flight.age());
+        }
+    }
+
     /// Counts the demand for engines by a request that is served.
     fn record_demand(&self, plan: &Plan) {
         if self.tried.is_empty() {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -11,22 +11,22 @@
 
 use dahliaseam_border::{dialect::SharedDialect, dialer::Dialer, feed::ChangeFeed, kv::KeyValue};
 use dahliaseam_core::{
+    answer_times::AnswerTimes,
     fleet::{Fleet, budget::RetryBudgetTerms, short_id},
     route::RouteTable,
-    time::{Span, Time},
+    time::Time,
     usage::WindowSchedule,
 };
 use dahliaseam_settings::gateway::{GatewaySettings, RetrySettings};
 use tokio::{net::UdpSocket, sync::Notify};
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::{
     clock::Clock,
     gateway::{
         freshness_probe::Probes, keys::Keys, leadership::Leadership, link::Link, metrics::GatewayMetrics,
-        origins::Origins, path::PathChecks, peer_table::Peers, quota::Quotas, store_cache::StoreCache, tunnel::Tunnels,
-        upstream::Upstream, usage::Usage,
+        origins::Origins, path::PathChecks, peer_table::Peers, quota::Quotas, stop::Stop, store_cache::StoreCache,
+        tunnel::Tunnels, upstream::Upstream, usage::Usage,
     },
 };
 
@@ -85,58 +85,11 @@
     pub(super) hall: u32,
     seeds: Mutex<Vec<SocketAddr>>,
     retries: Mutex<RetrySettings>,
+    answer_times: Mutex<AnswerTimes>,
     table: Mutex<Option<Arc<RouteTable>>>,
     random_counter: AtomicU64,
 }
 
-/// Stages of a graceful shutdown.
-#[derive(Debug, Default)]
-pub(super) struct Stop {
-    /// It has begun: the daemon reports not ready, but still accepts work.
-    pub(super) begun: CancellationToken,
-    /// No more connections are accepted.
-    pub(super) closing: CancellationToken,
-    /// Background tasks must end.
-    pub(super) finished: CancellationToken,
-    /// Requests in flight.
-    pub(super) requests: TaskTracker,
-    /// Tunnels that are served to peers.
-    pub(super) tunnels: TaskTracker,
-    /// When requests still in flight are interrupted by the exit of the process, in microseconds; 0 before the shutdown.
-    exit_at: AtomicU64,
-    /// When the daemon stops accepting requests with long answers, however short these have been, in microseconds.
-    no_long_from: AtomicU64,
-}
-
-/// Share of the shutdown time after which no long answer is started, even if one usually takes less than the time left.
-/// Some take far longer than usual, and all must be complete before the process exits.
-const LONG_ANSWER_SHARE: f64 = 0.3;
-
-/// Multiple of the usual duration of a long answer that must be left to start one. One in ten takes twice as long, and
-/// an answer that the exit of the process interrupts is lost. A caller that is refused finds another VM within its
-/// latency objective or soon after.
-const LONG_ANSWER_FACTOR: f64 = 1.3;
-
-impl Stop {
-    /// Starts the shutdown.
-    pub(super) fn begin(&self, now: Time, exit_at: Time) {
-        let no_long_from = now + Span::seconds(exit_at.since(now).as_seconds() * LONG_ANSWER_SHARE);
-        self.no_long_from.store(no_long_from.0, Ordering::Relaxed);
-        self.exit_at.store(exit_at.0, Ordering::Relaxed);
-        self.begun.cancel();
-    }
-
-    /// Whether a long answer that usually takes `usual` may still be started.
-    pub(super) fn may_start_long(&self, usual: Span, now: Time) -> bool {
-        let exit_at = self.exit_at.load(Ordering::Relaxed);
-        if exit_at == 0 {
-            return true;
-        }
-        let too_late = Time(self.no_long_from.load(Ordering::Relaxed)).is_past(now);
-        !too_late && Time(exit_at).since(now).as_seconds() > usual.as_seconds() * LONG_ANSWER_FACTOR
-    }
-}
-
 /// Where and for which windows usage is reported, if the platform asks for it.
 fn usage_terms(settings: &GatewaySettings, deps: &Dependencies) -> Option<(SocketAddr, WindowSchedule)> {
     let duties = settings.duties.as_ref()?;
@@ -177,6 +130,7 @@
             hall: short_id(&settings.hall),
             seeds: Mutex::new(settings.seeds.clone()),
             retries: Mutex::new(settings.retries),
+            answer_times: Mutex::default(),
             table: Mutex::new(None),
             random_counter: AtomicU64::new(run_id),
             settings,
@@ -195,6 +149,11 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Durations of the answers on each route.
+    pub(super) fn answer_times(&self) -> MutexGuard<'_, AnswerTimes> {
+        self.answer_times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What was last read from the store.
     pub(super) fn store_cache(&self) -> MutexGuard<'_, StoreCache> {
         self.store_cache.lock().unwrap_or_else(PoisonError::into_inner)
@@ -210,6 +169,7 @@
         let mut current = self.table.lock().unwrap_or_else(PoisonError::into_inner);
         let is_newer = current.as_ref().is_none_or(|current| table.version > current.version);
         if is_newer {
+            self.answer_times().retain(|route| table.has_route(route));
             *current = Some(Arc::new(table));
         }
         is_newer
--- /dev/null
+++ b/crates/daemon/src/gateway/stop.rs
@@ -0,0 +1,62 @@
+//! Stages of a graceful stop, and which requests may still be started.
+//!
+//! A request that is interrupted by the exit of the process is lost, while one that is refused as not run finds another
+//! daemon at once. So a request is started only if it will be answered before: its deadline comes first, or answers to
+//! requests like it are known to take less than the time left. What is open in the end is answered nevertheless.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use dahliaseam_core::time::{Span, Time};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+/// Time after which the load balancer sends no new connections: it checks every second and stops after two failed checks.
+/// From then on no duration is relied on, since some answers take far longer than any before.
+const BALANCER_REMOVAL_TIME: Span = Span::millis(2_250);
+/// Share of the stop time after which that holds for long answers, whose durations differ the most.
+const LONG_ANSWER_SHARE: f64 = 0.3;
+
+/// Progress of a graceful stop.
+#[derive(Debug, Default)]
+pub(super) struct Stop {
+    /// It has begun: the daemon reports not ready, but still accepts work.
+    pub(super) begun: CancellationToken,
+    /// No more connections are accepted.
+    pub(super) closing: CancellationToken,
+    /// Requests without a response are answered now, as far as that can be done.
+    pub(super) interrupting: CancellationToken,
+    /// Background tasks must end.
+    pub(super) finished: CancellationToken,
+    /// Requests in flight.
+    pub(super) requests: TaskTracker,
+    /// Tunnels that are served to peers.
+    pub(super) tunnels: TaskTracker,
+    /// When requests that are still open are interrupted, in microseconds; 0 before the stop.
+    interrupt_at: AtomicU64,
+    /// From when on durations are not relied on, in microseconds.
+    uncertain_from: AtomicU64,
+    /// The same for long answers.
+    long_uncertain_from: AtomicU64,
+}
+
+impl Stop {
+    /// Begins the stop.
+    pub(super) fn begin(&self, now: Time, interrupt_at: Time) {
+        let long_uncertain_from = now + Span::seconds(interrupt_at.since(now).as_seconds() * LONG_ANSWER_SHARE);
+        self.long_uncertain_from.store(long_uncertain_from.0, Ordering::Relaxed);
+        self.uncertain_from.store((now + BALANCER_REMOVAL_TIME).0, Ordering::Relaxed);
+        self.interrupt_at.store(interrupt_at.0, Ordering::Relaxed);
+        self.begun.cancel();
+    }
+
+    /// Whether a request that ends by `deadline` may be started. `usual` is the time within which requests like it are
+    /// answered, if that is known.
+    pub(super) fn may_start(&self, deadline: Time, usual: Option<Span>, is_long: bool, now: Time) -> bool {
+        let interrupt_at = Time(self.interrupt_at.load(Ordering::Relaxed));
+        if !self.begun.is_cancelled() || deadline <= interrupt_at {
+            return true;
+        }
+        let uncertain_from = if is_long { &self.long_uncertain_from } else { &self.uncertain_from };
+        let is_uncertain = Time(uncertain_from.load(Ordering::Relaxed)).is_past(now);
+        !is_uncertain && usual.is_none_or(|usual| now + usual < interrupt_at)
+    }
+}
