Changes are read from the oldest page of a read of the store on

Cause: reads that may be old come in pages of different ages. The changes were read from the revision of the first page on, so those between an older later page and the first one were never read.

Evidence: the log of the case, where STORE_READ states the newest revision and ROUTES_IN_FORCE the old configuration.

Why this works: the changes after the oldest page complete all pages, as each key is ordered by its own revision. Entries that are missing although everything up to their revision was read are known to be gone, and an old read or a late change doesn't bring them back.

STORE_READ (311) states the ages.

--- a/crates/border/src/feed.rs
+++ b/crates/border/src/feed.rs
@@ -12,8 +12,10 @@
 pub struct Snapshot {
     /// The entries.
     pub entries: Vec<Entry>,
-    /// Revision after which to read the changes, so that none is missed.
+    /// Revision after which to read the changes, so that none is missed. Some entries may be newer.
     pub revision: i64,
+    /// Revision of the newest part of the read.
+    pub newest: i64,
 }
 
 /// One change of a key.
--- a/crates/core/tests/revision_table.rs
+++ b/crates/core/tests/revision_table.rs
@@ -81,3 +81,45 @@
     assert_eq!(table.missing_from(&HashSet::from(["b"])).len(), 1);
     assert_eq!(table.remove("a", 6), Some("five"));
 }
+
+/// Guards against pages of different ages: a copy that is read from them and completed by the changes after the oldest one
+/// equals the store, whatever was changed, removed and written again in between.
+#[test]
+fn copy_read_from_pages_of_any_age_equals_store() {
+    for seed in 0..300 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut store: BTreeMap<String, i64> = BTreeMap::new();
+        let mut versions = Vec::new();
+        let mut changes = Vec::new();
+        for revision in 1..200_i64 {
+            let key = format!("k{:02}", rng.random_range(0..20));
+            let removed = rng.random_bool(0.4);
+            if removed {
+                store.remove(&key);
+            } else {
+                store.insert(key.clone(), revision);
+            }
+            changes.push((key, removed, revision));
+            versions.push((revision, store.clone()));
+        }
+        let mut table = RevisionTable::default();
+        let mut oldest = i64::MAX;
+        for page in 0..4 {
+            let (read_at, read) = &versions[rng.random_range(100..versions.len())];
+            oldest = oldest.min(*read_at);
+            let (from, until) = (format!("k{:02}", page * 5), format!("k{:02}", page * 5 + 5));
+            for (key, revision) in read.range(from..until) {
+                table.put(key, *revision, (key.clone(), *revision));
+            }
+        }
+        for (key, removed, revision) in changes.into_iter().filter(|(_, _, revision)| *revision > oldest) {
+            if removed {
+                table.remove(&key, revision);
+            } else {
+                table.put(&key, revision, (key.clone(), revision));
+            }
+        }
+        let copy: BTreeMap<String, i64> = table.values().cloned().collect();
+        assert_eq!(copy, store, "seed {seed}");
+    }
+}
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -71,7 +71,7 @@
     KV_LOST = 303, "The key-value service does not answer.";
     KV_BACK = 304, "The key-value service answers again.";
     ROUTES_IN_FORCE = 310, "A newer version of the routes is in force on this VM.";
-    STORE_READ = 311, "All entries of the store were read again.";
+    STORE_READ = 311, "All entries of the store were read again. Its pages may differ in age: changes are read from `revision` on, that of the oldest one; `newest` is that of the newest one.";
     STORE_LOST = 312, "The store does not answer; the daemon continues with its copy.";
     STORE_BACK = 313, "The store answers again; replicas whose entries lapsed in the meantime get a short time to register again.";
     HISTORY_GONE = 314, "The store has discarded changes that this daemon has not read yet; everything is read again.";
--- a/crates/daemon/src/gateway/snapshot_transfer.rs
+++ b/crates/daemon/src/gateway/snapshot_transfer.rs
@@ -194,13 +194,14 @@
     gw.store_cache().set_grace(gw.now() + Span::millis(update.grace_ms), update.lapsed_up_to);
     let entries = update.entries.into_iter().map(Entry::from);
     if update.whole {
-        store_watch::apply_snapshot(gw, Snapshot { entries: entries.collect(), revision: update.revision });
+        let revision = update.revision;
+        store_watch::apply_snapshot(gw, Snapshot { entries: entries.collect(), revision, newest: revision });
         let mut cache = gw.store_cache();
         cache.merged_era = cache.merged_era.max(update.merged_era);
         return;
     }
     for entry in entries {
-        store_watch::apply(gw, Change::Put(entry));
+        store_watch::apply_unless_outdated(gw, Change::Put(entry));
     }
     for (key, revision) in update.removed {
         store_watch::apply(gw, Change::Removed { key, revision });
--- a/crates/daemon/src/gateway/store_cache.rs
+++ b/crates/daemon/src/gateway/store_cache.rs
@@ -95,10 +95,18 @@
         Ok(bytes)
     }
 
-    /// Records that everything was read at a revision: which keys were removed before is not known.
+    /// Records that everything was read, and advances to the revision of that: which keys were removed before is not known.
     pub(super) fn record_full_read(&mut self, revision: i64) {
-        self.replicas.record_full_read(revision);
-        self.daemons.record_full_read(revision);
+        self.advance(revision);
+        self.replicas.record_full_read(self.revision);
+        self.daemons.record_full_read(self.revision);
+    }
+
+    /// Whether an entry is known to have been removed since: it is missing here, although everything that the store held
+    /// at its revision was read.
+    pub(super) fn is_outdated(&self, entry: &Entry) -> bool {
+        let is_known = self.replicas.get(&entry.key).is_some() || self.daemons.get(&entry.key).is_some();
+        !is_known && entry.revision <= self.revision && revision::era(entry.revision) == revision::era(self.revision)
     }
 
     /// Allows entries that were removed up to the revision `lapsed_up_to` to come back until `until`.
--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -24,7 +24,7 @@
     emit,
     gateway::{
         autoscaler, blamed, metrics::StoreCall, peers::priority, quota, snapshot_transfer::CacheUpdate, state::Gateway,
-        usage,
+        store_cache::StoreCache, usage,
     },
 };
 
@@ -163,7 +163,7 @@
             store_answered(gw, revision);
             let at = proved_at(asked_at, wait, !changes.is_empty(), gw.now());
             for change in changes {
-                apply(gw, change);
+                apply_unless_outdated(gw, change);
             }
             gw.store_cache().advance(revision);
             record_proof(gw, at);
@@ -199,7 +199,7 @@
     }
 }
 
-/// Applies all entries as of a revision.
+/// Applies all entries, which are as of a revision or newer.
 pub(super) fn apply_snapshot(gw: &Arc<Gateway>, snapshot: Snapshot) {
     let prefix = gw.deps.dialect.replica_prefix();
     let revision = snapshot.revision;
@@ -221,7 +221,9 @@
             );
         }
         let missing = [cache.replicas.missing_from(&keys), cache.daemons.missing_from(&keys)].concat();
-        let entries: Vec<Entry> = snapshot.entries.into_iter().filter_map(|entry| cache.merge(entry)).collect();
+        let is_older = revision < before;
+        let entries = snapshot.entries.into_iter().filter(|entry| !is_older || !is_outdated(gw, &cache, entry));
+        let entries: Vec<Entry> = entries.filter_map(|entry| cache.merge(entry)).collect();
         (is_return, missing, entries)
     };
     let replicas = entries.iter().filter(|entry| entry.key.starts_with(prefix)).count();
@@ -235,10 +237,15 @@
             apply(gw, Change::Removed { key: key.to_string(), revision });
         }
     }
-    let mut cache = gw.store_cache();
-    cache.advance(revision);
-    cache.record_full_read(revision);
-    emit!(info, STORE_READ, era = revision::era(revision), revision = revision::number(revision), replicas);
+    gw.store_cache().record_full_read(revision);
+    emit!(
+        info,
+        STORE_READ,
+        era = revision::era(revision),
+        revision = revision::number(revision),
+        newest = revision::number(snapshot.newest),
+        replicas
+    );
 }
 
 /// Handles the loss of an entry of the daemons that an older copy of the store lacks: nobody has removed it.
@@ -292,6 +299,19 @@
     is_duty
 }
 
+/// Applies a change that may have been on its way for longer than what is known.
+pub(super) fn apply_unless_outdated(gw: &Arc<Gateway>, change: Change) {
+    let is_outdated = matches!(&change, Change::Put(entry) if is_outdated(gw, &gw.store_cache(), entry));
+    if !is_outdated {
+        apply(gw, change);
+    }
+}
+
+/// Whether an entry is known to have been removed since. The configuration never is.
+fn is_outdated(gw: &Gateway, cache: &StoreCache, entry: &Entry) -> bool {
+    entry.key != gw.deps.dialect.configuration_key() && cache.is_outdated(entry)
+}
+
 /// Applies one change.
 pub(super) fn apply(gw: &Arc<Gateway>, change: Change) {
     let dialect = &gw.deps.dialect;
