Any number of a configuration is taken, and a panic ends one connection and is seen

Cause: limit and margin became the size of the HTTP library's buffer, which panics below 8,192 bytes; the panic ended the task of the connection and was neither logged nor counted.

Evidence: the panics on standard error.

Why this works: the buffer has the minimum of the library, and the configured limit is compared with the headers that were read. Whole numbers are clamped instead of making a configuration invalid that the store has accepted, and sums saturate.

Headers above the limit by up to 4 KiB were served before and get 431 now.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -35,6 +35,9 @@
 /// caller could lose the response.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
+/// Minimum size of the buffer for a head, in bytes; the HTTP library panics below this.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+
 /// Responses with which a connection is closed while its caller may be sending a request. Each is a complete message
 /// and states that no request was run.
 #[derive(Clone, Debug)]
@@ -94,7 +97,7 @@
         let mut conn = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.head_timeout)
-            .max_buf_size(self.limits.max_head_bytes)
+            .max_buf_size(self.limits.max_head_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         let ended = tokio::select! {
             ended = poll_fn(|cx| conn.poll_without_shutdown(cx)) => ended,
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -11,7 +11,7 @@
     team::Identity,
     time::Time,
 };
-use http::{header, request, uri::PathAndQuery};
+use http::{HeaderMap, header, request, uri::PathAndQuery};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
@@ -46,6 +46,9 @@
         gw.deps.dialect.decode_caller_request(&head).map_err(|e| (Refusal::BadHead(e.to_string()), String::new()))?;
     let refused = |refusal| (refusal, caller.id.clone());
     let table = gw.table().ok_or_else(|| refused(Refusal::NoConfiguration))?;
+    if header_bytes(&head.headers) > table.limits.head_bytes {
+        return Err(refused(Refusal::HeadTooLarge));
+    }
     let (route, service) = find_route(&table, &head, &caller).ok_or_else(|| refused(Refusal::NoRoute))?;
     let identity = gw.keys.authenticate(&table, &route, &caller.key, arrived).map_err(refused)?;
     let timeout = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -55,6 +58,12 @@
     Ok(Admitted { head, body, caller, content, route, service, identity, version: table.version, arrived, deadline })
 }
 
+/// Size of all header fields as they are sent, each with its separators.
+fn header_bytes(headers: &HeaderMap) -> usize {
+    const SEPARATORS: usize = ": ".len() + "\r\n".len();
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS).sum()
+}
+
 /// Marks keys as sensitive, so that Debug output of a head does not show them.
 fn mark_keys_sensitive(head: &mut request::Parts) {
     for (_, value) in head.headers.iter_mut().filter(|(name, _)| **name == header::AUTHORIZATION) {
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -26,6 +26,8 @@
     KeyUncertain,
     /// The head is invalid.
     BadHead(String),
+    /// The headers are larger than allowed.
+    HeadTooLarge,
     /// The body is larger than allowed.
     BodyTooLarge,
     /// The body did not arrive in time.
@@ -82,6 +84,7 @@
             Self::UnknownKey => "unknown_key",
             Self::KeyUncertain => "key_uncertain",
             Self::BadHead(_) => "bad_head",
+            Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyLate => "body_late",
             Self::NoReplica => "no_replica",
@@ -106,6 +109,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BadHead(_) => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
@@ -151,7 +155,7 @@
     fn retry_after(&self, random: u64) -> Option<Span> {
         match self {
             Self::TooLate { retry_after } | Self::ReplicasLimited { retry_after } => Some(*retry_after),
-            Self::OverQuota { retry_after } => retry_after.map(|wait| Span(wait.0 + random % RETRY_AFTER_JITTER.0)),
+            Self::OverQuota { retry_after } => retry_after.map(|wait| wait + Span(random % RETRY_AFTER_JITTER.0)),
             Self::NoConfiguration
             | Self::KeyUncertain
             | Self::QuotaUnavailable
@@ -167,7 +171,7 @@
 
     /// Whether bytes of the request may still arrive on the connection.
     const fn leaves_unread_body(&self) -> bool {
-        matches!(self, Self::BadHead(_) | Self::BodyTooLarge | Self::BodyLate)
+        matches!(self, Self::BadHead(_) | Self::HeadTooLarge | Self::BodyTooLarge | Self::BodyLate)
     }
 }
 
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -27,6 +27,7 @@
         store_watch, suspension, tunnel, usage,
     },
     listener::{ConnectionLimits, serve_with},
+    listener_health::ListenerHealth,
 };
 
 /// Time after the stop signal during which new connections may still arrive: the load balancer checks every second and
@@ -40,7 +41,7 @@
 const MAX_PAGE_CONNECTIONS: usize = 64;
 /// Idle timeout of these connections.
 const PAGE_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Maximum bytes of a request head on these connections; the HTTP library requires at least this much.
+/// Maximum bytes of a request head on these connections.
 const MAX_PAGE_HEAD_BYTES: usize = 8 << 10;
 
 /// A running daemon that routes requests to discovered replicas.
@@ -68,8 +69,9 @@
         let tunnel_listener = bind("load_address", settings.load_address).await?;
         let (requested, requests) = mpsc::unbounded_channel();
         let run_id = run_id(&settings, &deps);
-        let metrics = GatewayMetrics::new(deps.dropped_lines.clone())?;
-        let gw = Arc::new(Gateway::new(settings, deps, socket, metrics, PathChecks::new(requested), run_id));
+        let health = Arc::<ListenerHealth>::default();
+        let metrics = GatewayMetrics::new(deps.dropped_lines.clone(), Arc::clone(&health))?;
+        let gw = Arc::new(Gateway::new(settings, deps, socket, metrics, health, PathChecks::new(requested), run_id));
         let background = TaskTracker::new();
         background.spawn(store_watch::run(Arc::clone(&gw)));
         background.spawn(peers::run(Arc::clone(&gw)));
@@ -145,7 +147,7 @@
         max_head_bytes: MAX_PAGE_HEAD_BYTES,
     };
     let handler = crate::listener::router_handler(router);
-    serve_with(listener, handler, limits, None, gw.stop.closing.clone(), stop).await;
+    serve_with(listener, handler, limits, None, Arc::default(), gw.stop.closing.clone(), stop).await;
 }
 
 async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
--- a/crates/daemon/src/gateway/listener.rs
+++ b/crates/daemon/src/gateway/listener.rs
@@ -13,8 +13,11 @@
 
 /// Idle timeout of a connection before a configuration is known.
 const DEFAULT_HEAD_TIMEOUT: Span = Span::millis(15_000);
-/// Maximum bytes of a head before a configuration is known.
-const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+/// Minimum time for a head, whatever is configured: no caller sends one in less than some round trips.
+const MIN_HEAD_TIMEOUT: Span = Span::millis(500);
+/// Bytes of a head that are read, whatever is configured: before a configuration is known, and on kept connections after
+/// the limit was raised. Larger heads than the limit in force are refused when they have been read.
+const MIN_HEAD_BYTES: usize = 16 << 10;
 /// Bytes that are read beyond the configured head size, so that a head of exactly that size fits.
 const HEAD_MARGIN_BYTES: usize = 4 << 10;
 
@@ -28,16 +31,18 @@
         let gw = Arc::clone(&gw);
         move || connection_limits(&gw)
     };
-    serve_with(listener, handler, limits, None, gw.stop.begun.clone(), gw.stop.closing.clone()).await;
+    let health = Arc::clone(&gw.listener_health);
+    serve_with(listener, handler, limits, None, health, gw.stop.begun.clone(), gw.stop.closing.clone()).await;
 }
 
 fn connection_limits(gw: &Gateway) -> ConnectionLimits {
     let limits = gw.table().map(|table| table.limits);
     // One timer covers both the wait for a request and its head, so the longer limit applies.
     let head_time = limits.map_or(DEFAULT_HEAD_TIMEOUT, |limits| limits.idle_time.max(limits.head_time));
+    let head_bytes = limits.map_or(MIN_HEAD_BYTES, |limits| limits.head_bytes.max(MIN_HEAD_BYTES));
     ConnectionLimits {
         connections: gw.settings.caller_connections(),
-        head_timeout: duration(head_time),
-        max_head_bytes: limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes) + HEAD_MARGIN_BYTES,
+        head_timeout: duration(head_time.max(MIN_HEAD_TIMEOUT)),
+        max_head_bytes: head_bytes.saturating_add(HEAD_MARGIN_BYTES),
     }
 }
--- a/crates/daemon/src/gateway/pages.rs
+++ b/crates/daemon/src/gateway/pages.rs
@@ -71,7 +71,13 @@
     if gw.is_ready() {
         return "ready\n".into_response();
     }
-    let why = if gw.stop.begun.is_cancelled() { "stopping\n" } else { "no configuration\n" };
+    let why = if gw.stop.begun.is_cancelled() {
+        "stopping\n"
+    } else if !gw.listener_health.is_sound() {
+        "connections end by panics\n"
+    } else {
+        "no configuration\n"
+    };
     (StatusCode::SERVICE_UNAVAILABLE, why).into_response()
 }
 
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -498,7 +498,7 @@
     /// Whether the caller's timeout is shorter than the route allows, as after a refusal and a retry by the caller.
     fn is_caller_retry(&self) -> bool {
         let timeout = self.deadline.since(self.arrived);
-        timeout.0 < self.route.timeout.0 * RETRIED_TIMEOUT_PERCENT / 100
+        timeout.0 < self.route.timeout.0.saturating_mul(RETRIED_TIMEOUT_PERCENT) / 100
     }
 
     fn log_plan(&self, fleet: &Fleet, plan: &Plan, now: Time) {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -28,6 +28,7 @@
         origins::Origins, path::PathChecks, peer_table::Peers, quota::Quotas, stop::Stop, store_cache::StoreCache,
         tunnel::Tunnels, upstream::Upstream, usage::Usage,
     },
+    listener_health::ListenerHealth,
 };
 
 /// External dependencies of a daemon, which tests can replace with fakes.
@@ -71,6 +72,8 @@
     pub(super) origins: Origins,
     pub(super) metrics: GatewayMetrics,
     pub(super) stop: Stop,
+    /// Whether connections of callers are served.
+    pub(super) listener_health: Arc<ListenerHealth>,
     /// Wakes the task that publishes load reports.
     pub(super) load_changed: Notify,
     /// Wakes the task that aggregates the hall, when one of its daemons has reported something.
@@ -102,6 +105,7 @@
         deps: Dependencies,
         socket: UdpSocket,
         metrics: GatewayMetrics,
+        listener_health: Arc<ListenerHealth>,
         path_checks: PathChecks,
         run_id: u64,
     ) -> Self {
@@ -122,6 +126,7 @@
             origins: Origins::default(),
             metrics,
             stop: Stop::default(),
+            listener_health,
             load_changed: Notify::new(),
             hall_changed: Notify::new(),
             peer_ahead: Notify::new(),
@@ -209,6 +214,7 @@
 
     /// Whether the load balancer should send requests to this daemon.
     pub(super) fn is_ready(&self) -> bool {
-        !self.stop.begun.is_cancelled() && self.table().is_some() && self.store_cache().is_complete()
+        let is_serving = !self.stop.begun.is_cancelled() && self.listener_health.is_sound();
+        is_serving && self.table().is_some() && self.store_cache().is_complete()
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod gateway;
 pub mod health;
 pub mod listener;
+pub mod listener_health;
 pub mod membership;
 pub mod metrics;
 pub mod node;
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -1,10 +1,10 @@
 //! Accepts connections, limits their number and the time for their headers, and closes them at a graceful stop.
 
-use std::{error::Error, sync::Arc, time::Duration};
+use std::{any::Any, error::Error, panic::AssertUnwindSafe, sync::Arc, time::Duration};
 
 use axum::{Router, body::Body};
 use dahliaseam_settings::settings::Limits;
-use futures_util::future::BoxFuture;
+use futures_util::{FutureExt, future::BoxFuture};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use tokio::{
@@ -17,6 +17,7 @@
 use crate::{
     connection::{CloseNotices, Connection},
     emit,
+    listener_health::ListenerHealth,
 };
 
 /// Delay after accepting a connection failed, for example because no file descriptors are left.
@@ -57,7 +58,7 @@
     closing: CancellationToken,
 ) {
     let limits = move || ConnectionLimits::from(limits);
-    serve_with(listener, router_handler(router), limits, Some(notices), begun, closing).await;
+    serve_with(listener, router_handler(router), limits, Some(notices), Arc::default(), begun, closing).await;
 }
 
 /// Turns a router into a handler for [`serve_with`].
@@ -72,7 +73,7 @@
 
 /// Serves requests until `closing` is cancelled, then closes idle connections and waits for the busy ones.
 ///
-/// `limits` is called for each connection. `begun` is cancelled when a graceful stop begins. From then on, each
+/// `limits` is called for each connection, and `health` counts those that end by a panic. `begun` is cancelled when a graceful stop begins. From then on, each
 /// response also closes its connection, so that few are left on which a caller may be writing when the listener closes.
 /// These are closed with a response from `notices`, if there is one.
 pub async fn serve_with<F, A, B>(
@@ -80,6 +81,7 @@
     handler: F,
     limits: impl Fn() -> ConnectionLimits,
     notices: Option<CloseNotices>,
+    health: Arc<ListenerHealth>,
     begun: CancellationToken,
     closing: CancellationToken,
 ) where
@@ -89,11 +91,12 @@
     B::Data: Send,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let permits = Arc::new(Semaphore::new(limits().connections));
+    let permits = Arc::new(Semaphore::new(limits().connections.min(Semaphore::MAX_PERMITS)));
     let server = Server {
         handler,
         limits,
         notices,
+        health,
         begun,
         permits,
         closing_connections: CancellationToken::new(),
@@ -119,6 +122,12 @@
     server.connections.wait().await;
 }
 
+/// The message of a panic.
+fn panic_message(panic: &(dyn Any + Send)) -> &str {
+    let text = panic.downcast_ref::<&str>().copied();
+    text.or_else(|| panic.downcast_ref::<String>().map(String::as_str)).unwrap_or("unknown")
+}
+
 /// Accepts the connections that are still pending when the listener closes. Their callers may already have sent
 /// requests.
 fn accept_pending(listener: TcpListener) -> Vec<TcpStream> {
@@ -143,6 +152,7 @@
     handler: F,
     limits: T,
     notices: Option<CloseNotices>,
+    health: Arc<ListenerHealth>,
     begun: CancellationToken,
     permits: Arc<Semaphore>,
     closing_connections: CancellationToken,
@@ -172,9 +182,15 @@
             closing: self.closing_connections.clone(),
             notices: self.notices.clone(),
         };
-        let handler = self.handler.clone();
+        let (handler, health) = (self.handler.clone(), Arc::clone(&self.health));
         self.connections.spawn(async move {
-            conn.serve(stream, handler).await;
+            match AssertUnwindSafe(conn.serve(stream, handler)).catch_unwind().await {
+                Ok(()) => health.record_served(),
+                Err(panic) => {
+                    health.record_panic();
+                    emit!(error, CONNECTION_PANICKED, why = panic_message(&*panic), panics = health.panics());
+                }
+            }
             drop(permit);
         });
     }
--- a/crates/daemon/tests/listener.rs
+++ b/crates/daemon/tests/listener.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpStream as CallerStream},
+    sync::Arc,
     time::Duration,
 };
 
@@ -10,6 +11,7 @@
 use dahliaseamd::{
     caller::refusal::close_notices,
     listener::{ConnectionLimits, serve_with},
+    listener_health::ListenerHealth,
 };
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -40,7 +42,7 @@
     let closing = CancellationToken::new();
     closing.cancel();
     let handler = |_| async { Response::new(Body::from("done")) };
-    let serving = serve_with(listener, handler, limits, None, closing.clone(), closing);
+    let serving = serve_with(listener, handler, limits, None, Arc::default(), closing.clone(), closing);
     tokio::time::timeout(TIMEOUT, serving).await.expect("the listener stops within the timeout");
     let answered = callers.iter_mut().filter_map(|caller| read(caller).ok()).filter(|text| text.contains("done"));
     assert_eq!(answered.count(), callers.len());
@@ -49,6 +51,7 @@
 /// A listener that serves until it is closed.
 struct Served {
     address: SocketAddr,
+    health: Arc<ListenerHealth>,
     begun: CancellationToken,
     closing: CancellationToken,
     serving: JoinHandle<()>,
@@ -63,10 +66,13 @@
             if req.uri() == "/slow" {
                 tokio::time::sleep(SLOW_RESPONSE).await;
             }
+            assert_ne!(req.uri(), "/panic");
             Response::new(Body::from("done"))
         };
-        let serving = serve_with(listener, handler, limits, Some(close_notices()), begun.clone(), closing.clone());
-        Self { address, begun, closing, serving: tokio::spawn(serving) }
+        let health = Arc::<ListenerHealth>::default();
+        let (counts, notices) = (Arc::clone(&health), Some(close_notices()));
+        let serving = serve_with(listener, handler, limits, notices, counts, begun.clone(), closing.clone());
+        Self { address, health, begun, closing, serving: tokio::spawn(serving) }
     }
 
     /// Opens a connection and sends `bytes` on it.
@@ -95,6 +101,29 @@
     }
 }
 
+/// Guards against connections that end by a panic unseen, while the daemon says that it serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_end_by_a_panic_are_counted_and_a_listener_of_only_such_ones_is_not_sound() {
+    let served = Served::start().await;
+    let panic = || read(&mut served.connect(b"GET /panic HTTP/1.1\r\nHost: x\r\n\r\n"));
+    for _ in 0..7 {
+        assert!(panic().is_ok_and(|text| text.is_empty()));
+    }
+    assert!(served.health.is_sound());
+    drop(served.connect_kept());
+    tokio::time::sleep(AFTER_CLOSE).await;
+    for n in 7..15 {
+        assert_eq!((served.health.panics(), served.health.is_sound()), (n, true));
+        let _ = panic();
+        tokio::time::sleep(AFTER_CLOSE / 4).await;
+    }
+    assert_eq!((served.health.panics(), served.health.is_sound()), (15, false));
+    drop(served.connect_kept());
+    tokio::time::sleep(AFTER_CLOSE).await;
+    assert!(served.health.is_sound());
+    served.close().await;
+}
+
 /// Guards against a request without a response: it was sent on a kept connection just as a stopping daemon closed that,
 /// and its caller saw "connection closed before message completed" and could not tell whether it ran.
 #[tokio::test(flavor = "multi_thread")]
