The versions of software that may have begun streams are recorded in the store

What callers saw (report from a system like this one; possible here): after a loss of power of all daemons beside a release, streams that were taken up were answered 200 and ran to the end with text of two versions.

Cause: a daemon that has just started took the versions that it had seen for all that there were. A caller that names nothing was believed at once, one that names its first request after the time limit of its route; versions that left before, or while all daemons were down, were never seen.

Why this works: which versions may have begun streams changes at releases only. The daemons keep it in the store from a version's first replica until four times the time limit of its route after the last one has left. A stream of unknown origin goes on only if one version is recorded, and a daemon that has just started relies on the records once it has read the store up to date, which it does right after its first read now.

--- a/crates/core/src/fleet/software.rs
+++ b/crates/core/src/fleet/software.rs
@@ -56,6 +56,19 @@
         only.map_or(RecentSoftware::Several, RecentSoftware::Only)
     }
 
+    /// The versions of a service's software that replicas have at present.
+    #[must_use]
+    pub fn serving_software(&self, service: &str) -> Vec<Arc<str>> {
+        let replicas = self.candidates.all(service).iter().filter_map(|key| self.get(*key));
+        let mut versions: Vec<&Arc<str>> = Vec::new();
+        for replica in replicas {
+            if !versions.contains(&&replica.facts.software) {
+                versions.push(&replica.facts.software);
+            }
+        }
+        versions.into_iter().cloned().collect()
+    }
+
     /// Name of the software version of an origin, if a replica has it.
     #[must_use]
     pub fn software_name(&self, origin: Origin) -> Option<&str> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod revision;
 pub mod revision_table;
 pub mod route;
+pub mod software_records;
 pub mod stream_origin;
 pub mod superseded;
 pub mod team;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -192,6 +192,14 @@
         routes_to_service.filter_map(|route| route.max_event_gap).min()
     }
 
+    /// Longest time limit of the routes to a service on which streams may go on elsewhere; `None` if there are none.
+    #[must_use]
+    pub fn resumable_time(&self, service: &str) -> Option<Span> {
+        let routes = self.hosts.values().flatten().filter(|route| route.stream && route.repeat == Repeat::Allowed);
+        let routes = routes.filter(|route| route.service_weights.iter().any(|entry| &*entry.service == service));
+        routes.map(|route| route.timeout).max()
+    }
+
     /// Iterates over all services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
         self.services.values()
--- a/crates/core/src/stream_origin.rs
+++ b/crates/core/src/stream_origin.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    fmt,
     net::SocketAddr,
 };
 
@@ -58,6 +59,24 @@
     pub fn of(service: &str, software: &str) -> Self {
         Self(rendezvous(hash::bytes(service.as_bytes()), hash::bytes(software.as_bytes())))
     }
+
+    /// The origin with this identifier, as it is displayed.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        u64::from_str_radix(text, 16).ok().map(Self)
+    }
+
+    /// Its identifier.
+    #[must_use]
+    pub const fn id(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -95,6 +95,7 @@
     TUNNEL_FAILED = 331, "No peer opened a tunnel to a replica; `asked` lists the peers that were asked, each with its answer and the time that it took.";
     TUNNEL_SERVED = 332, "A peer asked this daemon for a tunnel to a replica. At debug level.";
     STREAM_TAKEN_UP = 333, "A caller takes up a stream; `named_by` is who named the version of software that began it. With `nobody` the request is refused, since streams may not go on at another version.";
+    SOFTWARE_NOT_RECORDED = 334, "Which versions of software serve could not be recorded in the store; it is tried again.";
     PATHS_LOSSY = 335, "This daemon's own paths to replicas lose so many packets that calls go through peers, or `is_lossy` is false and they no longer do. Check the network of this VM.";
     MEMBER = 400, "The number of daemons believed to be alive changed.";
     LIST_REFUSED = 401, "The VM list does not contain this VM and is ignored.";
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -22,7 +22,7 @@
         metrics::GatewayMetrics,
         orders, pages,
         path::{self, PathChecks},
-        peers, quota, snapshot_transfer,
+        peers, quota, snapshot_transfer, software_records,
         state::Gateway,
         store_watch, suspension, tunnel, usage,
     },
@@ -86,6 +86,7 @@
         background.spawn(serve_pages(Arc::clone(&gw), state_listener, pages::state(&gw)));
         background.spawn(snapshot_transfer::run(Arc::clone(&gw)));
         background.spawn(blamed::run(Arc::clone(&gw)));
+        background.spawn(software_records::run(Arc::clone(&gw)));
         background.spawn(suspension::run(Arc::clone(&gw)));
         background.spawn(path::run(Arc::clone(&gw), requests));
         background.spawn(tunnel::run(Arc::clone(&gw), tunnel_listener));
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -34,6 +34,8 @@
     Sizes,
     /// Acquire quota shards, or renew their lease.
     Quota,
+    /// Record which versions of software serve.
+    Software,
     /// Store which requests are refused or suspected because replicas crash while running them.
     Refused,
 }
@@ -49,6 +51,7 @@
             Self::Usage => "usage",
             Self::Sizes => "sizes",
             Self::Quota => "quota",
+            Self::Software => "software",
             Self::Refused => "refused",
         }
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -56,6 +56,7 @@
 mod request;
 mod sends;
 mod snapshot_transfer;
+mod software_records;
 mod sse;
 mod state;
 mod stop;
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -164,9 +164,8 @@
     async fn look_up_origin(&self) -> (Option<Origin>, NamedBy) {
         let lifetime = self.route.timeout + MARGIN;
         let Some(resumes) = &self.caller.resumes else {
-            // The caller knows of no versions. It is served unless this daemon knows of several.
-            let recent = self.gw.fleet().known_software(&self.service, lifetime, self.gw.now());
-            return match recent {
+            // The caller knows of no versions. It is served if only one can have begun its stream.
+            return match self.gw.possible_origins(&self.service, lifetime) {
                 RecentSoftware::Only(origin) => (Some(origin), NamedBy::OnlyVersion),
                 RecentSoftware::Several | RecentSoftware::Unknown => (None, NamedBy::Nobody),
             };
@@ -220,12 +219,12 @@
     }
 }
 
-/// The versions of a service's software that served within `time`. Without the store, versions that are new are not known.
+/// The versions of a service's software that may have begun streams within `time`. Without the store, versions that are new are not known.
 fn recent_software(gw: &Gateway, service: &str, time: Span) -> RecentSoftware {
     if gw.store_cache().unreachable {
         return RecentSoftware::Unknown;
     }
-    gw.fleet().recent_software(service, time, gw.now())
+    gw.possible_origins(service, time)
 }
 
 /// Records where a stream began at another daemon.
--- a/crates/daemon/src/gateway/snapshot_transfer.rs
+++ b/crates/daemon/src/gateway/snapshot_transfer.rs
@@ -72,6 +72,9 @@
     /// The era in which it was compared with what was known before.
     #[serde(default)]
     pub(super) merged_era: i64,
+    /// Whether the store was read up to date for it.
+    #[serde(default)]
+    pub(super) is_confirmed: bool,
 }
 
 impl CacheUpdate {
@@ -191,6 +194,12 @@
 }
 
 fn apply_update(gw: &Arc<Gateway>, update: CacheUpdate) {
+    let is_confirmed = update.is_confirmed;
+    apply_entries(gw, update);
+    gw.store_cache().is_confirmed |= is_confirmed;
+}
+
+fn apply_entries(gw: &Arc<Gateway>, update: CacheUpdate) {
     gw.store_cache().set_grace(gw.now() + Span::millis(update.grace_ms), update.lapsed_up_to);
     let entries = update.entries.into_iter().map(Entry::from);
     if update.whole {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -25,8 +25,8 @@
     clock::Clock,
     gateway::{
         freshness_probe::Probes, keys::Keys, leadership::Leadership, link::Link, metrics::GatewayMetrics,
-        origins::Origins, path::PathChecks, peer_table::Peers, quota::Quotas, stop::Stop, store_cache::StoreCache,
-        tunnel::Tunnels, upstream::Upstream, usage::Usage,
+        origins::Origins, path::PathChecks, peer_table::Peers, quota::Quotas, software_records::Records, stop::Stop,
+        store_cache::StoreCache, tunnel::Tunnels, upstream::Upstream, usage::Usage,
     },
     listener_health::ListenerHealth,
 };
@@ -70,6 +70,8 @@
     pub(super) path_checks: PathChecks,
     pub(super) tunnels: Tunnels,
     pub(super) origins: Origins,
+    /// The versions of software that may have begun streams.
+    pub(super) software_records: Records,
     pub(super) metrics: GatewayMetrics,
     pub(super) stop: Stop,
     /// Whether connections of callers are served.
@@ -78,6 +80,8 @@
     pub(super) load_changed: Notify,
     /// Wakes the task that aggregates the hall, when one of its daemons has reported something.
     pub(super) hall_changed: Notify,
+    /// Wakes the task that records versions of software, when replicas have changed.
+    pub(super) replicas_changed: Notify,
     /// Wakes the task that fetches updates, when a peer has a newer revision of the store.
     pub(super) peer_ahead: Notify,
     /// When the daemon started, by its clock and by a clock that does not count suspensions.
@@ -124,11 +128,13 @@
             path_checks,
             tunnels: Tunnels::default(),
             origins: Origins::default(),
+            software_records: Records::default(),
             metrics,
             stop: Stop::default(),
             listener_health,
             load_changed: Notify::new(),
             hall_changed: Notify::new(),
+            replicas_changed: Notify::new(),
             peer_ahead: Notify::new(),
             started_at: (deps.clock.now(), Instant::now()),
             resumed: Notify::new(),
--- a/crates/daemon/src/gateway/store_cache.rs
+++ b/crates/daemon/src/gateway/store_cache.rs
@@ -31,6 +31,8 @@
     pub(super) returned_at: Option<Time>,
     /// Revision of the store up to which nothing is missing.
     pub(super) revision: i64,
+    /// Whether this daemon, or the peer whose copy it took, has read the store up to date since it started.
+    pub(super) is_confirmed: bool,
     /// When the store last answered.
     pub(super) last_answer_at: Time,
     /// Whether this daemon watches the store itself.
@@ -77,6 +79,7 @@
             grace_ms: self.grace_until.since(now).as_millis(),
             lapsed_up_to: self.lapsed_up_to,
             merged_era: self.merged_era,
+            is_confirmed: self.is_confirmed,
         }
     }
 
--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -23,8 +23,8 @@
     clock::duration,
     emit,
     gateway::{
-        autoscaler, blamed, metrics::StoreCall, peers::priority, quota, snapshot_transfer::CacheUpdate, state::Gateway,
-        store_cache::StoreCache, usage,
+        autoscaler, blamed, metrics::StoreCall, peers::priority, quota, snapshot_transfer::CacheUpdate,
+        software_records, state::Gateway, store_cache::StoreCache, usage,
     },
 };
 
@@ -37,6 +37,8 @@
 /// Delay between two watch calls, so that one call returns changes that come together. It is small compared with the
 /// seconds within which a change must be in force.
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Wait for changes after a read that may be old.
+const CATCH_UP_WAIT: Span = Span::millis(1);
 /// Interval between two checks whether peers still watch the store.
 const ELECTION_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between two sweeps for replicas that are gone and for old connections.
@@ -101,7 +103,12 @@
         gw.metrics.store_call(StoreCall::Probe);
         gw.deps.feed.probe().await?;
     }
-    if is_initialized { poll_changes(gw, wait).await } else { read_all(gw, true).await }
+    if is_initialized {
+        return poll_changes(gw, wait).await;
+    }
+    read_all(gw, true).await?;
+    // What the read lacks is there already.
+    poll_changes(gw, CATCH_UP_WAIT).await
 }
 
 /// Leaves watching the store to peers for a while.
@@ -134,6 +141,7 @@
     store_answered(gw, snapshot.revision);
     apply_snapshot(gw, snapshot);
     if !may_be_old {
+        gw.store_cache().is_confirmed = true;
         record_proof(gw, asked_at);
     }
     Ok(())
@@ -165,7 +173,11 @@
             for change in changes {
                 apply_unless_outdated(gw, change);
             }
-            gw.store_cache().advance(revision);
+            {
+                let mut cache = gw.store_cache();
+                cache.advance(revision);
+                cache.is_confirmed = true;
+            }
             record_proof(gw, at);
             Ok(())
         }
@@ -322,7 +334,10 @@
             if !gw.store_cache().put_daemon_entry(&entry, gw.now()) {
                 return;
             }
-            if !blamed::apply_put(gw, &entry) && !quota::apply_put(gw, &entry) {
+            if !blamed::apply_put(gw, &entry)
+                && !quota::apply_put(gw, &entry)
+                && !software_records::apply_put(gw, &entry)
+            {
                 gw.peers.register(&entry);
             }
         }
@@ -335,6 +350,7 @@
                 gw.peers.deregister(&key);
                 quota::apply_removal(gw, &key);
                 blamed::apply_removal(gw, &key);
+                software_records::apply_removal(gw, &key);
             }
         }
         Change::Put(_) => {}
@@ -402,6 +418,7 @@
                 gw.upstream.close_idle(address);
             }
             if gw.fleet().put(facts, entry.revision) {
+                gw.replicas_changed.notify_one();
                 emit!(
                     info,
                     REPLICA_KNOWN,
@@ -436,6 +453,7 @@
         cache.gone_at(revision, now)
     };
     if gw.fleet().mark_removed(id, revision, gone_at) {
+        gw.replicas_changed.notify_one();
         emit!(
             info,
             REPLICA_LEFT,
