A stream that is taken up waits until its daemon has read the store up to date

A stream of unknown origin that is taken up at a daemon which has only just started waits for up to 1 s until the daemon has read the store up to date.

--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -27,6 +27,10 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time after which the daemons that have not replied are asked again, since a datagram may be lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(25);
+/// Maximum wait of a stream that is taken up until a daemon that has just started has read the store up to date.
+const CONFIRMATION_WAIT: Span = Span::millis(1_000);
+/// Interval between two checks whether it has.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(10);
 /// Time after a stream's deadline for which its origin is kept.
 const MARGIN: Span = Span::millis(2_000);
 /// Maximum time for which an origin is kept on the word of another daemon.
@@ -165,6 +169,7 @@
         let lifetime = self.route.timeout + MARGIN;
         let Some(resumes) = &self.caller.resumes else {
             // The caller knows of no versions. It is served if only one can have begun its stream.
+            self.wait_for_confirmation(lifetime).await;
             return match self.gw.possible_origins(&self.service, lifetime) {
                 RecentSoftware::Only(origin) => (Some(origin), NamedBy::OnlyVersion),
                 RecentSoftware::Several | RecentSoftware::Unknown => (None, NamedBy::Nobody),
@@ -180,6 +185,7 @@
             Ok(origin) => return (Some(origin), NamedBy::Peer),
             Err(recent) => recent,
         };
+        self.wait_for_confirmation(lifetime).await;
         let own = recent_software(&self.gw, &self.service, lifetime);
         match only_origin(own, &recent, daemons.len()) {
             Some(origin) => (Some(origin), NamedBy::OnlyVersion),
@@ -187,6 +193,17 @@
         }
     }
 
+    /// Waits until this daemon knows which versions may have begun streams, if it has only just started and sees one.
+    async fn wait_for_confirmation(&self, lifetime: Span) {
+        let until = self.deadline.min(self.gw.now() + CONFIRMATION_WAIT);
+        let (gw, service) = (&self.gw, &*self.service);
+        let sees_one = || matches!(gw.fleet().known_software(service, lifetime, gw.now()), RecentSoftware::Only(_));
+        let is_unknown = || gw.possible_origins(service, lifetime) == RecentSoftware::Unknown;
+        while sees_one() && is_unknown() && !gw.store_cache().unreachable && !until.is_past(gw.now()) {
+            tokio::time::sleep(CONFIRMATION_INTERVAL).await;
+        }
+    }
+
     /// Asks other daemons where a stream began.
     ///
     /// # Errors
--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -37,8 +37,6 @@
 /// Delay between two watch calls, so that one call returns changes that come together. It is small compared with the
 /// seconds within which a change must be in force.
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
-/// Wait for changes after a read that may be old.
-const CATCH_UP_WAIT: Span = Span::millis(1);
 /// Interval between two checks whether peers still watch the store.
 const ELECTION_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between two sweeps for replicas that are gone and for old connections.
@@ -103,12 +101,7 @@
         gw.metrics.store_call(StoreCall::Probe);
         gw.deps.feed.probe().await?;
     }
-    if is_initialized {
-        return poll_changes(gw, wait).await;
-    }
-    read_all(gw, true).await?;
-    // What the read lacks is there already.
-    poll_changes(gw, CATCH_UP_WAIT).await
+    if is_initialized { poll_changes(gw, wait).await } else { read_all(gw, true).await }
 }
 
 /// Leaves watching the store to peers for a while.
