ORDER: a daemon reads the store up to date before it leaves watching to peers

Cause: a daemon that had only made a first read, which may be old, could stand by after 250 ms. Copies from peers in the same state don't confirm it, so it didn't know which versions may have begun streams until it watched again.

Evidence: its log: STORE_READ, 250 ms later FOLLOWING with following=false, BORROWED, and only then STREAM_TAKEN_UP by nobody after 1,005 ms.

Why this works: a daemon stands by only after one answer of the store that is up to date, unless the store can't be reached; that call doesn't wait for changes.

--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -56,16 +56,16 @@
     let mut election = Election::default();
     let timing = ElectionTiming { watch_deadline: Span::millis(gw.settings.timing.contact_ms) };
     loop {
-        let is_initialized = gw.store_cache().revision > 0;
-        if is_initialized && !is_elected(gw, &mut election, timing) && !gw.keys.is_proof_stale(gw.now()) {
+        let (is_initialized, may_stand_by) = {
+            let cache = gw.store_cache();
+            (cache.revision > 0, cache.revision > 0 && (cache.is_confirmed || cache.unreachable))
+        };
+        if may_stand_by && !is_elected(gw, &mut election, timing) && !gw.keys.is_proof_stale(gw.now()) {
             stand_by(gw).await;
             continue;
         }
         set_watching(gw, true);
-        let wait = gw
-            .keys
-            .max_watch_wait()
-            .map_or(election.next_wait(timing), |longest| election.next_wait(timing).min(longest));
+        let wait = next_wait(gw, &election, timing);
         match poll(gw, is_initialized, wait).await {
             Ok(()) => {
                 if election.record_answer() {
@@ -83,6 +83,16 @@
     }
 }
 
+/// Maximum wait of the next call. The first one after a read that may be old does not wait, so that the daemon soon knows
+/// that nothing is missing.
+fn next_wait(gw: &Gateway, election: &Election, timing: ElectionTiming) -> Span {
+    if !gw.store_cache().is_confirmed {
+        return Span::default();
+    }
+    let wait = election.next_wait(timing);
+    gw.keys.max_watch_wait().map_or(wait, |longest| wait.min(longest))
+}
+
 fn is_elected(gw: &Gateway, election: &mut Election, timing: ElectionTiming) -> bool {
     let now = gw.now();
     let is_alone = gw.seeds().is_empty() && !gw.peers.has_hall_peers(gw.hall);
