--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -236,7 +236,8 @@
     }
 }
 
-/// The versions of a service's software that may have begun streams within `time`. Without the store, versions that are new are not known.
+/// The versions of a service's software that may have begun streams within `time`. Without the store, versions that are
+/// new are not known.
 fn recent_software(gw: &Gateway, service: &str, time: Span) -> RecentSoftware {
     if gw.store_cache().unreachable {
         return RecentSoftware::Unknown;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -35,7 +35,6 @@
         relay::{self, ResponseStart},
         sends::{Evidence, Sends},
         state::Gateway,
-        work::InFlightCall,
     },
 };
 
@@ -53,8 +52,6 @@
 /// Maximum time for which a request waits for a check of the paths to its replicas before it is refused because of them.
 /// A check takes up to the time limit of its connection, and one more connection through a peer.
 const PATH_CHECK_WAIT: Span = Span::millis(200);
-/// Multiple of the mean duration of long answers within which most are complete: one in ten takes twice as long.
-const LONG_ANSWER_FACTOR: f64 = 1.3;
 /// Minimum time left for which another attempt is worthwhile.
 const MIN_ATTEMPT_TIME: Span = Span::millis(15);
 
@@ -95,7 +92,7 @@
     unsent: Vec<(ReplicaKey, bool)>,
     /// Replicas that are tried again, once, since they are reached through peers now.
     readmitted: Vec<ReplicaKey>,
-    attempts: usize,
+    pub(super) attempts: usize,
     /// Number of replicas where nothing listened.
     gone_replicas: usize,
     /// Retries already charged to the retry budget for the next attempt.
@@ -105,7 +102,7 @@
     /// Whether the request reached a replica for prefill.
     prefill_delivered: bool,
     timed_out: bool,
-    progress: Progress,
+    pub(super) progress: Progress,
     /// Team for whose usage the request is to be counted when it starts to run.
     usage_team: Option<Arc<Team>>,
     /// Credit taken from the team's quota and not spent yet.
@@ -115,7 +112,7 @@
 
 /// How far the response to a request has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Progress {
+pub(super) enum Progress {
     Unanswered,
     /// A part of it may have been relayed.
     Begun,
@@ -386,39 +383,6 @@
         }
     }
 
-    /// Whether the request will be answered before a stop of the daemon ends. A response that has begun cannot be refused
-    /// any more, so it continues for as long as it can.
-    fn may_start(&self, fleet: &Fleet, plan: &Plan, now: Time) -> bool {
-        let is_long = plan.is_long();
-        let usual = if is_long {
-            let mean_s = fleet.mean_answer_time(&self.service).as_seconds();
-            Some(Span::seconds(mean_s * LONG_ANSWER_FACTOR))
-        } else {
-            self.gw.answer_times().usual_bound(&self.route.name)
-        };
-        if self.progress == Progress::Begun || self.gw.stop.may_start(self.deadline, usual, is_long, now) {
-            return true;
-        }
-        emit!(
-            info,
-            REFUSED_STOPPING,
-            request = self.caller.id,
-            route = %self.route.name,
-            long = is_long,
-            usual_ms = usual.map(Span::as_millis),
-            left_ms = self.deadline.since(now).as_millis(),
-            attempts = self.attempts
-        );
-        false
-    }
-
-    /// Records how long the replica took for a complete response.
-    pub(super) fn record_answer_time(&self, in_flight: &InFlightCall) {
-        if !in_flight.was_suspended() {
-            self.gw.answer_times().record(&self.route.name, in_flight.age());
-        }
-    }
-
     /// Counts the demand for engines by a request that is served.
     fn record_demand(&self, plan: &Plan) {
         if self.tried.is_empty() {
--- a/crates/daemon/src/gateway/stop.rs
+++ b/crates/daemon/src/gateway/stop.rs
@@ -6,14 +6,27 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use dahliaseam_core::time::{Span, Time};
+use dahliaseam_core::{
+    fleet::{Fleet, plan::Plan},
+    time::{Span, Time},
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
+use crate::{
+    emit,
+    gateway::{
+        request::{ActiveRequest, Progress},
+        work::InFlightCall,
+    },
+};
+
 /// Time after which the load balancer sends no new connections: it checks every second and stops after two failed checks.
 /// From then on no duration is relied on, since some answers take far longer than any before.
 const BALANCER_REMOVAL_TIME: Span = Span::millis(2_250);
 /// Share of the stop time after which that holds for long answers, whose durations differ the most.
 const LONG_ANSWER_SHARE: f64 = 0.3;
+/// Multiple of the mean duration of long answers within which most are complete: one in ten takes twice as long.
+const LONG_ANSWER_FACTOR: f64 = 1.3;
 
 /// Progress of a graceful stop.
 #[derive(Debug, Default)]
@@ -60,3 +73,38 @@
         !is_uncertain && usual.is_none_or(|usual| now + usual < interrupt_at)
     }
 }
+
+impl ActiveRequest {
+    /// Whether the request will be answered before a stop of the daemon ends. A response that has begun cannot be refused
+    /// any more, so it continues for as long as it can.
+    pub(super) fn may_start(&self, fleet: &Fleet, plan: &Plan, now: Time) -> bool {
+        let is_long = plan.is_long();
+        let usual = if is_long {
+            let mean_s = fleet.mean_answer_time(&self.service).as_seconds();
+            Some(Span::seconds(mean_s * LONG_ANSWER_FACTOR))
+        } else {
+            self.gw.answer_times().usual_bound(&self.route.name)
+        };
+        if self.progress == Progress::Begun || self.gw.stop.may_start(self.deadline, usual, is_long, now) {
+            return true;
+        }
+        emit!(
+            info,
+            REFUSED_STOPPING,
+            request = self.caller.id,
+            route = %self.route.name,
+            long = is_long,
+            usual_ms = usual.map(Span::as_millis),
+            left_ms = self.deadline.since(now).as_millis(),
+            attempts = self.attempts
+        );
+        false
+    }
+
+    /// Records how long the replica took for a complete response.
+    pub(super) fn record_answer_time(&self, in_flight: &InFlightCall) {
+        if !in_flight.was_suspended() {
+            self.gw.answer_times().record(&self.route.name, in_flight.age());
+        }
+    }
+}
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -73,9 +73,9 @@
 
 /// Serves requests until `closing` is cancelled, then closes idle connections and waits for the busy ones.
 ///
-/// `limits` is called for each connection, and `health` counts those that end by a panic. `begun` is cancelled when a graceful stop begins. From then on, each
-/// response also closes its connection, so that few are left on which a caller may be writing when the listener closes.
-/// These are closed with a response from `notices`, if there is one.
+/// `limits` is called for each connection, and `health` counts those that end by a panic. `begun` is cancelled when a
+/// graceful stop begins. From then on, each response also closes its connection, so that few are left on which a caller
+/// may be writing when the listener closes. These are closed with a response from `notices`, if there is one.
 pub async fn serve_with<F, A, B>(
     listener: TcpListener,
     handler: F,
