CONFIG: the request target counts towards the limit for heads

What callers saw: heads above max_header_bytes were served if their size was in the request target: 200 for a target of 8,192 bytes under a limit of 8,192.

Cause: since new connections are served under any limit, the buffer of the HTTP library holds at least 20 KiB, and only the headers were compared with the configured limit.

Why this works: method, target and headers are compared with the limit, as they are sent. A target of 7,000 bytes is still served.

--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -11,7 +11,7 @@
     team::Identity,
     time::Time,
 };
-use http::{HeaderMap, header, request, uri::PathAndQuery};
+use http::{header, request, uri::PathAndQuery};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
@@ -46,7 +46,7 @@
         gw.deps.dialect.decode_caller_request(&head).map_err(|e| (Refusal::BadHead(e.to_string()), String::new()))?;
     let refused = |refusal| (refusal, caller.id.clone());
     let table = gw.table().ok_or_else(|| refused(Refusal::NoConfiguration))?;
-    if header_bytes(&head.headers) > table.limits.head_bytes {
+    if head_bytes(&head) > table.limits.head_bytes {
         return Err(refused(Refusal::HeadTooLarge));
     }
     let (route, service) = find_route(&table, &head, &caller).ok_or_else(|| refused(Refusal::NoRoute))?;
@@ -58,10 +58,14 @@
     Ok(Admitted { head, body, caller, content, route, service, identity, version: table.version, arrived, deadline })
 }
 
-/// Size of all header fields as they are sent, each with its separators.
-fn header_bytes(headers: &HeaderMap) -> usize {
+/// Size of a head as it is sent: the method, the target and all header fields, each with its separators.
+fn head_bytes(head: &request::Parts) -> usize {
+    const LINE_REST: usize = "  HTTP/1.1\r\n".len();
     const SEPARATORS: usize = ": ".len() + "\r\n".len();
-    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS).sum()
+    let authority = head.uri.authority().map_or(0, |authority| "http://".len() + authority.as_str().len());
+    let path = head.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let fields = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS);
+    head.method.as_str().len() + authority + path + LINE_REST + fields.sum::<usize>() + "\r\n".len()
 }
 
 /// Marks keys as sensitive, so that Debug output of a head does not show them.
