CONFIG: token counts and sizes of pools near the largest numbers don't overflow

What callers saw: a request whose head states token counts near 2^32 lost its connection where overflows are checked; elsewhere the sums wrapped, and costs were estimated from them. With scaling limits near 2^32, the leader's task for sizes ended.

Cause: as for the limit for heads, numbers of documents reached arithmetic that can't take them: sums of a prompt's cached and uncached tokens, and of a pool's engines over all halls, in the type of a single one.

Evidence: odd_numbers_cause_no_panic, which sets numbers of the configuration, replicas and callers at once, before: FAILED.

Why this works: a prompt counts at most 2^28 tokens, and its parts no more than itself, where it is created, so that no sum of a request's counts can overflow. Engines of all halls are summed as u64.

--- a/crates/core/src/fleet/pool.rs
+++ b/crates/core/src/fleet/pool.rs
@@ -54,7 +54,7 @@
     /// Number of engines of both kinds.
     #[must_use]
     pub const fn total(self) -> u32 {
-        self.staying + self.reclaimable
+        self.staying.saturating_add(self.reclaimable)
     }
 }
 
@@ -143,10 +143,12 @@
         let size = |pool: &PoolSize, hall| pool.get(hall).copied().unwrap_or_default();
         // Engines that were released may still appear as running.
         let staying = |hall| size(running, hall).staying.min(size(ordered, hall).staying);
-        let serving: u32 = wanted.keys().map(|hall| staying(hall) + size(running, hall).reclaimable).sum();
+        // Configured limits may be as large as their type, so sums over halls need a larger one.
+        let serving: u64 =
+            wanted.keys().map(|hall| u64::from(staying(hall)) + u64::from(size(running, hall).reclaimable)).sum();
         let max_lost = wanted.values().map(|hall| hall.reclaimable).max().unwrap_or_default();
-        let required = wanted.values().map(|hall| hall.total()).sum::<u32>() - max_lost;
-        let mut releasable = serving.saturating_sub(required);
+        let required = total_engines(wanted) - u64::from(max_lost);
+        let mut releasable = u32::try_from(serving.saturating_sub(required)).unwrap_or(u32::MAX);
         let next = wanted.iter().map(|(hall, wanted)| {
             let surplus = size(ordered, hall).staying.saturating_sub(wanted.staying);
             let released = surplus.min(releasable);
@@ -163,11 +165,15 @@
 /// large enough.
 #[must_use]
 pub fn should_replace(new: &PoolSize, current: &PoolSize) -> bool {
-    let total = |size: &PoolSize| f64::from(size.values().map(|hall| hall.total()).sum::<u32>());
-    let (new, current) = (total(new), total(current));
+    let (new, current) = (total_engines(new) as f64, total_engines(current) as f64);
     new > current || new < current * (1.0 - SCALE_DOWN_MARGIN)
 }
 
+/// Number of engines in all halls.
+fn total_engines(size: &PoolSize) -> u64 {
+    size.values().map(|hall| u64::from(hall.staying) + u64::from(hall.reclaimable)).sum()
+}
+
 impl Fleet {
     /// Number of running engines of a service that are not draining, by hall and kind.
     #[must_use]
--- a/crates/core/src/prompt.rs
+++ b/crates/core/src/prompt.rs
@@ -15,6 +15,10 @@
     }
 }
 
+/// Maximum number of tokens that is counted for a prompt or an answer. No engine holds as many, and sums of some stay within
+/// their type.
+pub const MAX_TOKENS: u32 = 1 << 28;
+
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
@@ -40,24 +44,33 @@
 }
 
 impl Prompt {
-    /// Creates a prompt for `model` from the identifiers and token counts of its parts.
+    /// Creates a prompt for `model` from the identifiers and token counts of its parts. More tokens than [`MAX_TOKENS`] are
+    /// not counted, nor are those of parts beyond the prompt's own.
     #[must_use]
     pub fn new(model: &str, parts: impl Iterator<Item = (u64, u32)>, tokens: u32, max_output: u32) -> Self {
         let mut hash = Xxh3::new();
         hash.write(model.as_bytes());
         let mut part_ids = Vec::new();
+        let tokens = tokens.min(MAX_TOKENS);
+        let mut left = tokens;
         let chained = parts.map(|(id, tokens)| {
             hash.write_u64(id);
             part_ids.push(PartId(id));
+            let tokens = tokens.min(left);
+            left -= tokens;
             Part { prefix_hash: hash.finish(), tokens }
         });
-        Self { parts: chained.collect(), part_ids, tokens, max_output, output_hint: None }
+        let parts = chained.collect();
+        Self { parts, part_ids, tokens, max_output: max_output.min(MAX_TOKENS), output_hint: None }
     }
 
     /// Adds the caller's estimate of the answer's tokens.
     #[must_use]
     pub const fn with_output_hint(mut self, output_hint: Option<u32>) -> Self {
-        self.output_hint = output_hint;
+        self.output_hint = match output_hint {
+            Some(hint) if hint > MAX_TOKENS => Some(MAX_TOKENS),
+            hint => hint,
+        };
         self
     }
 
--- a/crates/core/tests/fleet/pool.rs
+++ b/crates/core/tests/fleet/pool.rs
@@ -250,3 +250,20 @@
     assert!(total(&wanted) <= 6, "{wanted:?}");
     assert!(changes <= 20, "{changes} changes");
 }
+
+/// Guards against limits that are as large as their type: sums over the halls overflowed.
+#[test]
+fn sizes_within_the_largest_limits_are_ordered() {
+    for (min, max) in [(u32::MAX, u32::MAX), (0, u32::MAX), (1, u32::MAX - 1)] {
+        for reclaimable_price in [None, Some(0.0), Some(-1.0), Some(f64::MAX)] {
+            let scaling = Scaling { min, max, reclaimable_price, ..scaling() };
+            for needed in [0.0, 3.0, f64::MAX] {
+                let wanted = scaling.wanted(needed, &FleetPolicy::default());
+                let order = scaling.next_order(&wanted, &wanted, &wanted);
+                assert_eq!(order, wanted, "{scaling:?}, {needed}");
+                assert!(!should_replace(&order, &wanted));
+                assert!(order.values().all(|hall| hall.total() >= min));
+            }
+        }
+    }
+}
