ORDER: the end of a version's streams doesn't depend on the time of day

What callers saw: nothing yet; found in review. The streams of a version that has left could be taken for ended too early, and go on at another version after a restart of all daemons.

Cause: the record of a version held the time of day at which its streams have ended, set by the leader and compared by each daemon. The margin for clocks that differ was 2 s; a clock that steps ahead by more ends records early, on the leader for all daemons.

Evidence: by reading, and in the core, where restrict took the other version for the only one once the time of day was past the end. No process was played with such a clock.

Why this works: records hold no time. Each daemon measures by its steady clock for how long a version has had no replica, and the leader removes the record after the lifetime of its streams. A daemon that has just started measures from its start, so it is late, never early.

--- a/crates/core/src/software_records.rs
+++ b/crates/core/src/software_records.rs
@@ -4,14 +4,20 @@
 //! So the versions that serve are recorded where that outlives the daemons: before the last daemon that saw a version is
 //! gone, and until no stream of it can be taken up any more. With these records a daemon that has just started knows
 //! whether a stream of unknown origin can have begun at one version only.
+//!
+//! Records contain no time: clocks of daemons differ, and a record that ends too early lets streams go on at another version.
+//! Each daemon measures for itself for how long a version has had no replica, from its own start on at the earliest.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     stream_origin::{Origin, RecentSoftware},
-    time::Span,
+    time::{Span, Time},
 };
 
 /// How many times the time limit of its route a stream may be taken up after it began: its caller may try again three
@@ -25,9 +31,6 @@
     pub service: Arc<str>,
     /// The version.
     pub software: Arc<str>,
-    /// When the streams that it began have ended, in Unix milliseconds; `None` while it serves.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub until_ms: Option<u64>,
 }
 
 impl SoftwareRecord {
@@ -36,10 +39,6 @@
     pub fn origin(&self) -> Origin {
         Origin::of(&self.service, &self.software)
     }
-
-    fn may_have_streams(&self, now_ms: u64) -> bool {
-        self.until_ms.is_none_or(|until_ms| until_ms > now_ms)
-    }
 }
 
 /// A change of the records.
@@ -47,8 +46,6 @@
 pub enum RecordChange {
     /// A version serves.
     Serves(SoftwareRecord),
-    /// The last replica of a version has left.
-    Left(SoftwareRecord),
     /// No stream of a version goes on any more.
     Ended(Origin),
 }
@@ -57,6 +54,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareRecords {
     records: HashMap<Origin, SoftwareRecord>,
+    /// When the streams of recorded versions without replicas have ended.
+    ends_at: HashMap<Origin, Time>,
 }
 
 impl SoftwareRecords {
@@ -78,43 +77,33 @@
 
     /// Restricts what is known of a service's versions by what is recorded.
     #[must_use]
-    pub fn restrict(&self, service: &str, known: RecentSoftware, now_ms: u64) -> RecentSoftware {
+    pub fn restrict(&self, service: &str, known: RecentSoftware) -> RecentSoftware {
         let RecentSoftware::Only(only) = known else { return known };
-        let recorded = self.records.iter().filter(|(_, record)| *record.service == *service);
-        let mut others = recorded.filter(|(origin, record)| **origin != only && record.may_have_streams(now_ms));
-        if others.next().is_some() { RecentSoftware::Several } else { known }
+        let mut recorded = self.records.iter().filter(|(_, record)| *record.service == *service);
+        if recorded.any(|(origin, _)| *origin != only) { RecentSoftware::Several } else { known }
     }
 
     /// The changes by which the records follow the versions that serve. `lifetime` is the time for which a service's
     /// streams may be taken up.
     #[must_use]
     pub fn changes(
-        &self,
-        serving: &[(Arc<str>, Arc<str>)],
+        &mut self,
+        serving: &[SoftwareRecord],
         lifetime: impl Fn(&str) -> Span,
-        now_ms: u64,
+        now: Time,
     ) -> Vec<RecordChange> {
-        let serving: HashMap<Origin, SoftwareRecord> = serving
-            .iter()
-            .map(|(service, software)| SoftwareRecord {
-                service: Arc::clone(service),
-                software: Arc::clone(software),
-                until_ms: None,
-            })
-            .map(|record| (record.origin(), record))
-            .collect();
-        let is_recorded = |origin| self.records.get(origin).is_some_and(|record| record.until_ms.is_none());
-        let new = serving.iter().filter(|(origin, _)| !is_recorded(origin));
-        let new = new.map(|(_, record)| RecordChange::Serves(record.clone()));
-        let gone = self.records.iter().filter(|(origin, _)| !serving.contains_key(origin));
-        let gone = gone.filter_map(|(origin, record)| match record.until_ms {
-            None => {
-                let until_ms = now_ms.saturating_add(lifetime(&record.service).as_millis());
-                Some(RecordChange::Left(SoftwareRecord { until_ms: Some(until_ms), ..record.clone() }))
+        let origins: HashSet<Origin> = serving.iter().map(SoftwareRecord::origin).collect();
+        let records = &self.records;
+        self.ends_at.retain(|origin, _| records.contains_key(origin) && !origins.contains(origin));
+        let mut changes = Vec::new();
+        for (origin, record) in records.iter().filter(|(origin, _)| !origins.contains(origin)) {
+            let ends_at = self.ends_at.entry(*origin).or_insert_with(|| now + lifetime(&record.service));
+            if ends_at.is_past(now) {
+                changes.push(RecordChange::Ended(*origin));
             }
-            Some(_) if record.may_have_streams(now_ms) => None,
-            Some(_) => Some(RecordChange::Ended(*origin)),
-        });
-        new.chain(gone).collect()
+        }
+        let new = serving.iter().filter(|record| !records.contains_key(&record.origin()));
+        changes.extend(new.cloned().map(RecordChange::Serves));
+        changes
     }
 }
--- a/crates/daemon/src/gateway/software_records.rs
+++ b/crates/daemon/src/gateway/software_records.rs
@@ -1,8 +1,8 @@
 //! Keeps the versions of software that may have begun streams in the store, for daemons that start when no other is left.
 //!
-//! The daemons that watch the store record a version when its first replica registers; others do so if none has. That the
-//! last replica of a version has left is recorded by the leader alone, so that daemons with different views don't
-//! overwrite each other.
+//! The daemons that watch the store record a version when its first replica registers; others do so if none has. The leader
+//! alone removes the record of a version that has had no replica for as long as its streams last, so that a daemon with
+//! another view doesn't.
 
 use std::{
     collections::HashMap,
@@ -19,7 +19,6 @@
 };
 
 use crate::{
-    clock::wall_millis,
     emit,
     gateway::{metrics::StoreCall, state::Gateway},
 };
@@ -36,7 +35,7 @@
 const TAKEOVER_JITTER_PER_DAEMON: Span = Span::millis(20);
 /// Delay before a change that failed, or whose effect is not visible yet, is made again.
 const RETRY_INTERVAL: Span = Span::millis(1_000);
-/// Time added to that for which a stream may be taken up, for clocks that differ.
+/// Time added to that for which a stream may be taken up, for the time that requests and changes are on their way.
 const MARGIN: Span = Span::millis(2_000);
 
 /// The records, as far as this daemon knows them.
@@ -65,7 +64,7 @@
         if is_young && !(is_recorded && self.store_cache().is_confirmed) {
             return RecentSoftware::Unknown;
         }
-        records.restrict(service, known, wall_millis())
+        records.restrict(service, known)
     }
 }
 
@@ -120,23 +119,23 @@
         .collect();
     let mut serving = Vec::new();
     for service in lifetimes.keys() {
-        let versions = gw.fleet().serving_software(service);
-        serving.extend(versions.into_iter().map(|software| (Arc::clone(service), software)));
+        let versions = gw.fleet().serving_software(service).into_iter();
+        serving.extend(versions.map(|software| SoftwareRecord { service: Arc::clone(service), software }));
     }
     let longest = lifetimes.values().copied().max().unwrap_or_default();
     let lifetime =
         |service: &str| Span(lifetimes.get(service).unwrap_or(&longest).0.saturating_mul(LIFETIME_FACTOR)) + MARGIN;
-    let mut changes = gw.software_records.lock().changes(&serving, lifetime, wall_millis());
+    let now = gw.now();
+    let mut changes = gw.software_records.lock().changes(&serving, lifetime, now);
     let lost = lost_records(gw, &serving);
     changes.extend(lost.into_iter().map(RecordChange::Serves));
-    let now = gw.now();
     let is_leader = gw.leadership.current(now).is_some();
     due.retain(|origin, _| changes.iter().any(|change| origin_of(change) == *origin));
     for change in changes {
         let origin = origin_of(&change);
         let value = match &change {
-            RecordChange::Left(_) | RecordChange::Ended(_) if !is_leader => continue,
-            RecordChange::Serves(record) | RecordChange::Left(record) => serde_json::to_string(record).ok(),
+            RecordChange::Ended(_) if !is_leader => continue,
+            RecordChange::Serves(record) => serde_json::to_string(record).ok(),
             RecordChange::Ended(_) => None,
         };
         let due_at = due.entry(origin).or_insert_with(|| first_attempt_at(gw, is_leader, origin, now));
@@ -150,24 +149,19 @@
 
 fn origin_of(change: &RecordChange) -> Origin {
     match change {
-        RecordChange::Serves(record) | RecordChange::Left(record) => record.origin(),
+        RecordChange::Serves(record) => record.origin(),
         RecordChange::Ended(origin) => *origin,
     }
 }
 
 /// The records of versions that serve and that the store lacks since it came back from an older copy.
-fn lost_records(gw: &Gateway, serving: &[(Arc<str>, Arc<str>)]) -> Vec<SoftwareRecord> {
-    let records = serving.iter().map(|(service, software)| SoftwareRecord {
-        service: Arc::clone(service),
-        software: Arc::clone(software),
-        until_ms: None,
-    });
+fn lost_records(gw: &Gateway, serving: &[SoftwareRecord]) -> Vec<SoftwareRecord> {
     let known = gw.software_records.lock();
     let cache = gw.store_cache();
-    let is_lost = |record: &SoftwareRecord| {
+    let is_lost = |record: &&SoftwareRecord| {
         known.contains(record.origin()) && cache.daemons.get(&key(gw, record.origin())).is_none()
     };
-    records.filter(is_lost).collect()
+    serving.iter().filter(is_lost).cloned().collect()
 }
 
 /// When this daemon makes a change: at once if it watches the store or leads, otherwise if nobody else has made it.
