Bodies of requests share a bounded memory

What callers saw: connections that broke, since the daemon's process was ended by its machine; it held more than 260 MB. Among those lost were requests that replicas had run.

Cause: nothing bounded the sum of the bodies. The limits were per body and per connection (422 of 4 MB each with 1,100 files). Chunks were kept as slices of what the HTTP library had read, and a slice keeps the whole buffer of its read, so that a chunk of one byte took kilobytes; joining them copied the body, so that both stood for a moment.

Change: bodies are copied into memory of their own as their bytes arrive, a heap buffer up to 64 KiB and mapped pages beyond, so that what is counted is what is held, and what is freed goes back. All of them get a third of the machine's memory (setting `memory_mb`, by default what the system has), an eighth of that for small bodies alone. When it is used up the body that was granted memory longest ago gives way, or else the one that needs more; complete bodies don't. What is refused is refused at once with 503 `no_body_memory` and a retry time: nothing of it was sent, so "not run" is true. core `body_memory` decides.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,13 +6,14 @@
 //!
 //! Requests on routes go to discovered replicas, see [`route`], [`prompt`] and [`fleet`]. Callers' keys are
 //! checked by [`team`], given a [`proof`] of the configuration's age, and the quotas of their teams are
-//! enforced by [`quota`].
+//! enforced by [`quota`]. Memory for their bodies is shared by [`body_memory`].
 //!
 //! The tables ([`endpoint`], [`request`], [`member`]) hold their rows under small `Copy` keys. The components
 //! that work on them are [`dispatch`] (which endpoint serves a request), [`member`] (which daemons are alive),
 //! [`planner`] (which role an engine has) and [`custody`] (which process may order an engine).
 
 pub mod answer_times;
+pub mod body_memory;
 pub mod bucket;
 pub mod choose;
 pub mod claim;
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -12,10 +12,12 @@
     time::Time,
 };
 use http::{header, request, uri::PathAndQuery};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 
-use crate::gateway::{answer::Refusal, state::Gateway};
+use crate::{
+    body_store::BodyError,
+    gateway::{answer::Refusal, state::Gateway},
+};
 
 /// A request that was read completely and may run.
 #[derive(Debug)]
@@ -94,16 +96,10 @@
 }
 
 async fn read_body(gw: &Gateway, body: Incoming, limit: usize, deadline: Time) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if body.size_hint().lower() > limit as u64 {
-        return Err(Refusal::BodyTooLarge);
-    }
-    match gw.timeout_at(deadline, Limited::new(body, limit).collect()).await {
-        None => Err(Refusal::BodyLate),
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Some(Err(e)) => Err(Refusal::BadHead(format!("the body broke off: {e}"))),
-    }
+    let received = gw.timeout_at(deadline, gw.bodies.receive(body, limit)).await;
+    received.ok_or(Refusal::BodyLate)?.map_err(|e| match e {
+        BodyError::TooLarge => Refusal::BodyTooLarge,
+        BodyError::NoMemory => Refusal::NoBodyMemory,
+        BodyError::Broken(why) => Refusal::BadHead(format!("the body broke off: {why}")),
+    })
 }
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -32,6 +32,8 @@
     BodyTooLarge,
     /// The body did not arrive in time.
     BodyLate,
+    /// The memory for bodies is used up.
+    NoBodyMemory,
     /// No replica accepts work.
     NoReplica,
     /// The caller takes up a stream, and it is not known which version of software began it.
@@ -87,6 +89,7 @@
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyLate => "body_late",
+            Self::NoBodyMemory => "no_body_memory",
             Self::NoReplica => "no_replica",
             Self::UnknownOrigin => "unknown_origin",
             Self::TooLate { .. } => "too_late",
@@ -114,6 +117,7 @@
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfiguration
+            | Self::NoBodyMemory
             | Self::KeyUncertain
             | Self::QuotaUnavailable
             | Self::NoReplica
@@ -157,6 +161,7 @@
             Self::TooLate { retry_after } | Self::ReplicasLimited { retry_after } => Some(*retry_after),
             Self::OverQuota { retry_after } => retry_after.map(|wait| wait + Span(random % RETRY_AFTER_JITTER.0)),
             Self::NoConfiguration
+            | Self::NoBodyMemory
             | Self::KeyUncertain
             | Self::QuotaUnavailable
             | Self::NoReplica
@@ -171,7 +176,7 @@
 
     /// Whether bytes of the request may still arrive on the connection.
     const fn leaves_unread_body(&self) -> bool {
-        matches!(self, Self::BadHead(_) | Self::HeadTooLarge | Self::BodyTooLarge | Self::BodyLate)
+        matches!(self, Self::BadHead(_) | Self::HeadTooLarge | Self::BodyTooLarge | Self::BodyLate | Self::NoBodyMemory)
     }
 }
 
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -14,6 +14,7 @@
 
 pub use crate::gateway::{log::Log, state::Dependencies};
 use crate::{
+    caller_resources::CallerResources,
     clock::wall_millis,
     emit,
     error::StartError,
@@ -27,7 +28,6 @@
         store_watch, suspension, tunnel, usage,
     },
     listener::{ConnectionLimits, serve_with},
-    listener_health::ListenerHealth,
 };
 
 /// Time after the stop signal during which new connections may still arrive: the load balancer checks every second and
@@ -69,9 +69,9 @@
         let tunnel_listener = bind("load_address", settings.load_address).await?;
         let (requested, requests) = mpsc::unbounded_channel();
         let run_id = run_id(&settings, &deps);
-        let health = Arc::<ListenerHealth>::default();
-        let metrics = GatewayMetrics::new(deps.dropped_lines.clone(), Arc::clone(&health))?;
-        let gw = Arc::new(Gateway::new(settings, deps, socket, metrics, health, PathChecks::new(requested), run_id));
+        let callers = CallerResources::new(Arc::clone(&deps.clock), settings.memory());
+        let metrics = GatewayMetrics::new(deps.dropped_lines.clone(), &callers)?;
+        let gw = Arc::new(Gateway::new(settings, deps, socket, metrics, callers, PathChecks::new(requested), run_id));
         let background = TaskTracker::new();
         background.spawn(store_watch::run(Arc::clone(&gw)));
         background.spawn(peers::run(Arc::clone(&gw)));
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,7 +1,5 @@
 //! Metrics of the gateway, exported as Prometheus text.
 
-use std::sync::Arc;
-
 use opentelemetry::{
     KeyValue,
     metrics::{AsyncInstrument, Counter, Gauge, Histogram, MeterProvider as _},
@@ -10,7 +8,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use tracing_appender::non_blocking::ErrorCounter;
 
-use crate::{error::StartError, listener_health::ListenerHealth};
+use crate::{caller_resources::CallerResources, error::StartError};
 
 /// Bucket bounds of the histograms, in seconds.
 const BUCKETS_SECONDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.5, 1.0, 2.5, 10.0];
@@ -84,8 +82,8 @@
 }
 
 impl GatewayMetrics {
-    /// Creates the instruments; `log` counts dropped log lines, `health` connections that ended by a panic.
-    pub(super) fn new(log: Option<ErrorCounter>, health: Arc<ListenerHealth>) -> Result<Self, StartError> {
+    /// Creates the instruments; `log` counts dropped log lines.
+    pub(super) fn new(log: Option<ErrorCounter>, callers: &CallerResources) -> Result<Self, StartError> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -93,12 +91,7 @@
             .map_err(|e| StartError::Telemetry(e.to_string()))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("dahliaseamd");
-        let panics = move |seen: &dyn AsyncInstrument<u64>| seen.observe(health.panics(), &[]);
-        let _ = meter
-            .u64_observable_counter("dahliaseam_connections_panicked")
-            .with_description("Connections of callers that ended by a panic")
-            .with_callback(panics)
-            .build();
+        callers.observe(&meter);
         if let Some(log) = log {
             let dropped = move |seen: &dyn AsyncInstrument<u64>| seen.observe(log.dropped_lines() as u64, &[]);
             let _ = meter
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -22,6 +22,8 @@
 use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::{
+    body_store::BodyStore,
+    caller_resources::CallerResources,
     clock::Clock,
     gateway::{
         freshness_probe::Probes, keys::Keys, leadership::Leadership, link::Link, metrics::GatewayMetrics,
@@ -66,6 +68,8 @@
     pub(super) usage: Usage,
     pub(super) upstream: Upstream,
     pub(super) link: Link,
+    /// Bodies of callers' requests.
+    pub(super) bodies: Arc<BodyStore>,
     pub(super) peers: Peers,
     pub(super) path_checks: PathChecks,
     pub(super) tunnels: Tunnels,
@@ -109,7 +113,7 @@
         deps: Dependencies,
         socket: UdpSocket,
         metrics: GatewayMetrics,
-        listener_health: Arc<ListenerHealth>,
+        callers: CallerResources,
         path_checks: PathChecks,
         run_id: u64,
     ) -> Self {
@@ -124,6 +128,7 @@
             usage: Usage::new(usage_terms(&settings, &deps)),
             upstream: Upstream::new(Arc::clone(&deps.clock), Arc::clone(&deps.dialer)),
             link: Link::new(settings.link_mbps),
+            bodies: callers.bodies,
             peers: Peers::default(),
             path_checks,
             tunnels: Tunnels::default(),
@@ -131,7 +136,7 @@
             software_records: Records::default(),
             metrics,
             stop: Stop::default(),
-            listener_health,
+            listener_health: callers.health,
             load_changed: Notify::new(),
             hall_changed: Notify::new(),
             replicas_changed: Notify::new(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,7 +6,9 @@
 //! [`configuration`], [`membership`], [`control`] (orders to engines, for the shards whose lease this daemon holds) and
 //! [`operator`] (the operators' API).
 
+pub mod body_store;
 pub mod caller;
+pub mod caller_resources;
 mod caller_stream;
 pub mod clock;
 pub mod configuration;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     error::SettingsError,
+    memory::{MIN_MEMORY_MB, Memory},
     settings::{LogSettings, expect, read_file},
 };
 
@@ -50,6 +51,9 @@
     pub keyspace: String,
     /// Maximum number of open files.
     pub max_files: u32,
+    /// Memory of the VM in megabytes; if absent, as much as the system has.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
     /// Bandwidth of the VM's network link, in megabits per second.
     pub link_mbps: f64,
     /// Retry budget of all daemons together.
@@ -205,6 +209,8 @@
         expect(!self.hall.is_empty(), "hall", "the name of the hall")?;
         expect(self.keyspace.ends_with('/'), "keyspace", "a prefix that ends with '/'")?;
         expect(self.max_files > 2 * RESERVED_FILES, "max_files", "a number above 512")?;
+        let has_memory = self.memory_mb.is_none_or(|megabytes| megabytes >= MIN_MEMORY_MB);
+        expect(has_memory, "memory_mb", "at least 64")?;
         expect(self.link_mbps > 0.0, "link_mbps", "a number above 0")?;
         expect(self.retries.ratio >= 0.0, "retries.ratio", "at least 0")?;
         expect(self.retries.slack >= 0.0, "retries.slack", "at least 0")?;
@@ -225,6 +231,12 @@
         expect(self.timing.order_lease_ms >= 1_000, "timing.order_lease_ms", "at least 1000")
     }
 
+    /// Memory of the VM.
+    #[must_use]
+    pub fn memory(&self) -> Memory {
+        Memory::of(self.memory_mb)
+    }
+
     /// Maximum number of concurrent tunnels that are served to other daemons. Each needs two files, and all of them
     /// together need at most a quarter of those that are not reserved.
     #[must_use]
--- /dev/null
+++ b/crates/settings/src/memory.rs
@@ -0,0 +1,35 @@
+//! The memory of the machine, and how much of it callers may use.
+//!
+//! A part is for the bodies of their requests. The rest is for connections and the daemon itself.
+
+use rustix::system::sysinfo;
+
+/// Bytes of a megabyte.
+const MEGABYTE: usize = 1_000_000;
+/// Part of the memory for bodies.
+const BODY_SHARE: usize = 3;
+/// Minimum memory of a machine, in megabytes.
+pub(crate) const MIN_MEMORY_MB: u32 = 64;
+
+/// The memory of the machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Memory {
+    bytes: usize,
+}
+
+impl Memory {
+    /// Memory of this many megabytes, or as much as the system has.
+    pub(crate) fn of(megabytes: Option<u32>) -> Self {
+        let system = || {
+            let info = sysinfo();
+            (info.totalram as usize).saturating_mul(info.mem_unit as usize)
+        };
+        Self { bytes: megabytes.map_or_else(system, |megabytes| (megabytes as usize).saturating_mul(MEGABYTE)) }
+    }
+
+    /// Maximum bytes of all bodies together.
+    #[must_use]
+    pub const fn body_bytes(self) -> usize {
+        self.bytes / BODY_SHARE
+    }
+}
