Bodies share a bounded memory on the interface for declared endpoints, too

It receives them through the same store now; what finds no memory gets 503 with outcome `not_run`, reason `body_memory` and the usual retry time.

--- a/crates/daemon/src/caller/body.rs
+++ b/crates/daemon/src/caller/body.rs
@@ -1,30 +1,33 @@
-//! Reads a caller's body within its limits of size and time.
+//! Reads a caller's body within its limits of size, time and memory.
 
 use std::time::Duration;
 
 use axum::body::Body;
 use bytes::Bytes;
-use dahliaseam_settings::settings::Limits;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use dahliaseam_core::outcome::Outcome;
 
-use crate::dispatch::failure::Failure;
+use crate::{body_store::BodyError, dispatch::failure::Failure, node::Node};
 
 /// Reads the whole body.
 ///
 /// # Errors
-/// The refusal if the body is too large, too slow or broken.
-pub(crate) async fn read(body: Body, limits: &Limits) -> Result<Bytes, Failure> {
-    let collected = Limited::new(body, limits.body_bytes).collect();
-    let read = tokio::time::timeout(Duration::from_millis(limits.body_ms), collected).await;
-    let Ok(read) = read else {
+/// The refusal if the body is too large, too slow or broken, or if there is no memory for it.
+pub(crate) async fn read(node: &Node, body: Body) -> Result<Bytes, Failure> {
+    let limits = &node.settings.limits;
+    let received = node.callers.bodies.receive(body, limits.body_bytes);
+    let received = tokio::time::timeout(Duration::from_millis(limits.body_ms), received).await;
+    let Ok(received) = received else {
         return Err(Failure::bad_request(408, "body_slow", "the body did not come in time"));
     };
-    match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => {
+    received.map_err(|e| match e {
+        BodyError::TooLarge => {
             let message = format!("the body has more than {} bytes", limits.body_bytes);
-            Err(Failure::bad_request(413, "body_large", message))
+            Failure::bad_request(413, "body_large", message)
         }
-        Err(e) => Err(Failure::bad_request(400, "body_broken", e.to_string())),
-    }
+        BodyError::NoMemory => {
+            let message = "the memory for bodies is used up; ask another VM, or again later";
+            Failure::new(Outcome::NotRun, "body_memory", message)
+        }
+        BodyError::Broken(why) => Failure::bad_request(400, "body_broken", why),
+    })
 }
--- a/crates/daemon/src/caller/completion.rs
+++ b/crates/daemon/src/caller/completion.rs
@@ -123,7 +123,7 @@
     let doc = state.node.document();
     let (parts, raw) = req.into_parts();
     let params = terms::read(&state.node, &doc, id, &parts.headers)?;
-    let raw = body::read(raw, &state.node.settings.limits).await?;
+    let raw = body::read(&state.node, raw).await?;
     let completion_req = parse_request(&raw, api, params.kind.output_tokens)?;
     let (pool, adapter) = resolve(&doc, &completion_req.model)?;
     let content = ContentInfo {
--- a/crates/daemon/src/caller/plain.rs
+++ b/crates/daemon/src/caller/plain.rs
@@ -87,7 +87,7 @@
     }
     let (parts, raw) = req.into_parts();
     let params = terms::read(&state.node, &doc, id, &parts.headers)?;
-    let body = body::read(raw, &state.node.settings.limits).await?;
+    let body = body::read(&state.node, raw).await?;
     let query = parts.uri.query().map(|q| format!("?{q}")).unwrap_or_default();
     let call = Call {
         method: parts.method,
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     caller,
+    caller_resources::CallerResources,
     clock::{BootClock, Clock, wall_millis},
     configuration::configure,
     control,
@@ -164,6 +165,7 @@
 
 fn new_node(settings: Settings, deps: Dependencies) -> Result<Node, StartError> {
     let now = deps.clock.now();
+    let callers = CallerResources::new(Arc::clone(&deps.clock), settings.memory());
     // The wall clock orders the runs of a VM that is replaced under the same name.
     let start = wall_millis();
     let me = Incarnation { vm: settings.vm.clone(), start };
@@ -191,7 +193,8 @@
         availability: Availability::default(),
         claims: Claims::default(),
         records: Records::default(),
-        metrics: Metrics::new()?,
+        metrics: Metrics::new(&callers)?,
+        callers,
         control: ControlState::default(),
         stop: Stop::default(),
         settings,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -7,7 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::error::StartError;
+use crate::{caller_resources::CallerResources, error::StartError};
 
 /// Bucket bounds of the histograms, in seconds.
 const SECONDS: [f64; 12] = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
@@ -35,7 +35,7 @@
     ///
     /// # Errors
     /// Why the exporter cannot be set up.
-    pub fn new() -> Result<Self, StartError> {
+    pub fn new(callers: &CallerResources) -> Result<Self, StartError> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -43,6 +43,7 @@
             .map_err(|e| StartError::Telemetry(e.to_string()))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("dahliaseamd");
+        callers.observe(&meter);
         Ok(Self {
             registry,
             requests: meter.u64_counter("dahliaseam_requests").with_description("Requests that are over").build(),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,6 +14,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
+    caller_resources::CallerResources,
     clock::Clock,
     control::board::ControlState,
     dispatch::{claims::Claims, desk::SharedDispatcher, records::Records},
@@ -51,6 +52,8 @@
     pub claims: Claims,
     /// Records of the latest requests.
     pub records: Records,
+    /// What callers' connections and requests share.
+    pub callers: CallerResources,
     /// Metrics of the daemon.
     pub metrics: Metrics,
     /// State of the control of engines.
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -8,7 +8,10 @@
 use dahliaseam_core::{dispatch::Policy, time::Span};
 use serde::{Deserialize, de::DeserializeOwned};
 
-use crate::error::SettingsError;
+use crate::{
+    error::SettingsError,
+    memory::{MIN_MEMORY_MB, Memory},
+};
 
 /// A secret value, which is never printed.
 #[derive(Clone, Deserialize, PartialEq, Eq)]
@@ -69,6 +72,9 @@
     /// Kind of the requests whose caller names none; if absent, such requests are refused.
     #[serde(default)]
     pub default_kind: Option<String>,
+    /// Memory of the VM in megabytes; if absent, as much as the system has.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
     /// Limits on callers' requests and connections.
     #[serde(default)]
     pub limits: Limits,
@@ -271,11 +277,19 @@
         expect(confirm_ok, "timing.confirm_ms", "at least twice timing.probe_ms")?;
         expect(self.limits.connections > 0, "limits.connections", "at least 1")?;
         expect(self.limits.header_bytes >= 8_192, "limits.header_bytes", "at least 8192")?;
+        let has_memory = self.memory_mb.is_none_or(|megabytes| megabytes >= MIN_MEMORY_MB);
+        expect(has_memory, "memory_mb", "at least 64")?;
         expect(self.loads_per_minute > 0.0, "loads_per_minute", "a number above 0")?;
         expect(self.policy.attempts > 0, "policy.attempts", "at least 1")?;
         expect(self.policy.refuse_margin > 0.0, "policy.refuse_margin", "a number above 0")
     }
 
+    /// Memory of the VM.
+    #[must_use]
+    pub fn memory(&self) -> Memory {
+        Memory::of(self.memory_mb)
+    }
+
     /// Address at which other daemons reach this one.
     #[must_use]
     pub fn advertised_address(&self) -> &str {
