A connection without a request closes for a new one when there are too many

What callers saw: no answer. New connections were closed without a word while others sent nothing, a part of a head, or a body that lacks its last byte, until the idle timeout, the time for a head or the deadline (which its caller may state) of an old one.

Cause: the limit on connections counted all alike, whatever was done on them.

Change: the listener knows of each connection whether it waits, receives a body or serves a request. Only when the maximum number is reached, one on which no request is served closes for each new one: first those that have had 1 s and sent no complete request, then those on which nothing has happened for longest. A request that arrives meanwhile is served, and the end of a response is written; an idle connection of the interface for declared endpoints gets the usual 408. The number is bounded by memory, too: a fifth of it, by the size of a head; with heads of 16 KiB and 260 MB that is more than the files allow. Events 114 and 110, two metrics.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! Requests on routes go to discovered replicas, see [`route`], [`prompt`] and [`fleet`]. Callers' keys are
 //! checked by [`team`], given a [`proof`] of the configuration's age, and the quotas of their teams are
-//! enforced by [`quota`]. Memory for their bodies is shared by [`body_memory`].
+//! enforced by [`quota`]. Memory for their bodies is shared by [`body_memory`], and [`connections`] decides which
+//! connection closes for another one.
 //!
 //! The tables ([`endpoint`], [`request`], [`member`]) hold their rows under small `Copy` keys. The components
 //! that work on them are [`dispatch`] (which endpoint serves a request), [`member`] (which daemons are alive),
@@ -17,6 +18,7 @@
 pub mod bucket;
 pub mod choose;
 pub mod claim;
+pub mod connections;
 pub mod content;
 pub mod custody;
 pub mod dispatch;
--- a/crates/daemon/src/body_store.rs
+++ b/crates/daemon/src/body_store.rs
@@ -24,7 +24,7 @@
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
 
-use crate::clock::Clock;
+use crate::{clock::Clock, connection_table::ConnectionHandle};
 
 /// Minimum memory for a body, in bytes.
 const MIN_BUFFER_BYTES: usize = 512;
@@ -133,25 +133,42 @@
         self.refused.load(Ordering::Relaxed)
     }
 
-    /// Receives a body of at most `limit` bytes, which then counts until its last clone is dropped.
+    /// Receives a body of at most `limit` bytes, which then counts until its last clone is dropped. `conn` is the
+    /// connection on which it arrives.
     ///
     /// # Errors
     /// Why it was not received completely.
-    pub(crate) async fn receive<B>(self: &Arc<Self>, body: B, limit: usize) -> Result<Bytes, BodyError>
+    pub(crate) async fn receive<B>(
+        self: &Arc<Self>,
+        body: B,
+        limit: usize,
+        conn: Option<&ConnectionHandle>,
+    ) -> Result<Bytes, BodyError>
     where
         B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + Unpin,
     {
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
-        let received = self.receive_all(body, limit).await;
+        if let Some(conn) = conn {
+            conn.receive_body();
+        }
+        let received = self.receive_all(body, limit, conn).await;
         if received == Err(BodyError::NoMemory) {
             self.refused.fetch_add(1, Ordering::Relaxed);
         }
+        if let (Ok(_), Some(conn)) = (&received, conn) {
+            conn.end_body();
+        }
         received
     }
 
-    async fn receive_all<B>(self: &Arc<Self>, mut body: B, limit: usize) -> Result<Bytes, BodyError>
+    async fn receive_all<B>(
+        self: &Arc<Self>,
+        mut body: B,
+        limit: usize,
+        conn: Option<&ConnectionHandle>,
+    ) -> Result<Bytes, BodyError>
     where
         B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + Unpin,
     {
@@ -168,8 +185,11 @@
                 None => return reading.complete(),
                 Some(Err(e)) => return Err(BodyError::Broken(e.into().to_string())),
                 Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        reading.append(&data, max)?;
+                    let Ok(data) = frame.into_data() else { continue };
+                    if reading.append(&data, max)? == Progress::Granted
+                        && let Some(conn) = conn
+                    {
+                        conn.receive_body();
                     }
                 }
             }
@@ -220,9 +240,16 @@
     limit: usize,
 }
 
+/// Whether more memory was granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    Granted,
+    Sufficient,
+}
+
 impl Reading {
     /// Appends bytes to the body, whose length is at most `max`.
-    fn append(&self, data: &[u8], max: usize) -> Result<(), BodyError> {
+    fn append(&self, data: &[u8], max: usize) -> Result<Progress, BodyError> {
         let now: Time = self.held.store.clock.now();
         let inner = &mut *self.held.store.lock();
         let receiving = inner.receiving.get_mut(self.held.key).ok_or(BodyError::NoMemory)?;
@@ -231,7 +258,8 @@
             return Err(BodyError::TooLarge);
         }
         let (has, needs) = (Buffer::memory_for(length, max), Buffer::memory_for(length + data.len(), max));
-        if length == 0 || needs > has {
+        let is_grant = length == 0 || needs > has;
+        if is_grant {
             for victim in inner.memory.grow(self.held.key, needs, now)? {
                 if let Some(victim) = inner.receiving.remove(victim) {
                     victim.gave_way.notify_one();
@@ -240,7 +268,8 @@
         }
         let receiving = inner.receiving.get_mut(self.held.key).ok_or(BodyError::NoMemory)?;
         // Without pages for it, the body cannot be held.
-        receiving.buf.append(data, max).map_err(|_| BodyError::NoMemory)
+        receiving.buf.append(data, max).map_err(|_| BodyError::NoMemory)?;
+        Ok(if is_grant { Progress::Granted } else { Progress::Sufficient })
     }
 
     /// The complete body.
--- a/crates/daemon/src/caller/body.rs
+++ b/crates/daemon/src/caller/body.rs
@@ -6,15 +6,15 @@
 use bytes::Bytes;
 use dahliaseam_core::outcome::Outcome;
 
-use crate::{body_store::BodyError, dispatch::failure::Failure, node::Node};
+use crate::{body_store::BodyError, connection_table::ConnectionHandle, dispatch::failure::Failure, node::Node};
 
-/// Reads the whole body.
+/// Reads the whole body; `conn` is the connection on which it arrives.
 ///
 /// # Errors
 /// The refusal if the body is too large, too slow or broken, or if there is no memory for it.
-pub(crate) async fn read(node: &Node, body: Body) -> Result<Bytes, Failure> {
+pub(crate) async fn read(node: &Node, body: Body, conn: Option<&ConnectionHandle>) -> Result<Bytes, Failure> {
     let limits = &node.settings.limits;
-    let received = node.callers.bodies.receive(body, limits.body_bytes);
+    let received = node.callers.bodies.receive(body, limits.body_bytes, conn);
     let received = tokio::time::timeout(Duration::from_millis(limits.body_ms), received).await;
     let Ok(received) = received else {
         return Err(Failure::bad_request(408, "body_slow", "the body did not come in time"));
--- a/crates/daemon/src/caller/completion.rs
+++ b/crates/daemon/src/caller/completion.rs
@@ -19,6 +19,7 @@
 use super::{CallerState, body, refusal, terms};
 use crate::{
     clock::wall_millis,
+    connection_table::ConnectionHandle,
     dispatch::{
         exchange::{ActiveRequest, Completion, ContentInfo, complete},
         failure::Failure,
@@ -121,9 +122,10 @@
 async fn handle(state: &CallerState, req: Request, api: Api, id: &str) -> Result<Response, Failure> {
     state.check_accepts_work()?;
     let doc = state.node.document();
-    let (parts, raw) = req.into_parts();
+    let (mut parts, raw) = req.into_parts();
     let params = terms::read(&state.node, &doc, id, &parts.headers)?;
-    let raw = body::read(&state.node, raw).await?;
+    let conn = parts.extensions.remove::<ConnectionHandle>();
+    let raw = body::read(&state.node, raw, conn.as_ref()).await?;
     let completion_req = parse_request(&raw, api, params.kind.output_tokens)?;
     let (pool, adapter) = resolve(&doc, &completion_req.model)?;
     let content = ContentInfo {
--- a/crates/daemon/src/caller/plain.rs
+++ b/crates/daemon/src/caller/plain.rs
@@ -22,6 +22,7 @@
 
 use super::{CallerState, body, refusal, terms};
 use crate::{
+    connection_table::ConnectionHandle,
     dispatch::{
         desk::Dispatch,
         exchange::{ActiveRequest, AfterAttempt, ContentInfo, NoAttempt},
@@ -85,9 +86,10 @@
     if class != Some(EndpointClass::Plain) {
         return Err(Failure::bad_request(404, "pool_unknown", format!("there is no pool of plain services {pool:?}")));
     }
-    let (parts, raw) = req.into_parts();
+    let (mut parts, raw) = req.into_parts();
     let params = terms::read(&state.node, &doc, id, &parts.headers)?;
-    let body = body::read(&state.node, raw).await?;
+    let conn = parts.extensions.remove::<ConnectionHandle>();
+    let body = body::read(&state.node, raw, conn.as_ref()).await?;
     let query = parts.uri.query().map(|q| format!("?{q}")).unwrap_or_default();
     let call = Call {
         method: parts.method,
--- a/crates/daemon/src/caller_resources.rs
+++ b/crates/daemon/src/caller_resources.rs
@@ -36,6 +36,12 @@
         counter("dahliaseam_connections_panicked", "Connections of callers that ended by a panic", |all| {
             all.health.panics()
         });
+        counter("dahliaseam_connections_evicted", "Idle connections of callers that were closed for new ones", |all| {
+            all.health.evicted()
+        });
+        counter("dahliaseam_connections_refused", "Connections of callers that were closed at once", |all| {
+            all.health.refused()
+        });
         counter("dahliaseam_bodies_refused", "Bodies that were refused since the memory was used up", |all| {
             all.bodies.refused()
         });
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -9,10 +9,12 @@
     convert::Infallible,
     error::Error,
     future::poll_fn,
+    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    task::{Context, Poll},
     time::Duration,
 };
 
@@ -21,7 +23,11 @@
     HeaderMap, HeaderValue, Request, Response, Version,
     header::{CONNECTION, CONTENT_LENGTH, HeaderName},
 };
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body, Frame, Incoming, SizeHint},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -29,7 +35,12 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{caller_stream::CallerStream, emit, listener::ConnectionLimits};
+use crate::{
+    caller_stream::CallerStream,
+    connection_table::{ConnectionHandle, OpenConnection},
+    emit,
+    listener::ConnectionLimits,
+};
 
 /// Time for which a connection is read after its last response. Closing it while a request arrives resets it, and the
 /// caller could lose the response.
@@ -49,7 +60,7 @@
 }
 
 /// Settings of a connection.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Connection {
     /// Limits for its requests.
     pub(crate) limits: ConnectionLimits,
@@ -59,6 +70,8 @@
     pub(crate) closing: CancellationToken,
     /// Responses with which it is closed, if its callers know such responses.
     pub(crate) notices: Option<CloseNotices>,
+    /// Its place among the connections of its listener.
+    pub(crate) open: OpenConnection,
 }
 
 impl Connection {
@@ -67,7 +80,7 @@
     where
         F: Fn(Request<Incoming>) -> A + Send + Unpin,
         A: Future<Output = Response<B>> + Send + 'static,
-        B: hyper::body::Body + Send + 'static,
+        B: Body + Send + Unpin + 'static,
         B::Data: Send,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
@@ -77,21 +90,26 @@
         let ends_response = Arc::new(AtomicBool::new(false));
         let stream = CallerStream::new(stream, Arc::clone(&ends_response));
         let (begun, announced, ends) = (self.begun.clone(), Arc::clone(&close_announced), Arc::clone(&ends_response));
-        let service = service_fn(move |req: Request<Incoming>| {
+        let evicted = self.open.evicted.clone();
+        let handle = self.open.handle.clone();
+        let service = service_fn(move |mut req: Request<Incoming>| {
+            handle.begin_request();
+            req.extensions_mut().insert(handle.clone());
             let is_http10 = req.version() == Version::HTTP_10;
             let requested = is_http10 || announces_close(req.headers());
             let response = handler(req);
             let (begun, announced, ends) = (begun.clone(), Arc::clone(&announced), Arc::clone(&ends));
+            let (handle, evicted) = (handle.clone(), evicted.clone());
             Box::pin(async move {
                 let mut resp = response.await;
-                if begun.is_cancelled() {
+                if begun.is_cancelled() || evicted.is_cancelled() {
                     resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 announced.store(requested || announces_close(resp.headers()), Ordering::Relaxed);
                 let has_length =
                     resp.body().size_hint().exact().is_some() || resp.headers().contains_key(CONTENT_LENGTH);
                 ends.store(is_http10 && !has_length, Ordering::Relaxed);
-                Ok::<_, Infallible>(resp)
+                Ok::<_, Infallible>(resp.map(|body| ServedBody { body, handle }))
             })
         });
         let mut conn = http1::Builder::new()
@@ -105,6 +123,18 @@
                 Pin::new(&mut conn).graceful_shutdown();
                 poll_fn(|cx| conn.poll_without_shutdown(cx)).await
             }
+            () = self.open.evicted.cancelled() => {
+                Pin::new(&mut conn).graceful_shutdown();
+                // The end of the last response may still have to be written.
+                let wait = if self.open.handle.has_served() { LINGER_TIME } else { Duration::ZERO };
+                let ended = tokio::time::timeout(wait, poll_fn(|cx| conn.poll_without_shutdown(cx))).await;
+                match ended {
+                    Ok(ended) => ended,
+                    // A request has arrived since the connection was chosen.
+                    Err(_) if self.open.handle.is_serving() => poll_fn(|cx| conn.poll_without_shutdown(cx)).await,
+                    Err(_) => Ok(()),
+                }
+            }
         };
         if ended.is_err() && ends_response.load(Ordering::Relaxed) {
             // Dropping the connection resets it, so that the broken response does not look complete.
@@ -114,6 +144,7 @@
         let notice = match ended {
             _ if close_announced.load(Ordering::Relaxed) => None,
             Ok(()) if self.closing.is_cancelled() => self.notices.map(|notices| notices.stopping),
+            Ok(()) if self.open.evicted.is_cancelled() => self.notices.map(|notices| notices.idle),
             Err(e) if e.is_timeout() => self.notices.map(|notices| notices.idle),
             _ => None,
         };
@@ -129,6 +160,39 @@
     values.flat_map(|value| value.split(',')).any(|option| option.trim().eq_ignore_ascii_case("close"))
 }
 
+/// Body of a response, which ends the phase of its connection when it has been written.
+#[derive(Debug)]
+struct ServedBody<B> {
+    body: B,
+    handle: ConnectionHandle,
+}
+
+impl<B: Body + Unpin> Body for ServedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl<B> Drop for ServedBody<B> {
+    fn drop(&mut self) {
+        self.handle.end_response();
+    }
+}
+
 /// Closes a connection, after sending `notice`. The caller may have closed it already, so errors are ignored.
 async fn close(mut stream: TcpStream, notice: Option<Bytes>) {
     let Some(notice) = notice else {
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -107,10 +107,19 @@
             (node.stop.begun.clone(), node.stop.closing.clone(), node.stop.finished.clone());
         let notices = caller::refusal::close_notices();
         let routes = caller::router(Arc::clone(&node));
-        let caller = tokio::spawn(listener::serve(caller_listener, routes, limits, notices.clone(), begun, closing));
+        let health = Arc::clone(&node.callers.health);
+        let caller =
+            tokio::spawn(listener::serve(caller_listener, routes, limits, notices.clone(), health, begun, closing));
         let routes = health::router(Arc::clone(&node)).merge(operator::router(Arc::clone(&node)));
-        let operator =
-            tokio::spawn(listener::serve(operator_listener, routes, limits, notices, finished.clone(), finished));
+        let operator = tokio::spawn(listener::serve(
+            operator_listener,
+            routes,
+            limits,
+            notices,
+            Arc::default(),
+            finished.clone(),
+            finished,
+        ));
         let background = spawn_background(&node);
         emit!(info, STARTED, vm = node.settings.vm, hall = node.settings.hall, start = node.identity.me().start);
         Ok(Self { node, caller, operator, peer, background })
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     body_store::BodyError,
+    connection_table::ConnectionHandle,
     gateway::{answer::Refusal, state::Gateway},
 };
 
@@ -55,7 +56,8 @@
     let identity = gw.keys.authenticate(&table, &route, &caller.key, arrived).map_err(refused)?;
     let timeout = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + timeout;
-    let body = read_body(gw, body, table.limits.body_bytes, deadline).await.map_err(refused)?;
+    let conn = head.extensions.remove::<ConnectionHandle>();
+    let body = read_body(gw, body, table.limits.body_bytes, conn.as_ref(), deadline).await.map_err(refused)?;
     let content = content_hash(&head, &body);
     Ok(Admitted { head, body, caller, content, route, service, identity, version: table.version, arrived, deadline })
 }
@@ -95,8 +97,14 @@
     ContentHash::of(head.method.as_str(), host(head).unwrap_or_default(), path, body)
 }
 
-async fn read_body(gw: &Gateway, body: Incoming, limit: usize, deadline: Time) -> Result<Bytes, Refusal> {
-    let received = gw.timeout_at(deadline, gw.bodies.receive(body, limit)).await;
+async fn read_body(
+    gw: &Gateway,
+    body: Incoming,
+    limit: usize,
+    conn: Option<&ConnectionHandle>,
+    deadline: Time,
+) -> Result<Bytes, Refusal> {
+    let received = gw.timeout_at(deadline, gw.bodies.receive(body, limit, conn)).await;
     received.ok_or(Refusal::BodyLate)?.map_err(|e| match e {
         BodyError::TooLarge => Refusal::BodyTooLarge,
         BodyError::NoMemory => Refusal::NoBodyMemory,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod configuration;
 pub mod connection;
+pub mod connection_table;
 pub mod control;
 pub mod controller;
 pub mod dispatch;
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -1,4 +1,7 @@
 //! Accepts connections, limits their number and the time for their headers, and closes them at a graceful stop.
+//!
+//! When the maximum number is reached, an idle connection closes for each new one; see
+//! [`dahliaseam_core::connections`].
 
 use std::{any::Any, error::Error, panic::AssertUnwindSafe, sync::Arc, time::Duration};
 
@@ -7,15 +10,13 @@
 use futures_util::{FutureExt, future::BoxFuture};
 use http::{Request, Response};
 use hyper::body::Incoming;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::Semaphore,
-};
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use tower::ServiceExt;
 
 use crate::{
     connection::{CloseNotices, Connection},
+    connection_table::{Admission, ConnectionTable},
     emit,
     listener_health::ListenerHealth,
 };
@@ -54,11 +55,12 @@
     router: Router,
     limits: Limits,
     notices: CloseNotices,
+    health: Arc<ListenerHealth>,
     begun: CancellationToken,
     closing: CancellationToken,
 ) {
     let limits = move || ConnectionLimits::from(limits);
-    serve_with(listener, router_handler(router), limits, Some(notices), Arc::default(), begun, closing).await;
+    serve_with(listener, router_handler(router), limits, Some(notices), health, begun, closing).await;
 }
 
 /// Turns a router into a handler for [`serve_with`].
@@ -87,18 +89,17 @@
 ) where
     F: Fn(Request<Incoming>) -> A + Clone + Send + Unpin + 'static,
     A: Future<Output = Response<B>> + Send + 'static,
-    B: hyper::body::Body + Send + 'static,
+    B: hyper::body::Body + Send + Unpin + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let permits = Arc::new(Semaphore::new(limits().connections.min(Semaphore::MAX_PERMITS)));
     let server = Server {
         handler,
         limits,
         notices,
         health,
         begun,
-        permits,
+        table: ConnectionTable::new(),
         closing_connections: CancellationToken::new(),
         connections: TaskTracker::new(),
     };
@@ -108,12 +109,17 @@
             () = closing.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => server.spawn_connection(stream),
+            Ok((stream, _)) => {
+                if server.spawn_connection(stream) == Room::MadeFor {
+                    // The connection that closes for this one gives its files back before the next one is accepted.
+                    tokio::task::yield_now().await;
+                }
+            }
             Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
         }
     }
     for stream in accept_pending(listener) {
-        server.spawn_connection(stream);
+        let _ = server.spawn_connection(stream);
     }
     // Wait for first requests, since the next step closes connections on which nothing has been read yet.
     tokio::time::sleep(FINAL_READ_TIME).await;
@@ -147,6 +153,15 @@
         .collect()
 }
 
+/// Whether there was room for a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Room {
+    Sufficient,
+    /// Another connection closes for it.
+    MadeFor,
+    None,
+}
+
 /// What is needed to serve each connection.
 struct Server<F, T> {
     handler: F,
@@ -154,26 +169,35 @@
     notices: Option<CloseNotices>,
     health: Arc<ListenerHealth>,
     begun: CancellationToken,
-    permits: Arc<Semaphore>,
+    table: Arc<ConnectionTable>,
     closing_connections: CancellationToken,
     connections: TaskTracker,
 }
 
 impl<F, T> Server<F, T> {
-    /// Serves a connection in its own task, or closes it if the maximum number is reached.
-    fn spawn_connection<A, B>(&self, stream: TcpStream)
+    /// Serves a connection in its own task, or closes it if there is no room for it.
+    fn spawn_connection<A, B>(&self, stream: TcpStream) -> Room
     where
         F: Fn(Request<Incoming>) -> A + Clone + Send + Unpin + 'static,
         A: Future<Output = Response<B>> + Send + 'static,
-        B: hyper::body::Body + Send + 'static,
+        B: hyper::body::Body + Send + Unpin + 'static,
         B::Data: Send,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
         T: Fn() -> ConnectionLimits,
     {
         let limits = (self.limits)();
-        let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else {
-            emit!(warn, CONNECTION_REFUSED, limit = limits.connections);
-            return;
+        let (open, room) = match self.table.admit(limits.connections) {
+            Admission::Open(open) => (open, Room::Sufficient),
+            Admission::InPlaceOfAnother(open) => {
+                self.health.record_evicted();
+                emit!(info, CONNECTION_EVICTED, limit = limits.connections);
+                (open, Room::MadeFor)
+            }
+            Admission::Refused => {
+                self.health.record_refused();
+                emit!(warn, CONNECTION_REFUSED, limit = limits.connections);
+                return Room::None;
+            }
         };
         let _ = stream.set_nodelay(true);
         let conn = Connection {
@@ -181,6 +205,7 @@
             begun: self.begun.clone(),
             closing: self.closing_connections.clone(),
             notices: self.notices.clone(),
+            open,
         };
         let (handler, health) = (self.handler.clone(), Arc::clone(&self.health));
         self.connections.spawn(async move {
@@ -191,7 +216,7 @@
                     emit!(error, CONNECTION_PANICKED, why = panic_message(&*panic), panics = health.panics());
                 }
             }
-            drop(permit);
         });
+        room
     }
 }
--- a/crates/daemon/src/listener_health.rs
+++ b/crates/daemon/src/listener_health.rs
@@ -1,4 +1,4 @@
-//! Whether a listener serves its connections.
+//! Whether a listener serves its connections, and how many it closed or refused for want of room.
 //!
 //! Each connection has a task of its own. A panic in it ends this connection alone, and nothing else would show it: if all
 //! connections end so, the daemon serves nobody and must not report that it is ready.
@@ -15,10 +15,12 @@
 /// Time after such a panic until new connections may show whether the listener serves again.
 const RETRY_DELAY: Duration = Duration::from_secs(10);
 
-/// Counts the connections that ended by a panic.
+/// Counts the connections that ended by a panic, were closed for others or were refused.
 #[derive(Debug, Default)]
 pub struct ListenerHealth {
     panics: AtomicU64,
+    evicted: AtomicU64,
+    refused: AtomicU64,
     recent: Mutex<Recent>,
 }
 
@@ -45,6 +47,28 @@
         *self.recent() = Recent::default();
     }
 
+    /// Records that an idle connection was closed for a new one.
+    pub fn record_evicted(&self) {
+        self.evicted.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that a new connection was refused.
+    pub fn record_refused(&self) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Number of idle connections that were closed for new ones.
+    #[must_use]
+    pub fn evicted(&self) -> u64 {
+        self.evicted.load(Ordering::Relaxed)
+    }
+
+    /// Number of new connections that were refused.
+    #[must_use]
+    pub fn refused(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
     /// Number of connections that ended by a panic.
     #[must_use]
     pub fn panics(&self) -> u64 {
--- a/crates/daemon/tests/listener.rs
+++ b/crates/daemon/tests/listener.rs
@@ -18,6 +18,8 @@
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
+/// Maximum number of connections of the listener.
+const MAX_CONNECTIONS: usize = 100;
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which the response to `/slow` is generated.
@@ -26,7 +28,7 @@
 const AFTER_CLOSE: Duration = Duration::from_millis(200);
 
 fn limits() -> ConnectionLimits {
-    ConnectionLimits { connections: 100, head_timeout: Duration::from_secs(1), max_head_bytes: 16 << 10 }
+    ConnectionLimits { connections: MAX_CONNECTIONS, head_timeout: Duration::from_secs(1), max_head_bytes: 16 << 10 }
 }
 
 /// Connections that were established before the listener closed are answered, even if they had not been accepted yet.
@@ -183,6 +185,24 @@
     served.close().await;
 }
 
+/// Guards against a listener that serves nobody while idle connections take all its places.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_close_for_new_ones_and_those_in_use_do_not() {
+    let served = Served::start().await;
+    let mut slow = served.connect(b"GET /slow HTTP/1.1\r\nHost: x\r\n\r\n");
+    let mut first_idle = served.connect_kept();
+    let idle: Vec<CallerStream> = (2..MAX_CONNECTIONS).map(|_| served.connect_kept()).collect();
+    assert_eq!((served.health.evicted(), served.health.refused()), (0, 0));
+    drop(served.connect_kept());
+    assert_eq!((served.health.evicted(), served.health.refused()), (1, 0));
+    let text = read(&mut first_idle).expect("the connection is closed");
+    assert!(text.starts_with("HTTP/1.1 408") && text.contains("\"no_request\""), "{text:?}");
+    let mut byte = [0];
+    slow.read_exact(&mut byte).expect("the request in use is answered");
+    drop(idle);
+    served.close().await;
+}
+
 fn read(caller: &mut CallerStream) -> std::io::Result<String> {
     caller.set_read_timeout(Some(TIMEOUT))?;
     let mut text = String::new();
--- a/crates/settings/src/memory.rs
+++ b/crates/settings/src/memory.rs
@@ -1,6 +1,7 @@
 //! The memory of the machine, and how much of it callers may use.
 //!
-//! A part is for the bodies of their requests. The rest is for connections and the daemon itself.
+//! A part is for the bodies of their requests, and a part for connections and the heads that arrive on them. The rest is for
+//! the daemon itself.
 
 use rustix::system::sysinfo;
 
@@ -8,6 +9,10 @@
 const MEGABYTE: usize = 1_000_000;
 /// Part of the memory for bodies.
 const BODY_SHARE: usize = 3;
+/// Part of the memory for connections and heads.
+const CONNECTION_SHARE: usize = 5;
+/// Memory that a connection needs beside that for a head, in bytes.
+const CONNECTION_BYTES: usize = 4 << 10;
 /// Minimum memory of a machine, in megabytes.
 pub(crate) const MIN_MEMORY_MB: u32 = 64;
 
@@ -32,4 +37,10 @@
     pub const fn body_bytes(self) -> usize {
         self.bytes / BODY_SHARE
     }
+
+    /// Maximum number of connections with heads of this size.
+    #[must_use]
+    pub const fn connections(self, head_bytes: usize) -> usize {
+        self.bytes / CONNECTION_SHARE / head_bytes.saturating_add(CONNECTION_BYTES)
+    }
 }
