A caller that is refused while it sends gets the response

What callers saw: a reset instead of 413 or 503, if they were still sending the body when the daemon refused it. They could not know that nothing ran, nor when to return.

Cause: the connection was closed with bytes unread, which resets it, and what the caller had not read of the response was gone.

Change: the listener knows whether the last request was read to its end.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -93,7 +93,7 @@
         let evicted = self.open.evicted.clone();
         let handle = self.open.handle.clone();
         let service = service_fn(move |mut req: Request<Incoming>| {
-            handle.begin_request();
+            handle.begin_request(!req.body().is_end_stream());
             req.extensions_mut().insert(handle.clone());
             let is_http10 = req.version() == Version::HTTP_10;
             let requested = is_http10 || announces_close(req.headers());
@@ -149,7 +149,7 @@
             _ => None,
         };
         if let Ok(stream) = conn.into_parts().io.into_inner().into_regular() {
-            close(stream, notice).await;
+            close(stream, notice, self.open.handle.has_rest()).await;
         }
     }
 }
@@ -194,16 +194,20 @@
 }
 
 /// Closes a connection, after sending `notice`. The caller may have closed it already, so errors are ignored.
-async fn close(mut stream: TcpStream, notice: Option<Bytes>) {
-    let Some(notice) = notice else {
+///
+/// While the rest of a request may arrive, it is discarded for a time: closing the connection before would reset it, and the
+/// caller could lose the response.
+async fn close(mut stream: TcpStream, notice: Option<Bytes>, has_rest: bool) {
+    if notice.is_none() && !has_rest {
         let _ = stream.shutdown().await;
         return;
-    };
+    }
+    let has_notice = notice.is_some();
     let mut discarded = 0;
     let closing = async {
-        stream.write_all(&notice).await?;
+        stream.write_all(&notice.unwrap_or_default()).await?;
         stream.shutdown().await?;
-        let mut buf = [0; 1_024];
+        let mut buf = [0; 4 << 10];
         loop {
             match stream.read(&mut buf).await? {
                 0 => return std::io::Result::Ok(()),
@@ -212,7 +216,7 @@
         }
     };
     let _ = tokio::time::timeout(LINGER_TIME, closing).await;
-    if discarded > 0 {
+    if has_notice && discarded > 0 {
         emit!(info, REQUEST_CROSSED_CLOSE, bytes = discarded);
     }
 }
--- a/crates/daemon/src/connection_table.rs
+++ b/crates/daemon/src/connection_table.rs
@@ -1,6 +1,9 @@
 //! The open connections of a listener, and how others learn what happens on them.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
 
 use dahliaseam_core::{
     connections::{ConnectionKey, Connections, Phase},
@@ -53,7 +56,10 @@
         let key = inner.connections.open(now);
         let evicted = CancellationToken::new();
         inner.evictions.insert(key, evicted.clone());
-        let conn = OpenConnection { handle: ConnectionHandle { table: Arc::clone(self), key }, evicted };
+        let conn = OpenConnection {
+            handle: ConnectionHandle { table: Arc::clone(self), key, has_rest: Arc::default() },
+            evicted,
+        };
         if is_full { Admission::InPlaceOfAnother(conn) } else { Admission::Open(conn) }
     }
 
@@ -101,11 +107,14 @@
 pub(crate) struct ConnectionHandle {
     table: Arc<ConnectionTable>,
     key: ConnectionKey,
+    /// Whether a part of the last request may not have been read.
+    has_rest: Arc<AtomicBool>,
 }
 
 impl ConnectionHandle {
     /// Records that the head of a request has arrived.
-    pub(crate) fn begin_request(&self) {
+    pub(crate) fn begin_request(&self, has_body: bool) {
+        self.has_rest.store(has_body, Ordering::Relaxed);
         self.set_phase(Phase::Serving);
     }
 
@@ -116,6 +125,7 @@
 
     /// Records that a request has arrived completely.
     pub(crate) fn end_body(&self) {
+        self.has_rest.store(false, Ordering::Relaxed);
         self.set_phase(Phase::Serving);
     }
 
@@ -124,6 +134,11 @@
         self.set_phase(Phase::Waiting);
     }
 
+    /// Whether a part of the last request may not have been read.
+    pub(crate) fn has_rest(&self) -> bool {
+        self.has_rest.load(Ordering::Relaxed)
+    }
+
     /// Whether a request has been answered on the connection.
     pub(crate) fn has_served(&self) -> bool {
         self.table.lock().connections.has_served(self.key)
--- a/crates/daemon/tests/listener.rs
+++ b/crates/daemon/tests/listener.rs
@@ -20,6 +20,8 @@
 
 /// Maximum number of connections of the listener.
 const MAX_CONNECTIONS: usize = 100;
+/// Size of a body that the handler does not read, larger than what the system keeps for a connection.
+const UNREAD_BODY: usize = 32 << 20;
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which the response to `/slow` is generated.
@@ -203,6 +205,21 @@
     served.close().await;
 }
 
+/// Guards against a response that its caller loses: a connection that is closed before the rest of a request is read is
+/// reset, and what was not read of the response is gone with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_still_sends_gets_the_response() {
+    let served = Served::start().await;
+    for _ in 0..10 {
+        let head = format!("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {UNREAD_BODY}\r\n\r\n");
+        let mut caller = served.connect(head.as_bytes());
+        caller.write_all(&vec![b'x'; UNREAD_BODY]).expect("the body is taken");
+        let text = read(&mut caller).expect("the response arrives");
+        assert!(text.ends_with("done"), "{text:?}");
+    }
+    served.close().await;
+}
+
 fn read(caller: &mut CallerStream) -> std::io::Result<String> {
     caller.set_read_timeout(Some(TIMEOUT))?;
     let mut text = String::new();
