The receive buffers of connections share a part of the memory

What callers saw: nothing so far; found by reading and measured. Bytes that have arrived and are not read yet count as the machine's memory, and behind a request that is being served a caller can send as much as the system takes.

Cause: each connection had a receive buffer of the system's default size, whatever their number.

Evidence: `unread_bytes_of_all_connections_fit_into_the_memory` fails on the commit before: 114,688 bytes on one connection are 220 MB on the 1,922 that 4,100 files allow, of 260 MB.

Change: the listener's buffers get a quarter of the memory, divided by the number of connections, from 16 to 256 KiB each. Connections inherit the size. Event 115 if the system does not accept it.

--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -40,7 +40,8 @@
         observe,
     },
     error::StartError,
-    health, listener,
+    health,
+    listener::{self, limit_receive_buffers},
     membership::{
         identity::RunIdentity,
         peer_server,
@@ -99,6 +100,7 @@
     pub async fn start(settings: Settings, deps: Dependencies) -> Result<Self, StartError> {
         settings.check()?;
         let caller_listener = bind("caller_address", &settings.caller_address).await?;
+        limit_receive_buffers(&caller_listener, settings.memory().receive_buffer_bytes(settings.limits.connections));
         let operator_listener = bind("operator_address", &settings.operator_address).await?;
         let node = Arc::new(new_node(settings, deps)?);
         let peer = peer_server::start(Arc::clone(&node)).await?;
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -37,6 +37,7 @@
     REQUEST_CROSSED_CLOSE = 112, "A request arrived on a connection as it was closed. It was not run, and its caller was told so with 408.";
     CONNECTION_PANICKED = 113, "A connection ended by a panic, and its caller got no response. This is a fault of the program: report it with `why`. If all connections end so, the daemon is not ready.";
     CONNECTION_EVICTED = 114, "The maximum number of connections is open; one on which no request was being served was closed for a new one.";
+    RECEIVE_BUFFERS_UNLIMITED = 115, "The system did not accept a bound on the bytes that it keeps for each connection until they are read.";
     REQUEST_OVER = 200, "A request finished with this outcome. At debug level.";
     REQUEST_REFUSED = 201, "A request was refused, failed or was cancelled by its caller, for this reason. At debug level.";
     ATTEMPT_FAILED = 202, "An attempt at an endpoint failed; `delivered` is the number of tokens that the caller has. If there are many for one endpoint, check that endpoint.";
--- a/crates/daemon/src/gateway/controller.rs
+++ b/crates/daemon/src/gateway/controller.rs
@@ -27,7 +27,7 @@
         state::Gateway,
         store_watch, suspension, tunnel, usage,
     },
-    listener::{ConnectionLimits, serve_with},
+    listener::{ConnectionLimits, limit_receive_buffers, serve_with},
 };
 
 /// Time after the stop signal during which new connections may still arrive: the load balancer checks every second and
@@ -60,6 +60,7 @@
     pub async fn start(settings: GatewaySettings, deps: Dependencies) -> Result<Self, StartError> {
         settings.check()?;
         let caller_listener = bind("caller_address", settings.caller_address).await?;
+        limit_receive_buffers(&caller_listener, settings.memory().receive_buffer_bytes(settings.caller_connections()));
         let ready_listener = bind("ready_address", settings.ready_address).await?;
         let state_listener = bind("peer_address", settings.peer_address).await?;
         let metrics_listener = bind("metrics_address", settings.metrics_address).await?;
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -10,6 +10,7 @@
 use futures_util::{FutureExt, future::BoxFuture};
 use http::{Request, Response};
 use hyper::body::Incoming;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use tower::ServiceExt;
@@ -162,6 +163,14 @@
     None,
 }
 
+/// Bounds the bytes that the system keeps for each connection of a listener until they are read.
+pub(crate) fn limit_receive_buffers(listener: &TcpListener, bytes: usize) {
+    // The system doubles the value for its own use, and the data may fill most of that.
+    if let Err(e) = SockRef::from(listener).set_recv_buffer_size(bytes / 2) {
+        emit!(warn, RECEIVE_BUFFERS_UNLIMITED, why = %e);
+    }
+}
+
 /// What is needed to serve each connection.
 struct Server<F, T> {
     handler: F,
--- a/crates/settings/src/memory.rs
+++ b/crates/settings/src/memory.rs
@@ -1,7 +1,7 @@
 //! The memory of the machine, and how much of it callers may use.
 //!
-//! A part is for the bodies of their requests, and a part for connections and the heads that arrive on them. The rest is for
-//! the daemon itself.
+//! A part is for the bodies of their requests, a part for what the system keeps of each connection until it is read, and a
+//! part for connections and the heads that arrive on them. The rest is for the daemon itself.
 
 use rustix::system::sysinfo;
 
@@ -9,10 +9,15 @@
 const MEGABYTE: usize = 1_000_000;
 /// Part of the memory for bodies.
 const BODY_SHARE: usize = 3;
+/// Part of the memory for bytes that have arrived and are not read yet.
+const UNREAD_SHARE: usize = 4;
 /// Part of the memory for connections and heads.
 const CONNECTION_SHARE: usize = 5;
 /// Memory that a connection needs beside that for a head, in bytes.
 const CONNECTION_BYTES: usize = 4 << 10;
+/// Minimum and maximum bytes of one connection that wait until they are read.
+const RECEIVE_BUFFER_BYTES: (usize, usize) = (16 << 10, 256 << 10);
+
 /// Minimum memory of a machine, in megabytes.
 pub(crate) const MIN_MEMORY_MB: u32 = 64;
 
@@ -38,6 +43,13 @@
         self.bytes / BODY_SHARE
     }
 
+    /// Maximum bytes that wait on each of so many connections until they are read.
+    #[must_use]
+    pub fn receive_buffer_bytes(self, connections: usize) -> usize {
+        let (min, max) = RECEIVE_BUFFER_BYTES;
+        (self.bytes / UNREAD_SHARE / connections.max(1)).clamp(min, max)
+    }
+
     /// Maximum number of connections with heads of this size.
     #[must_use]
     pub const fn connections(self, head_bytes: usize) -> usize {
--- a/proofs/src/crowd.rs
+++ b/proofs/src/crowd.rs
@@ -227,6 +227,8 @@
 struct Peak {
     bytes: AtomicU64,
     files: AtomicUsize,
+    /// Bytes that had arrived and were not read yet.
+    unread: AtomicU64,
     is_over: AtomicBool,
 }
 
@@ -307,6 +309,12 @@
         assert!(self.peak.files.load(Ordering::Relaxed) <= self.max_files, "files: {}", self.text());
     }
 
+    /// The most bytes that had arrived and were not read yet.
+    #[must_use]
+    pub fn unread(&self) -> u64 {
+        self.peak.unread.load(Ordering::Relaxed)
+    }
+
     fn text(&self) -> String {
         let (bytes, files) = (self.peak.bytes.load(Ordering::Relaxed), self.peak.files.load(Ordering::Relaxed));
         format!("{} MB and {files} files at most", bytes / 1_000_000)
@@ -340,7 +348,9 @@
     while !peak.is_over.load(Ordering::Relaxed) {
         let (_, resident) = cpu_and_memory(process);
         let files = fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count);
-        peak.bytes.fetch_max(resident + unread_bytes(port), Ordering::Relaxed);
+        let unread = unread_bytes(port);
+        peak.unread.fetch_max(unread, Ordering::Relaxed);
+        peak.bytes.fetch_max(resident + unread, Ordering::Relaxed);
         peak.bytes.fetch_max(resident_peak(process), Ordering::Relaxed);
         peak.files.fetch_max(files, Ordering::Relaxed);
         std::thread::sleep(SAMPLE_INTERVAL);
