A body is free once its response has begun and cannot be resumed

What callers saw: refusals for want of memory (`no_body_memory`) although most bodies were of no use any more.

Cause: the body of a request was kept until its response had been relayed to the end, for attempts that may follow. Once a response has begun, only a stream that may be resumed is sent again.

Change: the relay of any other response drops the body at its start.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -106,7 +106,7 @@
 
 /// Builds the response to the caller.
 pub(super) fn respond(
-    req: ActiveRequest,
+    mut req: ActiveRequest,
     start: ResponseStart,
     mut log_entry: AccessLogEntry,
 ) -> Response<ResponseBody> {
@@ -125,9 +125,14 @@
             }
             log_entry.set_outcome("caller_left", head.status.as_u16());
             log_entry.start_stream(&resp);
+            let resumable = req.is_stream(&resp.head) && req.route.repeat == Repeat::Allowed;
+            if !resumable {
+                // It is not sent again, so its memory is free for others.
+                req.body = Bytes::new();
+            }
             let relay = Relay {
                 proven_at: Some(req.gw.now() + PROOF_TIME),
-                resumable: req.is_stream(&resp.head) && req.route.repeat == Repeat::Allowed,
+                resumable,
                 req,
                 resp,
                 pending: Some(first),
