--- a/proofs/src/crowd.rs
+++ b/proofs/src/crowd.rs
@@ -187,6 +187,19 @@
     }
 }
 
+/// Lets so many callers of a crowd send, and stay connected until `time` is over.
+pub async fn play(target: Target, sender: Sender, count: usize, time: Duration) {
+    let mut callers = JoinSet::new();
+    for _ in 0..count {
+        let target = target.clone();
+        callers.spawn(async move {
+            let _conn = sender.send(&target).await;
+            std::future::pending::<()>().await;
+        });
+    }
+    tokio::time::sleep(time).await;
+}
+
 /// Writes so many bytes of a body, with other callers in between.
 async fn write_bytes(tx: &mut OwnedWriteHalf, count: usize, write: usize) -> std::io::Result<()> {
     let bytes = vec![b'x'; write.min(count)];
