The memory of a machine is taken as 256 MB unless its settings state it

Change: without `memory_mb` the daemon counts on 256 MB, or what the system has if that is less. The number of connections is bounded by memory on the interface for declared endpoints, too, and receive buffers have at least 32 KiB.

--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -100,11 +100,11 @@
     pub async fn start(settings: Settings, deps: Dependencies) -> Result<Self, StartError> {
         settings.check()?;
         let caller_listener = bind("caller_address", &settings.caller_address).await?;
-        limit_receive_buffers(&caller_listener, settings.memory().receive_buffer_bytes(settings.limits.connections));
+        let limits = settings.caller_limits();
+        limit_receive_buffers(&caller_listener, settings.memory().receive_buffer_bytes(limits.connections));
         let operator_listener = bind("operator_address", &settings.operator_address).await?;
         let node = Arc::new(new_node(settings, deps)?);
         let peer = peer_server::start(Arc::clone(&node)).await?;
-        let limits = node.settings.limits;
         let (begun, closing, finished) =
             (node.stop.begun.clone(), node.stop.closing.clone(), node.stop.finished.clone());
         let notices = caller::refusal::close_notices();
--- a/crates/daemon/src/gateway/listener.rs
+++ b/crates/daemon/src/gateway/listener.rs
@@ -21,9 +21,6 @@
 /// Bytes that are read beyond the configured head size, so that a head of exactly that size fits.
 const HEAD_MARGIN_BYTES: usize = 4 << 10;
 
-/// Minimum number of connections, however large the heads may be.
-const MIN_CONNECTIONS: usize = 16;
-
 /// Serves callers until the daemon stops accepting connections.
 pub(super) async fn run(gw: Arc<Gateway>, listener: TcpListener) {
     let handler = {
@@ -46,7 +43,7 @@
     let max_head_bytes = head_bytes.saturating_add(HEAD_MARGIN_BYTES);
     let in_memory = gw.settings.memory().connections(max_head_bytes);
     ConnectionLimits {
-        connections: gw.settings.caller_connections().min(in_memory.max(MIN_CONNECTIONS)),
+        connections: gw.settings.caller_connections().min(in_memory),
         head_timeout: duration(head_time.max(MIN_HEAD_TIMEOUT)),
         max_head_bytes,
     }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -51,7 +51,7 @@
     pub keyspace: String,
     /// Maximum number of open files.
     pub max_files: u32,
-    /// Memory of the VM in megabytes; if absent, as much as the system has.
+    /// Memory of the VM in megabytes; if absent, 256 or what the system has, whichever is less.
     #[serde(default)]
     pub memory_mb: Option<u32>,
     /// Bandwidth of the VM's network link, in megabits per second.
--- a/crates/settings/src/memory.rs
+++ b/crates/settings/src/memory.rs
@@ -15,9 +15,13 @@
 const CONNECTION_SHARE: usize = 5;
 /// Memory that a connection needs beside that for a head, in bytes.
 const CONNECTION_BYTES: usize = 4 << 10;
+/// Minimum number of connections.
+const MIN_CONNECTIONS: usize = 16;
 /// Minimum and maximum bytes of one connection that wait until they are read.
-const RECEIVE_BUFFER_BYTES: (usize, usize) = (16 << 10, 256 << 10);
+const RECEIVE_BUFFER_BYTES: (usize, usize) = (32 << 10, 256 << 10);
 
+/// Memory for a daemon whose settings state none, in megabytes.
+const DEFAULT_MEMORY_MB: usize = 256;
 /// Minimum memory of a machine, in megabytes.
 pub(crate) const MIN_MEMORY_MB: u32 = 64;
 
@@ -28,13 +32,14 @@
 }
 
 impl Memory {
-    /// Memory of this many megabytes, or as much as the system has.
+    /// Memory of this many megabytes, or the default, of which the system may have less.
     pub(crate) fn of(megabytes: Option<u32>) -> Self {
-        let system = || {
+        let default = || {
             let info = sysinfo();
-            (info.totalram as usize).saturating_mul(info.mem_unit as usize)
+            let system = (info.totalram as usize).saturating_mul(info.mem_unit as usize);
+            system.min(DEFAULT_MEMORY_MB * MEGABYTE)
         };
-        Self { bytes: megabytes.map_or_else(system, |megabytes| (megabytes as usize).saturating_mul(MEGABYTE)) }
+        Self { bytes: megabytes.map_or_else(default, |megabytes| (megabytes as usize).saturating_mul(MEGABYTE)) }
     }
 
     /// Maximum bytes of all bodies together.
@@ -50,9 +55,9 @@
         (self.bytes / UNREAD_SHARE / connections.max(1)).clamp(min, max)
     }
 
-    /// Maximum number of connections with heads of this size.
+    /// Maximum number of connections with heads of this size, however large these are.
     #[must_use]
-    pub const fn connections(self, head_bytes: usize) -> usize {
-        self.bytes / CONNECTION_SHARE / head_bytes.saturating_add(CONNECTION_BYTES)
+    pub fn connections(self, head_bytes: usize) -> usize {
+        (self.bytes / CONNECTION_SHARE / head_bytes.saturating_add(CONNECTION_BYTES)).max(MIN_CONNECTIONS)
     }
 }
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -72,7 +72,7 @@
     /// Kind of the requests whose caller names none; if absent, such requests are refused.
     #[serde(default)]
     pub default_kind: Option<String>,
-    /// Memory of the VM in megabytes; if absent, as much as the system has.
+    /// Memory of the VM in megabytes; if absent, 256 or what the system has, whichever is less.
     #[serde(default)]
     pub memory_mb: Option<u32>,
     /// Limits on callers' requests and connections.
@@ -290,6 +290,13 @@
         Memory::of(self.memory_mb)
     }
 
+    /// Limits on callers' requests and connections, with no more connections than fit into the memory.
+    #[must_use]
+    pub fn caller_limits(&self) -> Limits {
+        let in_memory = self.memory().connections(self.limits.header_bytes);
+        Limits { connections: self.limits.connections.min(in_memory), ..self.limits }
+    }
+
     /// Address at which other daemons reach this one.
     #[must_use]
     pub fn advertised_address(&self) -> &str {
