The rest of a refused request is read for as long as its caller sends it, up to 3 s

What callers saw: a reset instead of 503, where a large body took longer than 500 ms to send.

Cause: what remains of a refused request was discarded for 500 ms in all.

Evidence: `a_caller_that_sends_slowly_gets_the_response` fails on the commit before ("Broken pipe").

Change: it is discarded until the caller closes the connection or sends nothing for 500 ms, for at most 3 s.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -46,6 +46,12 @@
 /// caller could lose the response.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
+/// Maximum time for which the rest of a request is read. A caller on a slow link has sent a large body by then.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(3);
+
+/// Size of the buffer for what is discarded, in bytes.
+const DISCARD_BUFFER_BYTES: usize = 16 << 10;
+
 /// Minimum size of the buffer for a head, in bytes; the HTTP library panics below this.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -203,20 +209,27 @@
         return;
     }
     let has_notice = notice.is_some();
+    let max_time = if has_rest { MAX_DISCARD_TIME } else { LINGER_TIME };
     let mut discarded = 0;
     let closing = async {
         stream.write_all(&notice.unwrap_or_default()).await?;
         stream.shutdown().await?;
-        let mut buf = [0; 4 << 10];
-        loop {
-            match stream.read(&mut buf).await? {
-                0 => return std::io::Result::Ok(()),
-                n => discarded += n,
-            }
-        }
+        discard(&mut stream, &mut discarded).await
     };
-    let _ = tokio::time::timeout(LINGER_TIME, closing).await;
+    let _ = tokio::time::timeout(max_time, closing).await;
     if has_notice && discarded > 0 {
         emit!(info, REQUEST_CROSSED_CLOSE, bytes = discarded);
     }
 }
+
+/// Reads until the caller closes the connection or sends nothing for a time, and counts the bytes.
+async fn discard(stream: &mut TcpStream, discarded: &mut usize) -> std::io::Result<()> {
+    let mut buf = vec![0; DISCARD_BUFFER_BYTES];
+    while let Ok(read) = tokio::time::timeout(LINGER_TIME, stream.read(&mut buf)).await {
+        match read? {
+            0 => break,
+            n => *discarded += n,
+        }
+    }
+    Ok(())
+}
--- a/crates/daemon/tests/listener.rs
+++ b/crates/daemon/tests/listener.rs
@@ -220,6 +220,22 @@
     served.close().await;
 }
 
+/// The same if sending the rest takes longer than callers usually need for a request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_sends_slowly_gets_the_response() {
+    let served = Served::start().await;
+    let head = format!("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {UNREAD_BODY}\r\n\r\n");
+    let mut caller = served.connect(head.as_bytes());
+    let piece = vec![b'x'; UNREAD_BODY / 12];
+    for _ in 0..12 {
+        caller.write_all(&piece).expect("the body is taken");
+        std::thread::sleep(AFTER_CLOSE / 2);
+    }
+    let text = read(&mut caller).expect("the response arrives");
+    assert!(text.ends_with("done"), "{text:?}");
+    served.close().await;
+}
+
 fn read(caller: &mut CallerStream) -> std::io::Result<String> {
     caller.set_read_timeout(Some(TIMEOUT))?;
     let mut text = String::new();
