--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -111,8 +111,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                if server.spawn_connection(stream) == Room::MadeFor {
-                    // The connection that closes for this one gives its files back before the next one is accepted.
+                if server.spawn_connection(stream) {
+                    // Lets the connection that closes for this one free its file before the next one is accepted.
                     tokio::task::yield_now().await;
                 }
             }
@@ -154,15 +154,6 @@
         .collect()
 }
 
-/// Whether there was room for a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Room {
-    Sufficient,
-    /// Another connection closes for it.
-    MadeFor,
-    None,
-}
-
 /// Bounds the bytes that the system keeps for each connection of a listener until they are read.
 pub(crate) fn limit_receive_buffers(listener: &TcpListener, bytes: usize) {
     // The system doubles the value for its own use, and the data may fill most of that.
@@ -184,8 +175,9 @@
 }
 
 impl<F, T> Server<F, T> {
-    /// Serves a connection in its own task, or closes it if there is no room for it.
-    fn spawn_connection<A, B>(&self, stream: TcpStream) -> Room
+    /// Serves a connection in its own task, or closes it if there is no room for it. Returns whether another one closes
+    /// for it.
+    fn spawn_connection<A, B>(&self, stream: TcpStream) -> bool
     where
         F: Fn(Request<Incoming>) -> A + Clone + Send + Unpin + 'static,
         A: Future<Output = Response<B>> + Send + 'static,
@@ -195,17 +187,17 @@
         T: Fn() -> ConnectionLimits,
     {
         let limits = (self.limits)();
-        let (open, room) = match self.table.admit(limits.connections) {
-            Admission::Open(open) => (open, Room::Sufficient),
+        let (open, has_evicted) = match self.table.admit(limits.connections) {
+            Admission::Open(open) => (open, false),
             Admission::InPlaceOfAnother(open) => {
                 self.health.record_evicted();
                 emit!(info, CONNECTION_EVICTED, limit = limits.connections);
-                (open, Room::MadeFor)
+                (open, true)
             }
             Admission::Refused => {
                 self.health.record_refused();
                 emit!(warn, CONNECTION_REFUSED, limit = limits.connections);
-                return Room::None;
+                return false;
             }
         };
         let _ = stream.set_nodelay(true);
@@ -226,6 +218,6 @@
                 }
             }
         });
-        room
+        has_evicted
     }
 }
