--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -87,7 +87,7 @@
     let out = run(&["check", &path]).replace(&path, "FILE");
     expect![[r#"
         exit 1
-        dahliaseam: FILE: colour: unknown field `colour`, expected one of `vm`, `hall`, `caller_address`, `operator_address`, `peer_address`, `peer_advertise`, `kv_address`, `vm_list_address`, `keyspace`, `peer_secret`, `operator_token`, `default_kind`, `limits`, `timing`, `policy`, `loads_per_minute`, `log`, `otlp_endpoint` at line 1 column 21
+        dahliaseam: FILE: colour: unknown field `colour`, expected one of `vm`, `hall`, `caller_address`, `operator_address`, `peer_address`, `peer_advertise`, `kv_address`, `vm_list_address`, `keyspace`, `peer_secret`, `operator_token`, `default_kind`, `memory_mb`, `limits`, `timing`, `policy`, `loads_per_minute`, `log`, `otlp_endpoint` at line 1 column 21
     "#]].assert_eq(&out);
 }
 
