--- a/crates/border/src/feed.rs
+++ b/crates/border/src/feed.rs
@@ -16,6 +16,8 @@
     pub revision: i64,
     /// Revision of the newest part of the read.
     pub newest: i64,
+    /// Number of pages of which the read consisted; zero if it was none.
+    pub pages: usize,
 }
 
 /// One change of a key.
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -74,7 +74,7 @@
     KV_LOST = 303, "The key-value service does not answer.";
     KV_BACK = 304, "The key-value service answers again.";
     ROUTES_IN_FORCE = 310, "A newer version of the routes is in force on this VM.";
-    STORE_READ = 311, "All entries of the store were read again. Its pages may differ in age: changes are read from `revision` on, that of the oldest one; `newest` is that of the newest one.";
+    STORE_READ = 311, "All entries of the store were read again. Its pages may differ in age: changes are read from `revision` on, that of the oldest one; `newest` is that of the newest one. `pages` is 0 for what a peer sent.";
     STORE_LOST = 312, "The store does not answer; the daemon continues with its copy.";
     STORE_BACK = 313, "The store answers again; replicas whose entries lapsed in the meantime get a short time to register again.";
     HISTORY_GONE = 314, "The store has discarded changes that this daemon has not read yet; everything is read again.";
@@ -99,6 +99,7 @@
     STREAM_TAKEN_UP = 333, "A caller takes up a stream; `named_by` is who named the version of software that began it. With `nobody` the request is refused, since streams may not go on at another version.";
     SOFTWARE_NOT_RECORDED = 334, "Which versions of software serve could not be recorded in the store; it is tried again.";
     PATHS_LOSSY = 335, "This daemon's own paths to replicas lose so many packets that calls go through peers, or `is_lossy` is false and they no longer do. Check the network of this VM.";
+    READING_STORE = 336, "The store's entries are being read again. If `STORE_READ` does not follow, look at the next `STORE_LOST`.";
     MEMBER = 400, "The number of daemons believed to be alive changed.";
     LIST_REFUSED = 401, "The VM list does not contain this VM and is ignored.";
     LIST_LOST = 402, "The VM list cannot be read.";
--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -139,6 +139,7 @@
 /// Reads everything. `may_be_old` allows a stale read, for callers that read the changes since then right after it.
 async fn read_all(gw: &Arc<Gateway>, may_be_old: bool) -> Result<(), CallError> {
     gw.metrics.store_call(StoreCall::ReadAll);
+    emit!(info, READING_STORE, may_be_old);
     let asked_at = gw.now();
     let snapshot = gw.deps.feed.snapshot("", may_be_old).await?;
     store_answered(gw, snapshot.revision);
@@ -259,6 +260,7 @@
         era = revision::era(revision),
         revision = revision::number(revision),
         newest = revision::number(snapshot.newest),
+        pages = snapshot.pages,
         replicas
     );
 }
