An item that cannot be parsed does not hide the others

One item without a field, with null or a value of another type made the whole page or watch answer unreadable, and the same call was repeated without an end: daemons that ran learned of no change any more, and restarted ones of nothing.

Items are parsed one by one now. One that cannot be is logged (event 337) and left out; what was known under its key stays known. If it may have been the configuration, the read proves nothing about how new the configuration is.

--- a/crates/border/src/feed.rs
+++ b/crates/border/src/feed.rs
@@ -12,6 +12,8 @@
 pub struct Snapshot {
     /// The entries.
     pub entries: Vec<Entry>,
+    /// Items that the service returned beside them and that cannot be decoded.
+    pub unreadable: Vec<UnreadableItem>,
     /// Revision after which to read the changes, so that none is missed. Some entries may be newer.
     pub revision: i64,
     /// Revision of the newest part of the read.
@@ -20,6 +22,15 @@
     pub pages: usize,
 }
 
+/// An item of the service that cannot be decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableItem {
+    /// Its key, if that can be decoded.
+    pub key: Option<String>,
+    /// Why it cannot be decoded.
+    pub why: String,
+}
+
 /// One change of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -41,6 +52,8 @@
     Next {
         /// The changes in the order in which they happened; empty if the wait ended before any.
         changes: Vec<Change>,
+        /// Items among them that cannot be decoded.
+        unreadable: Vec<UnreadableItem>,
         /// Revision from which to continue.
         revision: i64,
     },
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -100,6 +100,7 @@
     SOFTWARE_NOT_RECORDED = 334, "Which versions of software serve could not be recorded in the store; it is tried again.";
     PATHS_LOSSY = 335, "This daemon's own paths to replicas lose so many packets that calls go through peers, or `is_lossy` is false and they no longer do. Check the network of this VM.";
     READING_STORE = 336, "The store's entries are being read again. If `STORE_READ` does not follow, look at the next `STORE_LOST`.";
+    STORE_ITEM_UNREADABLE = 337, "An item that the store returned cannot be decoded and is left out; `items` is the number of such items in the answer. What was known under its key stays known.";
     MEMBER = 400, "The number of daemons believed to be alive changed.";
     LIST_REFUSED = 401, "The VM list does not contain this VM and is ignored.";
     LIST_LOST = 402, "The VM list cannot be read.";
--- a/crates/daemon/src/gateway/snapshot_transfer.rs
+++ b/crates/daemon/src/gateway/snapshot_transfer.rs
@@ -204,7 +204,8 @@
     let entries = update.entries.into_iter().map(Entry::from);
     if update.whole {
         let revision = update.revision;
-        store_watch::apply_snapshot(gw, Snapshot { entries: entries.collect(), revision, newest: revision, pages: 0 });
+        let entries = entries.collect();
+        store_watch::apply_snapshot(gw, Snapshot { entries, revision, newest: revision, ..Snapshot::default() });
         let mut cache = gw.store_cache();
         cache.merged_era = cache.merged_era.max(update.merged_era);
         return;
--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -9,7 +9,7 @@
 
 use dahliaseam_border::{
     error::CallError,
-    feed::{Change, Changes, Snapshot},
+    feed::{Change, Changes, Snapshot, UnreadableItem},
     kv::Entry,
 };
 use dahliaseam_core::{
@@ -42,6 +42,9 @@
 /// Interval between two sweeps for replicas that are gone and for old connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Maximum number of items of one answer that are logged because they cannot be decoded.
+const MAX_LOGGED_ITEMS: usize = 8;
+
 /// Watches the store until the daemon shuts down.
 pub(super) async fn run(gw: Arc<Gateway>) {
     let stop = gw.stop.finished.clone();
@@ -143,10 +146,13 @@
     let asked_at = gw.now();
     let snapshot = gw.deps.feed.snapshot("", may_be_old).await?;
     store_answered(gw, snapshot.revision);
+    let is_configuration_read = is_configuration_readable(gw, &snapshot.unreadable);
     apply_snapshot(gw, snapshot);
     if !may_be_old {
         gw.store_cache().is_confirmed = true;
-        record_proof(gw, asked_at);
+        if is_configuration_read {
+            record_proof(gw, asked_at);
+        }
     }
     Ok(())
 }
@@ -171,9 +177,11 @@
             emit!(info, HISTORY_GONE, era = revision::era(revision), revision = revision::number(revision));
             read_all(gw, false).await
         }
-        Changes::Next { changes, revision } => {
+        Changes::Next { changes, unreadable, revision } => {
             store_answered(gw, revision);
-            let at = proved_at(asked_at, wait, !changes.is_empty(), gw.now());
+            log_unreadable(&unreadable);
+            let is_configuration_read = is_configuration_readable(gw, &unreadable);
+            let at = proved_at(asked_at, wait, !changes.is_empty() || !unreadable.is_empty(), gw.now());
             for change in changes {
                 apply_unless_outdated(gw, change);
             }
@@ -182,12 +190,27 @@
                 cache.advance(revision);
                 cache.is_confirmed = true;
             }
-            record_proof(gw, at);
+            if is_configuration_read {
+                record_proof(gw, at);
+            }
             Ok(())
         }
     }
 }
 
+/// Whether none of these items may have been the configuration.
+fn is_configuration_readable(gw: &Gateway, unreadable: &[UnreadableItem]) -> bool {
+    let key = gw.deps.dialect.configuration_key();
+    unreadable.iter().all(|item| item.key.as_deref().is_some_and(|other| other != key))
+}
+
+/// Logs the first of the items that cannot be decoded.
+fn log_unreadable(items: &[UnreadableItem]) {
+    for UnreadableItem { key, why } in items.iter().take(MAX_LOGGED_ITEMS) {
+        emit!(error, STORE_ITEM_UNREADABLE, key, why, items = items.len());
+    }
+}
+
 /// Records that the store answered with its contents up to a revision.
 fn store_answered(gw: &Gateway, revision: i64) {
     gw.metrics.store_read("answered");
@@ -220,8 +243,11 @@
     let prefix = gw.deps.dialect.replica_prefix();
     let revision = snapshot.revision;
     let now = gw.now();
+    log_unreadable(&snapshot.unreadable);
     let (is_return, missing, entries) = {
-        let keys: HashSet<&str> = snapshot.entries.iter().map(|entry| &*entry.key).collect();
+        // What is known of an item that cannot be decoded now stays known.
+        let unreadable = snapshot.unreadable.iter().filter_map(|item| item.key.as_deref());
+        let keys: HashSet<&str> = snapshot.entries.iter().map(|entry| &*entry.key).chain(unreadable).collect();
         let mut cache = gw.store_cache();
         let before = cache.revision;
         let is_return = cache.note_return(revision, now + REREGISTRATION_GRACE, now + LAPSE_SETTLE_TIME, now);
