--- a/crates/border/src/http.rs
+++ b/crates/border/src/http.rs
@@ -12,7 +12,7 @@
     response,
     uri::{Authority, PathAndQuery},
 };
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::Builder;
 use hyper_util::client::legacy::connect::HttpConnector;
 use serde::{Serialize, de::DeserializeOwned};
@@ -162,11 +162,27 @@
         req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<(response::Parts, Bytes), CallError> {
+        let (head, body) = self.fetch_limited(req, timeout).await?;
+        let body = body.ok_or_else(|| CallError::Lost("the answer is too large".to_owned()))?;
+        Ok((head, body))
+    }
+
+    /// Like [`Self::fetch_with_head`], with `None` in place of a body that is too large.
+    ///
+    /// # Errors
+    /// As [`HttpClient::send`]; a response that arrives late counts as [`CallError::Lost`].
+    pub async fn fetch_limited(
+        &self,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<(response::Parts, Option<Bytes>), CallError> {
         let answer = async {
             let (head, body) = self.send(req).await?.into_parts();
-            let body =
-                Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(|e| CallError::Lost(e.to_string()))?;
-            Ok((head, body.to_bytes()))
+            match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+                Ok(body) => Ok((head, Some(body.to_bytes()))),
+                Err(e) if e.is::<LengthLimitError>() => Ok((head, None)),
+                Err(e) => Err(CallError::Lost(e.to_string())),
+            }
         };
         tokio::time::timeout(timeout, answer)
             .await
