The replicas' prefix is taken off a key once

Beside entries servers/servers/r0 to r5 of another writer, 0 of 20 requests were served, although the replicas r0 to r5 were sound.

Cause: trim_start_matches removes a prefix as often as it occurs, so two keys had one identifier, and the unreadable entry, or its removal, was taken for that of the sound replica. strip_prefix removes it once.

an_entry_under_a_doubled_prefix_takes_no_replica_away failed before and passes.

--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -432,6 +432,11 @@
     }
 }
 
+/// The identifier in the key of a replica's entry, which may begin like the prefix itself.
+fn replica_id<'a>(gw: &Gateway, key: &'a str) -> &'a str {
+    key.strip_prefix(gw.deps.dialect.replica_prefix()).unwrap_or(key)
+}
+
 fn put_replica(gw: &Gateway, entry: &Entry) {
     // Stored even if it turns out to be unreadable, so that reading it again at the same revision is not a change.
     if gw.store_cache().put_replica_entry(entry, gw.now()) {
@@ -440,7 +445,7 @@
 }
 
 fn apply_replica(gw: &Gateway, entry: &Entry) {
-    let id = entry.key.trim_start_matches(gw.deps.dialect.replica_prefix()).to_owned();
+    let id = replica_id(gw, &entry.key).to_owned();
     match gw.deps.dialect.decode_replica(&id, &entry.value) {
         Ok((facts, _)) => {
             let (draining, role) = (facts.draining, facts.role);
@@ -474,7 +479,7 @@
 }
 
 fn remove_replica(gw: &Gateway, key: &str, revision: i64) {
-    let id = key.trim_start_matches(gw.deps.dialect.replica_prefix());
+    let id = replica_id(gw, key);
     let now = gw.now();
     let gone_at = {
         let mut cache = gw.store_cache();
