A list of the key-value service leaves out entries that are no text

The same cause on the interface for declared endpoints: one entry whose key or value is not valid text discarded the whole list. Keys go through base64 there, so no name needs encoding, and a range is read in one answer.

--- a/crates/border/src/etcd.rs
+++ b/crates/border/src/etcd.rs
@@ -190,7 +190,8 @@
     async fn list(&self, prefix: &str) -> Result<Vec<Entry>, CallError> {
         let body = json!({ "key": BASE64.encode(prefix), "range_end": BASE64.encode(range_end(prefix)) });
         let answer: RangeAnswer = self.call("kv/range", &body).await?;
-        answer.kvs.iter().map(parse_entry).collect()
+        // One entry that is no text must not hide the others.
+        Ok(answer.kvs.iter().filter_map(|raw| parse_entry(raw).ok()).collect())
     }
 
     async fn swap_each(&self, swaps: Vec<Swap>) -> Result<Vec<Swapped>, CallError> {
--- a/crates/border/src/kv.rs
+++ b/crates/border/src/kv.rs
@@ -67,7 +67,7 @@
     /// Returns an error if no valid answer arrives.
     async fn read(&self, key: &str) -> Result<Option<Entry>, CallError>;
 
-    /// Reads all keys that begin with `prefix`.
+    /// Reads all keys that begin with `prefix`. Entries that are no text are left out.
     ///
     /// # Errors
     /// Returns an error if no valid answer arrives.
