An answer with a status below 200 or above 599 is no answer

Callers got what a replica sent with status 101 or 600 to 999, sealed or not. 101 hands the connection to a protocol that nobody asked for; above 599 there is no class. 000, 001, 099 and statuses that are no three digits were not passed on before (502) and aren't now; they are tested beside the others.

Such an answer is handled like one whose end is ambiguous: the call may have run, it counts as a failure of the replica, its connection is not used again, and the caller gets 502 unless the request may be repeated. The check stands where heads of all calls are checked: routes with streams, prefill and decode, declared endpoints, orders and duties, the store.

--- a/crates/border/src/http.rs
+++ b/crates/border/src/http.rs
@@ -235,7 +235,7 @@
     authority: &Authority,
     mut answered: Answered<Full<Bytes>>,
 ) -> Result<(Authority, Answered<Full<Bytes>>), CallError> {
-    framing::check(answered.resp.headers()).map_err(|e| CallError::Lost(e.to_string()))?;
+    framing::check(answered.resp.status(), answered.resp.headers()).map_err(|e| CallError::Lost(e.to_string()))?;
     answered.resp.extensions_mut().insert(answered.number);
     Ok((authority.clone(), answered))
 }
--- a/crates/border/src/once.rs
+++ b/crates/border/src/once.rs
@@ -52,7 +52,7 @@
                 Some(_) => not_sent(&e.into_error()),
                 None => lost(&e.into_error()),
             })?;
-            framing::check(resp.headers()).map_err(|e| lost(&e))?;
+            framing::check(resp.status(), resp.headers()).map_err(|e| lost(&e))?;
             let status = resp.status();
             let body = Limited::new(resp.into_body(), MAX_ANSWER_BYTES).collect().await;
             let body = body.map_err(|e| CallError::Lost(e.to_string()))?;
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -105,7 +105,7 @@
     /// Checks that the head states where the body ends.
     fn new(answered: Answered<Full<Bytes>>, connect_time: Option<Span>) -> Result<Self, SendError> {
         let Answered { resp, number, conn } = answered;
-        framing::check(resp.headers()).map_err(|e| SendError::Lost(e.to_string()))?;
+        framing::check(resp.status(), resp.headers()).map_err(|e| SendError::Lost(e.to_string()))?;
         Ok(Self { resp, number, conn, connect_time })
     }
 }
