dahliaseam: names are one segment of a call's path

'dahliaseam delete pool a?b' deleted the pool a: names and identifiers of requests were written into paths as they were. They are percent-encoded now.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -1,6 +1,7 @@
 //! Implementation of the subcommands.
 
 use std::{
+    fmt::Display,
     io::Write,
     path::{Path, PathBuf},
     time::Duration,
@@ -13,6 +14,7 @@
     resource::{Change, ChangeRefusal, Document, ResourceKind},
 };
 use http::Method;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::{Value, json};
 
 use crate::{
@@ -113,13 +115,13 @@
         Command::Edit { kind, name, set } => accepted_text(edit(&client, kind, &name, &set).await?),
         Command::Delete { kind, name, version } => {
             let query = version.map(|v| format!("?resource_version={v}")).unwrap_or_default();
-            let path = format!("/v1/{}/{name}{query}", kind.plural());
+            let path = format!("{}{query}", resource_path(kind, &name));
             accepted_text(client.call::<(), _>(Method::DELETE, &path, None).await?)
         }
         Command::Watch { kind } => return watch(&client, kind, output, out).await,
         Command::Explain { request, log: Some(file) } => log::explain(&file, &request)?,
         Command::Explain { request, log: None } => {
-            output.text(&client.get::<RequestRecord>(&format!("/v1/requests/{request}")).await?)
+            output.text(&client.get::<RequestRecord>(&format!("/v1/requests/{}", encode(&request))).await?)
         }
         Command::Streams { log } => streams::table(&log)?,
         Command::Drain { endpoint, undo, wait_seconds } => drain(&client, &endpoint, undo, wait_seconds).await?,
@@ -131,8 +133,18 @@
     Ok(())
 }
 
+/// Path of a resource, whose name may contain any character.
+fn resource_path(kind: ResourceKind, name: &str) -> String {
+    format!("/v1/{}/{}", kind.plural(), encode(name))
+}
+
+/// Encodes one segment of a path.
+fn encode(segment: &str) -> impl Display {
+    utf8_percent_encode(segment, NON_ALPHANUMERIC)
+}
+
 async fn get_resource(client: &Client, kind: ResourceKind, name: &str) -> Result<Resource, CommandError> {
-    client.get(&format!("/v1/{}/{name}", kind.plural())).await
+    client.get(&resource_path(kind, name)).await
 }
 
 fn accepted_text(accepted: Accepted) -> String {
@@ -147,7 +159,7 @@
     }
     // With the version that was read, a concurrent change is a conflict; without it, that change would be overwritten.
     let body = PutBody { resource_version: Some(resource.resource_version), spec };
-    client.call(Method::PUT, &format!("/v1/{}/{name}", kind.plural()), Some(&json!(body_value(&body)))).await
+    client.call(Method::PUT, &resource_path(kind, name), Some(&json!(body_value(&body)))).await
 }
 
 fn body_value(body: &PutBody) -> Value {
