Values of entries that name no replica are neither kept nor sent to peers

Daemons that don't read the store themselves got nothing from their peers while large entries of another writer stood among the replicas: in a large hall all but a few, and any that the store turns away. After a restart of all daemons they had no configuration.

Cause: every entry under the replicas' prefix was kept as it was read, readable or not, and sent to peers; more than 8 MiB of them are not accepted.

The value of an entry that names no replica is dropped when it is cached; the key and the revision stay, so that reading it again is no change.

a_daemon_learns_from_a_peer_beside_large_entries_of_another_writer failed before (not ready within 10 s beside 12 entries of 900,000 bytes) and passes.

--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -265,6 +265,8 @@
         let missing = [cache.replicas.missing_from(&keys), cache.daemons.missing_from(&keys)].concat();
         let is_older = revision < before;
         let entries = snapshot.entries.into_iter().filter(|entry| !is_older || !is_outdated(gw, &cache, entry));
+        // Compared with what is kept.
+        let entries = entries.map(|entry| if is_return { to_cached(gw, entry) } else { entry });
         let entries: Vec<Entry> = entries.filter_map(|entry| cache.merge(entry)).collect();
         (is_return, missing, entries)
     };
@@ -439,11 +441,21 @@
 
 fn put_replica(gw: &Gateway, entry: &Entry) {
     // Stored even if it turns out to be unreadable, so that reading it again at the same revision is not a change.
-    if gw.store_cache().put_replica_entry(entry, gw.now()) {
+    let is_new = gw.store_cache().replicas.is_newer(&entry.key, entry.revision);
+    if is_new && gw.store_cache().put_replica_entry(&to_cached(gw, entry.clone()), gw.now()) {
         apply_replica(gw, entry);
     }
 }
 
+/// The entry as it is kept and sent to peers: without its value if it names no replica, since other writers may put any number
+/// of bytes there.
+fn to_cached(gw: &Gateway, entry: Entry) -> Entry {
+    let dialect = &gw.deps.dialect;
+    let is_foreign = entry.key.starts_with(dialect.replica_prefix())
+        && dialect.decode_replica(replica_id(gw, &entry.key), &entry.value).is_err();
+    if is_foreign { Entry { value: String::new(), ..entry } } else { entry }
+}
+
 fn apply_replica(gw: &Gateway, entry: &Entry) {
     let id = replica_id(gw, &entry.key).to_owned();
     match gw.deps.dialect.decode_replica(&id, &entry.value) {
