--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -265,7 +265,7 @@
         let missing = [cache.replicas.missing_from(&keys), cache.daemons.missing_from(&keys)].concat();
         let is_older = revision < before;
         let entries = snapshot.entries.into_iter().filter(|entry| !is_older || !is_outdated(gw, &cache, entry));
-        // Compared with what is kept.
+        // An older copy may show a version that is cached without its value.
         let entries = entries.map(|entry| if is_return { to_cached(gw, entry) } else { entry });
         let entries: Vec<Entry> = entries.filter_map(|entry| cache.merge(entry)).collect();
         (is_return, missing, entries)
