A daemon that starts serves with the pages of the store that it can read

A restarted daemon refused everything (503) while one page of the store's entries could not be read, although it had read the configuration and most replicas: a failed read discarded all of it, each time.

A read that fails returns what it has read so far. If the read before it failed too and nothing else is known, these entries are applied. The daemon stays not ready, so it gets requests only while no better one is there; what depends on a complete read (leadership, quotas, copies for peers) still waits for one.

--- a/crates/border/src/feed.rs
+++ b/crates/border/src/feed.rs
@@ -22,6 +22,21 @@
     pub pages: usize,
 }
 
+/// A read that failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReadFailure {
+    /// Why it failed.
+    pub why: CallError,
+    /// What had been read by then.
+    pub so_far: Snapshot,
+}
+
+impl From<Box<ReadFailure>> for CallError {
+    fn from(failure: Box<ReadFailure>) -> Self {
+        failure.why
+    }
+}
+
 /// An item of the service that cannot be decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UnreadableItem {
@@ -74,8 +89,8 @@
     /// revision must be read too. Otherwise the result is no older than the call.
     ///
     /// # Errors
-    /// Returns an error if no valid answer arrives.
-    async fn snapshot(&self, prefix: &str, allow_stale: bool) -> Result<Snapshot, CallError>;
+    /// Returns an error, with what had been read by then, if no valid answer arrives to one of its calls.
+    async fn snapshot(&self, prefix: &str, allow_stale: bool) -> Result<Snapshot, Box<ReadFailure>>;
 
     /// Makes the cheapest call that shows whether the service answers.
     ///
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -101,6 +101,7 @@
     PATHS_LOSSY = 335, "This daemon's own paths to replicas lose so many packets that calls go through peers, or `is_lossy` is false and they no longer do. Check the network of this VM.";
     READING_STORE = 336, "The store's entries are being read again. If `STORE_READ` does not follow, look at the next `STORE_LOST`.";
     STORE_ITEM_UNREADABLE = 337, "An item that the store returned cannot be decoded and is left out; `items` is the number of such items in the answer. What was known under its key stays known.";
+    STORE_READ_IN_PART = 338, "The store's entries could not be read to the end, repeatedly, and nothing else is known: the daemon is not ready, and serves with the entries that it has read. `why` of `STORE_LOST` names the reason.";
     MEMBER = 400, "The number of daemons believed to be alive changed.";
     LIST_REFUSED = 401, "The VM list does not contain this VM and is ignored.";
     LIST_LOST = 402, "The VM list cannot be read.";
--- a/crates/daemon/src/gateway/store_watch.rs
+++ b/crates/daemon/src/gateway/store_watch.rs
@@ -144,7 +144,13 @@
     gw.metrics.store_call(StoreCall::ReadAll);
     emit!(info, READING_STORE, may_be_old);
     let asked_at = gw.now();
-    let snapshot = gw.deps.feed.snapshot("", may_be_old).await?;
+    let snapshot = match gw.deps.feed.snapshot("", may_be_old).await {
+        Ok(snapshot) => snapshot,
+        Err(failure) => {
+            apply_part(gw, failure.so_far);
+            return Err(failure.why);
+        }
+    };
     store_answered(gw, snapshot.revision);
     let is_configuration_read = is_configuration_readable(gw, &snapshot.unreadable);
     apply_snapshot(gw, snapshot);
@@ -157,6 +163,22 @@
     Ok(())
 }
 
+/// Applies what was read before a read failed, if the one before failed too and nothing else is known. The daemon is not ready
+/// with it, but serves what callers send all the same.
+fn apply_part(gw: &Arc<Gateway>, part: Snapshot) {
+    let is_needed = {
+        let cache = gw.store_cache();
+        cache.revision == 0 && cache.unreachable
+    };
+    if !is_needed || part.entries.is_empty() {
+        return;
+    }
+    emit!(warn, STORE_READ_IN_PART, pages = part.pages, entries = part.entries.len());
+    for entry in part.entries {
+        apply(gw, Change::Put(entry));
+    }
+}
+
 /// Records that the store has reported all changes of the configuration up to `at`.
 fn record_proof(gw: &Gateway, at: Time) {
     let revision = gw.store_cache().newest_configuration;
