--- a/crates/border/tests/odd_statuses.rs
+++ b/crates/border/tests/odd_statuses.rs
@@ -6,6 +6,7 @@
 use dahliaseam_border::{
     error::CallError,
     http::{HttpClient, Reuse},
+    once,
 };
 use http::Request;
 use http_body_util::Full;
@@ -66,6 +67,8 @@
             let fetched = client.fetch(request(address), TIMEOUT).await;
             assert!(matches!(fetched, Err(CallError::Lost(_))), "{status:?}: {fetched:?}");
         }
+        let called = once::call(address, request(address), TIMEOUT).await;
+        assert!(matches!(called, Err(CallError::Lost(_))), "{status:?}: {called:?}");
     }
 }
 
