--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 //! Background tasks and shared parts:
 //!
 //! - [`store_watch`] reads the configuration and the replicas from the store, [`snapshot_transfer`] the same from a peer
-//!   while the store is unreachable or peers watch it, and [`store_cache`] holds what was read.
+//!   while the store is unreachable or peers watch it. [`store_entries`] applies it, and [`store_cache`] holds it.
 //! - [`peers`] exchanges load reports with other daemons in [`packet`]s, with [`peer_table`].
 //! - [`keys`] authenticates callers' keys, and [`freshness_probe`] proves that the configuration is recent enough.
 //! - [`quota`] keeps teams within their quotas.
@@ -61,6 +61,7 @@
 mod state;
 mod stop;
 mod store_cache;
+mod store_entries;
 mod store_watch;
 mod suspension;
 mod tunnel;
--- a/crates/daemon/src/gateway/snapshot_transfer.rs
+++ b/crates/daemon/src/gateway/snapshot_transfer.rs
@@ -30,7 +30,7 @@
 use crate::{
     clock::duration,
     emit,
-    gateway::{state::Gateway, store_watch},
+    gateway::{state::Gateway, store_entries},
 };
 
 /// Path of updates at a daemon's peer address.
@@ -205,16 +205,16 @@
     if update.whole {
         let revision = update.revision;
         let entries = entries.collect();
-        store_watch::apply_snapshot(gw, Snapshot { entries, revision, newest: revision, ..Snapshot::default() });
+        store_entries::apply_snapshot(gw, Snapshot { entries, revision, newest: revision, ..Snapshot::default() });
         let mut cache = gw.store_cache();
         cache.merged_era = cache.merged_era.max(update.merged_era);
         return;
     }
     for entry in entries {
-        store_watch::apply_unless_outdated(gw, Change::Put(entry));
+        store_entries::apply_unless_outdated(gw, Change::Put(entry));
     }
     for (key, revision) in update.removed {
-        store_watch::apply(gw, Change::Removed { key, revision });
+        store_entries::apply(gw, Change::Removed { key, revision });
     }
     gw.store_cache().advance(update.revision);
 }
@@ -255,7 +255,7 @@
     match fetch_update(client, from, 0).await {
         Ok(update) if update.whole && update.merged_era == revision::era(gw.store_cache().revision) => {
             log_update(from, 0, &update);
-            store_watch::apply_merged(gw, update);
+            store_entries::apply_merged(gw, update);
         }
         Ok(_) => {}
         Err(e) => emit!(info, NOT_BORROWED, peer = %from, why = %e),
