--- a/crates/border/src/feed.rs
+++ b/crates/border/src/feed.rs
@@ -18,7 +18,7 @@
     pub revision: i64,
     /// Revision of the newest part of the read.
     pub newest: i64,
-    /// Number of pages of which the read consisted; zero if it was none.
+    /// Number of pages that were read; zero for entries from a peer.
     pub pages: usize,
 }
 
